--- /dev/null
+++ b/src/bookkeeping/jobs.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "storage/records.h"
+#include "transport/http.h"
+
+namespace burlpoint::bookkeeping {
+
+using protocol::JobSpec;
+using protocol::Seconds;
+using storage::Final;
+using transport::Clock;
+using transport::Time;
+
+/// What a leader knows of a job beyond the stored facts.
+struct Run {
+    explicit Run(std::uint32_t tasks) : live(tasks, 0) {}
+
+    std::vector<std::uint8_t> live;     // machines that each task is possibly on
+    std::uint32_t liveTotal = 0;        // sum of `live`
+    std::uint32_t waiting = 0;          // tasks neither finished nor possibly on a machine
+    std::uint32_t running = 0;          // tasks seen running
+    std::set<std::uint32_t> unstored;   // tasks seen done whose bit is not stored yet
+    std::uint32_t hint = 0;             // no task before this one is waiting
+    std::map<std::string, std::uint32_t> zones;  // possible tasks per zone
+    bool inherited = false;             // accepted before this leader began
+
+    // Pacing by the design: launched (m), paced fetches (md) and their expected number (Md).
+    std::uint32_t launched = 0, paced = 0;
+    double pacedTotal = 0;
+    bool admitted = false;
+
+    std::uint64_t gangAttempt = 0;      // the attempt under way, 0: none
+    Time notBefore{};                   // back-off after failures
+    Time waitingSince{};
+    Time nextBits{};                    // when its finished tasks are stored next
+    std::map<std::string, Time> errorMachines;  // where a task of it failed since its last success
+    bool succeeded = false;             // a task of it has worked somewhere
+};
+
+/// A job as stored, and while this node leads, its run.
+struct Job {
+    JobSpec spec;
+    Final final = Final::open;
+    std::uint64_t acceptedMs = 0;
+    std::uint32_t chunkTasks = 1;
+    std::uint64_t version = 0;          // of its record
+    std::uint64_t accepted = 0;         // revision at which it was first seen: the order of arrival
+    std::vector<bool> done;             // stored bits; empty until needed and once the job is over
+    std::uint32_t doneCount = 0;
+    std::vector<std::uint64_t> chunkVersions;
+    std::unique_ptr<Run> run;
+
+    std::size_t chunks() const { return (spec.tasks + chunkTasks - 1) / chunkTasks; }
+    bool isDone(std::uint32_t task) const {
+        return final == Final::done || (task < done.size() && done[task]);
+    }
+    bool isFinished(std::uint32_t task) const { return isDone(task) || (run && run->unstored.contains(task)); }
+    bool isWaiting(std::uint32_t task) const {
+        return final == Final::open && !isFinished(task) && run->live[task] == 0;
+    }
+    std::uint64_t chunkVersion(std::size_t chunk) const {
+        return chunk < chunkVersions.size() ? chunkVersions[chunk] : 0;
+    }
+    /// Adds stored bits; the counts follow.
+    void setDone(std::uint32_t task);
+    void setChunkVersion(std::size_t chunk, std::uint64_t version);
+    /// The task was seen done; its bit is still to be stored. False if that was known.
+    bool finish(std::uint32_t task);
+    void addLive(std::uint32_t task, const std::string& zone);
+    void dropLive(std::uint32_t task, const std::string& zone);
+    /// The first waiting task, or none.
+    std::optional<std::uint32_t> firstWaiting();
+    /// Starts a run: nothing is on a machine so far.
+    void beginRun(bool inherited, Time now);
+    protocol::JobState state(std::uint32_t runningTasks) const;
+};
+
+enum class ChangeKind { job, leader, roster, types };
+struct Change {
+    ChangeKind kind;
+    std::string id;
+};
+
+struct StoredMachine {
+    storage::MachineRecord record;
+    std::uint64_t version = 0;
+};
+
+/// This node's copy of everything stored, in order of revisions.
+class Mirror {
+  public:
+    /// Takes a key's change unless it is older than what is known. False: a malformed value, skipped.
+    bool apply(const protocol::KeyChange& change, std::vector<Change>& changes);
+    /// After all keys were read anew: what was not among them is gone.
+    void dropUnread(const std::set<std::string>& read, std::vector<Change>& changes);
+
+    Job* find(const std::string& id);
+    const std::unordered_map<std::string, std::unique_ptr<Job>>& jobs() const { return jobs_; }
+    /// The open jobs in order of arrival.
+    std::vector<Job*> openJobs() const;
+
+    std::optional<storage::LeaderRecord> leader;
+    std::uint64_t leaderVersion = 0;
+    std::uint64_t token = 0, tokenVersion = 0;
+    std::map<std::string, StoredMachine> roster;
+    std::vector<protocol::MachineType> types;
+    std::uint64_t typesVersion = 0;
+    std::uint64_t revision = 0;
+
+  private:
+    void applyJob(const std::string& id, const msgpack::object& value, std::uint64_t version);
+
+    std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
+    std::set<Job*> open_;
+};
+
+}  // namespace burlpoint::bookkeeping
--- /dev/null
+++ b/src/coordination/election.cpp
@@ -0,0 +1,136 @@
+#include "coordination/election.h"
+
+#include <spdlog/spdlog.h>
+
+namespace burlpoint::coordination {
+
+using storage::TxnResult;
+using storage::TxnStatus;
+using transport::Clock;
+using transport::Duration;
+using transport::Time;
+using namespace std::chrono_literals;
+
+namespace keys = storage::keys;
+
+Election::Election(const protocol::Settings& settings, const protocol::Policy& policy, storage::StateClient& state,
+                   bookkeeping::Mirror& mirror, Sync& sync, Won won, Lost lost)
+    : settings_(settings), state_(state), mirror_(mirror), sync_(sync), won_(std::move(won)), lost_(std::move(lost)),
+      random_(std::random_device{}()) {
+    // Short enough that a successor takes over within the workers' lease, long enough that the leader's
+    // silence during an outage of the state service, added to that lease, spans the outage.
+    const auto wished = policy.leadership.count() > 0
+                            ? policy.leadership
+                            : std::clamp(settings.lease * 0.6, protocol::Seconds(2), protocol::Seconds(8));
+    life_ = std::chrono::duration_cast<Duration>(wished);
+}
+
+void Election::tick(Time now) {
+    if (leading_) {
+        if (now >= nextRenewal_ && !renewing_) renew(now);
+        return;
+    }
+    if (trying_ || !sync_.synced()) return;
+    const bool own = mirror_.leader && mirror_.leader->node == settings_.name;
+    if (mirror_.leader && !own) {
+        vacant_ = false;
+        return;
+    }
+    if (!vacant_) {
+        // Nodes that see the key go at the same moment should not all try at once. Its own name on the key
+        // tells a restarted node that its former self held it: that process is gone, so nobody else acts.
+        vacant_ = true;
+        notBefore_ = std::max(notBefore_, now + (own ? 0ms : std::uniform_int_distribution<>(0, 250)(random_) * 1ms));
+    }
+    if (now >= notBefore_) attempt(now);
+}
+
+void Election::attempt(Time now) {
+    trying_ = true;
+    const auto round = ++round_;
+    state_.makeLease(life_, [this, round, sent = now](int status, std::uint64_t lease) {
+        if (round != round_) return;
+        if (status != 200) return fail(0);
+        takeOver(lease, sent);
+    });
+}
+
+void Election::takeOver(std::uint64_t lease, Time sent) {
+    const auto round = round_;
+    const auto token = mirror_.token + 1;
+    const std::vector<protocol::KeyCondition> conditions{
+        {keys::kLeader, mirror_.leader ? mirror_.leaderVersion : 0}, {keys::kToken, mirror_.tokenVersion}};
+    const std::vector<protocol::KeyWrite> writes{
+        {keys::kLeader, storage::encodeLeader({settings_.name, token}), lease},
+        {keys::kToken, storage::encodeToken(token), 0}};
+    state_.transact(conditions, writes, 1500ms, [this, round, token, lease, sent](const TxnResult& result) {
+        if (round != round_) return;
+        if (result.status != TxnStatus::applied) return fail(lease);
+        lease_ = lease;
+        tenure_.begin(sent, life_);
+        confirm(token);
+    });
+}
+
+void Election::confirm(std::uint64_t token) {
+    const auto round = round_;
+    sync_.fresh([this, round, token](bool ok) {
+        if (round != round_) return;
+        const bool valid = tenure_.valid(Clock::now());
+        if (!ok && valid) return confirm(token);
+        if (!ok || !valid || mirror_.token != token || !mirror_.leader || mirror_.leader->token != token)
+            return fail(lease_);
+        trying_ = false;
+        vacant_ = false;
+        leading_ = true;
+        renewing_ = false;
+        nextRenewal_ = Clock::now();
+        spdlog::info("leading with token {}", token);
+        won_(token);
+    });
+}
+
+void Election::fail(std::uint64_t lease) {
+    if (lease) state_.endLease(lease);
+    ++round_;
+    notBefore_ = Clock::now() + 300ms + std::uniform_int_distribution<>(0, 300)(random_) * 1ms;
+    // Whoever won, or whether this try was carried out after all, is in the store.
+    const auto round = round_;
+    sync_.fresh([this, round](bool) {
+        if (round == round_) trying_ = false;
+    });
+}
+
+void Election::renew(Time now) {
+    renewing_ = true;
+    nextRenewal_ = now + life_ / 6;
+    const auto round = round_;
+    state_.extendLease(lease_, [this, round, sent = now](int status, std::uint64_t) {
+        if (round != round_) return;
+        renewing_ = false;
+        if (status == 200) return tenure_.renewed(sent);
+        if (status == 404) {
+            spdlog::error("the leadership's lease has ended");
+            return lose();
+        }
+        // Refused or unanswered: a later renewal that succeeds, after an outage say, resumes the leadership.
+        nextRenewal_ = std::min(nextRenewal_, Clock::now() + 300ms);
+    });
+}
+
+void Election::resign(Time now, bool selfish) {
+    if (!leading_) return;
+    state_.endLease(lease_);
+    lose();
+    if (selfish) notBefore_ = now + 20s;
+}
+
+void Election::lose() {
+    tenure_.end();
+    leading_ = false;
+    vacant_ = false;
+    ++round_;
+    lost_();
+}
+
+}  // namespace burlpoint::coordination
--- /dev/null
+++ b/src/coordination/election.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <functional>
+#include <random>
+#include <string>
+
+#include "bookkeeping/jobs.h"
+#include "coordination/sync.h"
+#include "protocol/settings.h"
+#include "storage/store.h"
+
+namespace burlpoint::coordination {
+
+/// How long this node may act as leader: counted from when the last successful renewal was sent, so that it
+/// ends before the state service's count does.
+class Tenure {
+  public:
+    void begin(transport::Time sent, transport::Duration life) {
+        until_ = bound(sent, life);
+        life_ = life;
+    }
+    void renewed(transport::Time sent) { until_ = std::max(until_, bound(sent, life_)); }
+    void end() { until_ = transport::Time::min(); }
+    bool valid(transport::Time now) const { return now < until_; }
+
+  private:
+    static transport::Time bound(transport::Time sent, transport::Duration life) {
+        // 0.1% covers two clocks drifting apart; the rest is for an answer on its way out.
+        return sent + life - life / 1000 - std::chrono::milliseconds(150);
+    }
+    transport::Time until_ = transport::Time::min();
+    transport::Duration life_{0};
+};
+
+/// Leadership by a key under a lease, with a token from a counter that never goes back.
+class Election {
+  public:
+    /// The mirror is fresh and shows this node as leader under `token`.
+    using Won = std::function<void(std::uint64_t token)>;
+    using Lost = std::function<void()>;
+
+    Election(const protocol::Settings& settings, const protocol::Policy& policy, storage::StateClient& state,
+             bookkeeping::Mirror& mirror, Sync& sync, Won won, Lost lost);
+
+    void tick(transport::Time now);
+    /// Gives leadership up at once. `selfish`: this node is badly placed to lead, so others go first.
+    void resign(transport::Time now, bool selfish);
+    /// May this node act as leader at this moment?
+    bool valid(transport::Time now) const { return leading_ && tenure_.valid(now); }
+    bool leading() const { return leading_; }
+
+  private:
+    void attempt(transport::Time now);
+    void takeOver(std::uint64_t lease, transport::Time sent);
+    void confirm(std::uint64_t token);
+    void renew(transport::Time now);
+    void fail(std::uint64_t lease);
+    void lose();
+
+    const protocol::Settings& settings_;
+    storage::StateClient& state_;
+    bookkeeping::Mirror& mirror_;
+    Sync& sync_;
+    Won won_;
+    Lost lost_;
+    transport::Duration life_;
+    std::mt19937 random_;
+    Tenure tenure_;
+    std::uint64_t lease_ = 0;
+    std::uint64_t round_ = 0;  // answers to requests of earlier rounds are ignored
+    bool trying_ = false, leading_ = false, renewing_ = false, vacant_ = false;
+    transport::Time notBefore_{}, nextRenewal_{};
+};
+
+}  // namespace burlpoint::coordination
--- /dev/null
+++ b/src/coordination/frontdesk.cpp
@@ -0,0 +1,252 @@
+#include "coordination/frontdesk.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace burlpoint::coordination {
+
+using bookkeeping::Job;
+using protocol::JobSpec;
+using protocol::JobState;
+using protocol::Kind;
+using protocol::Seconds;
+using storage::Final;
+using storage::TxnResult;
+using storage::TxnStatus;
+using transport::Clock;
+using transport::Duration;
+using transport::Reply;
+using transport::Request;
+using transport::Response;
+using transport::Time;
+using namespace std::chrono_literals;
+
+namespace keys = storage::keys;
+namespace paths = protocol::paths;
+
+namespace {
+
+constexpr auto kStoreTimeout = 1200ms;
+constexpr auto kLongestWait = 1200ms;  // in a team's queue, refusals by the state service included
+constexpr std::size_t kMostStoring = 8;
+constexpr std::size_t kMostQueued = 400;
+
+Response respond(int status, std::string body = {}) {
+    Response r;
+    r.status = status;
+    r.body = std::move(body);
+    return r;
+}
+
+Response comeBack(int status, std::string_view why, std::chrono::seconds after = 1s) {
+    auto r = respond(status, protocol::errorReply(why));
+    r.retryAfter = after;
+    return r;
+}
+
+Response wrongMethod(const char* allow) {
+    auto r = respond(405, protocol::errorReply("method not allowed"));
+    r.allow = allow;
+    return r;
+}
+
+std::uint64_t timeOfDayMs() {
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+}
+
+}  // namespace
+
+std::optional<std::string> neverRuns(const JobSpec& spec, const protocol::Settings& settings,
+                                     const std::vector<protocol::MachineType>& types) {
+    const auto* team = settings.team(spec.team);
+    if (!team) return "unknown team";
+    const double tasks = spec.kind == Kind::array ? 1 : spec.tasks;
+    if ((team->cpusMax > 0 && spec.cpus * tasks > team->cpusMax + 1e-9) ||
+        (team->gpusMax > 0 && spec.gpus * tasks > team->gpusMax + 1e-9))
+        return "more than the team's limit";
+    for (const auto& type : types) {
+        if (spec.types && std::find(spec.types->begin(), spec.types->end(), type.name) == spec.types->end()) continue;
+        if (type.cpus + 1e-9 >= spec.cpus && type.gpus + 1e-9 >= spec.gpus && type.memoryGb + 1e-9 >= spec.memoryGb)
+            return std::nullopt;
+    }
+    return "fits no allowed machine type";
+}
+
+FrontDesk::FrontDesk(asio::io_context& io, const protocol::Settings& settings, storage::StateClient& state,
+                     bookkeeping::Mirror& mirror, Sync& sync)
+    : settings_(settings), state_(state), mirror_(mirror), sync_(sync), timer_(io) {}
+
+bool FrontDesk::handle(const Request& request, const Reply& reply) {
+    const std::string& path = request.path;
+    if (path == paths::kSubmissions) {
+        if (request.method != "POST") return reply(wrongMethod("POST")), true;
+        submit(request, reply);
+        return true;
+    }
+    const std::string prefix = std::string(paths::kSubmissions) + "/";
+    if (!path.starts_with(prefix)) return false;
+    std::string id = path.substr(prefix.size());
+    const bool cancels = id.ends_with(paths::kCancel);
+    if (cancels) id.resize(id.size() - std::string_view(paths::kCancel).size());
+    if (id.find('/') != std::string::npos) return false;
+    if (request.method != (cancels ? "POST" : "GET")) return reply(wrongMethod(cancels ? "POST" : "GET")), true;
+    // An id of another form cannot have been accepted.
+    if (!protocol::isJobId(id)) return reply(respond(404, protocol::errorReply("no such job"))), true;
+    if (const auto* job = mirror_.find(id); job && job->final != Final::open)
+        answerState(*job, reply);
+    else if (cancels)
+        cancel(id, reply, 3);
+    else
+        status(id, reply);
+    return true;
+}
+
+void FrontDesk::setRunning(const std::vector<std::pair<std::string, std::uint32_t>>& running) {
+    running_.clear();
+    running_.insert(running.begin(), running.end());
+}
+
+void FrontDesk::answerState(const Job& job, const Reply& reply) const {
+    const auto found = running_.find(job.spec.id);
+    const auto running = found == running_.end() || job.final != Final::open ? 0 : found->second;
+    const auto state = job.state(running);
+    reply(respond(200, protocol::jobReply(job.spec.id, state, job.doneCount, running)));
+}
+
+void FrontDesk::status(const std::string& id, const Reply& reply) {
+    sync_.fresh([this, id, reply](bool ok) {
+        if (!ok) return reply(comeBack(503, "the state service does not answer"));
+        const auto* job = mirror_.find(id);
+        if (!job) return reply(respond(404, protocol::errorReply("no such job")));
+        answerState(*job, reply);
+    });
+}
+
+void FrontDesk::submit(const Request& request, const Reply& reply) {
+    JobSpec spec;
+    try {
+        const auto handle = protocol::unpackBody(request.body);
+        spec = protocol::decodeSpec(handle.get());
+    } catch (const protocol::Malformed& error) {
+        return reply(respond(400, protocol::errorReply(error.what())));
+    }
+    if (const auto* job = mirror_.find(spec.id)) {
+        if (job->final != Final::open) return answerState(*job, reply);
+        return status(spec.id, reply);
+    }
+    if (!sync_.synced() || mirror_.types.empty()) return reply(comeBack(503, "not able to decide yet"));
+    const auto why = neverRuns(spec, settings_, mirror_.types);
+    if (!why) return enqueue(std::move(spec), reply);
+    // Not even then may a job be turned down that another node has accepted.
+    sync_.fresh([this, id = spec.id, why = *why, reply](bool ok) {
+        if (!ok) return reply(comeBack(503, "the state service does not answer"));
+        if (const auto* job = mirror_.find(id)) return answerState(*job, reply);
+        reply(respond(422, protocol::errorReply(why)));
+    });
+}
+
+void FrontDesk::enqueue(JobSpec spec, const Reply& reply) {
+    // What cannot be stored soon is turned away at once, with the time to come back.
+    const double rate = settings_.stateWriteRps * 0.3;
+    const Seconds expected(static_cast<double>(queued_) / rate);
+    if (queued_ >= kMostQueued || expected > kLongestWait) {
+        const auto after = std::chrono::ceil<std::chrono::seconds>(std::min<Seconds>(expected, 30s));
+        return reply(comeBack(429, "too many submissions", std::max(after, 1s)));
+    }
+    const auto team = spec.team;
+    queues_[team].push_back({std::move(spec), reply, Clock::now()});
+    ++queued_;
+    serveQueues();
+}
+
+void FrontDesk::serveLater(Duration pause) {
+    if (timing_) return;
+    timing_ = true;
+    timer_.expires_after(pause);
+    timer_.async_wait([this](auto error) {
+        timing_ = false;
+        if (!error) serveQueues();
+    });
+}
+
+/// One submission of each team in turn, as the state service's rate allows.
+void FrontDesk::serveQueues() {
+    const auto now = Clock::now();
+    for (auto& [team, queue] : queues_) {
+        while (!queue.empty() && now - queue.front().since > kLongestWait) {
+            queue.front().reply(comeBack(503, "the state service is busy"));
+            queue.pop_front();
+            --queued_;
+        }
+    }
+    std::erase_if(queues_, [](const auto& entry) { return entry.second.empty(); });
+    while (!queues_.empty() && storing_ < kMostStoring) {
+        if (!state_.writes().take(0, 1, now)) break;  // the write itself is counted as it is sent
+        auto next = queues_.upper_bound(lastTeam_);
+        if (next == queues_.end()) next = queues_.begin();
+        lastTeam_ = next->first;
+        auto waiting = std::move(next->second.front());
+        next->second.pop_front();
+        --queued_;
+        if (next->second.empty()) queues_.erase(next);
+        store(std::move(waiting));
+    }
+    if (!queues_.empty()) serveLater(50ms);
+}
+
+void FrontDesk::store(Waiting waiting) {
+    ++storing_;
+    const auto key = keys::job(waiting.spec.id);
+    const storage::JobRecord record{waiting.spec, Final::open, timeOfDayMs(), 0,
+                                    storage::chunkTasks(settings_.valueKb)};
+    state_.transact({{key, 0}}, {{key, storage::encodeJob(record), 0}}, kStoreTimeout,
+                    [this, waiting = std::move(waiting)](const TxnResult& result) {
+                        --storing_;
+                        const auto& id = waiting.spec.id;
+                        switch (result.status) {
+                            case TxnStatus::applied:
+                                waiting.reply(respond(201, protocol::jobReply(id, JobState::queued)));
+                                break;
+                            case TxnStatus::conflict:  // accepted before, perhaps by another node
+                                status(id, waiting.reply);
+                                break;
+                            case TxnStatus::refused:
+                                if (Clock::now() - waiting.since < kLongestWait / 2) {
+                                    queues_[waiting.spec.team].push_front(waiting);
+                                    ++queued_;
+                                    return serveLater(120ms);
+                                }
+                                [[fallthrough]];
+                            default:
+                                waiting.reply(comeBack(503, "the state service does not answer"));
+                        }
+                        serveQueues();
+                    });
+}
+
+void FrontDesk::cancel(const std::string& id, const Reply& reply, int tries) {
+    sync_.fresh([this, id, reply, tries](bool ok) {
+        if (!ok) return reply(comeBack(503, "the state service does not answer"));
+        writeCancelled(id, reply, tries);
+    });
+}
+
+void FrontDesk::writeCancelled(const std::string& id, const Reply& reply, int tries) {
+    const auto* job = mirror_.find(id);
+    if (!job) return reply(respond(404, protocol::errorReply("no such job")));
+    if (job->final != Final::open) return answerState(*job, reply);
+    const auto key = keys::job(id);
+    const storage::JobRecord record{job->spec, Final::cancelled, job->acceptedMs, job->doneCount, job->chunkTasks};
+    // Conditional on the record: a job becomes either done or cancelled, whichever is stored first.
+    state_.transact({{key, job->version}}, {{key, storage::encodeJob(record), 0}}, kStoreTimeout,
+                    [this, id, reply, tries](const TxnResult& result) {
+                        if (result.status == TxnStatus::applied)
+                            return reply(respond(200, protocol::jobReply(id, JobState::cancelled)));
+                        if (result.status == TxnStatus::conflict && tries > 1) return cancel(id, reply, tries - 1);
+                        reply(comeBack(503, "the state service does not answer"));
+                    });
+}
+
+}  // namespace burlpoint::coordination
--- /dev/null
+++ b/src/coordination/leader.cpp
@@ -0,0 +1,619 @@
+#include "coordination/leader.h"
+
+#include <algorithm>
+
+namespace burlpoint::coordination {
+
+using bookkeeping::AttemptKey;
+using bookkeeping::RosterState;
+using protocol::ExitReason;
+using protocol::Kind;
+using protocol::Op;
+using protocol::TaskReport;
+using protocol::TaskState;
+using storage::Final;
+using storage::TxnStatus;
+using namespace std::chrono_literals;
+
+namespace keys = storage::keys;
+
+namespace {
+
+constexpr std::size_t kMostOrders = 300;  // keeps a response well below 64 KiB
+constexpr auto kBitsPause = 1s;             // a job's finished tasks gather for this long
+
+Clock::duration ticks(Seconds s) { return std::chrono::duration_cast<Clock::duration>(s); }
+
+PlaceState placeState(TaskState state) {
+    switch (state) {
+        case TaskState::waiting:
+            return PlaceState::waiting;
+        case TaskState::running:
+            return PlaceState::running;
+        case TaskState::saving:
+            return PlaceState::saving;
+        default:
+            return PlaceState::fetching;
+    }
+}
+
+}  // namespace
+
+Clock::duration Leader::leaseBound(const Settings& settings) {
+    // Both clocks may be off by 0.05% in opposite directions; the rest is for what a busy node notices late.
+    return ticks(settings.lease * 1.002 + Seconds(0.3));
+}
+
+Leader::Leader(const Settings& settings, const Policy& policy, Mirror& mirror, std::uint64_t token, Time now)
+    : settings_(settings), policy_(policy), mirror_(mirror), token_(token), began_(now), now_(now), random_(token),
+      writeBudget_(settings.stateWriteRps * 0.6, now), lastReport_(now),
+      cloudBudget_(settings.cloudRps * 0.8, now) {
+    for (const auto& type : mirror.types) types_[type.name] = type;
+    for (const auto& [id, job] : mirror.jobs()) {
+        job->run.reset();
+        if (job->final == Final::open) adoptJob(*job, true);
+    }
+    for (const auto& [id, stored] : mirror.roster) {
+        auto& machine = fleet_.add(id, now);
+        machine.address = stored.record.address;
+        machine.type = stored.record.type;
+        machine.zone = stored.record.zone;
+        machine.spot = stored.record.spot;
+        machine.roster = RosterState::stored;
+        // Whatever earlier leaders answered, they answered before now.
+        machine.leaseUntil = now + leaseBound(settings);
+        machine.lastReport = now;
+    }
+    nextSilence_ = now;
+}
+
+Leader::~Leader() {
+    for (const auto& [id, job] : mirror_.jobs()) job->run.reset();
+}
+
+std::vector<std::pair<std::string, std::uint32_t>> Leader::runningCounts() const {
+    std::vector<std::pair<std::string, std::uint32_t>> out;
+    for (const auto* job : open_)
+        if (job->run && job->run->running > 0) out.emplace_back(job->spec.id, job->run->running);
+    return out;
+}
+
+std::vector<Action> Leader::handle(Command command, Time now) {
+    now_ = std::max(now_, now);
+    std::visit([this](auto& c) { on(c); }, command);
+    sendUrgent();
+    maybeWrite();
+    return std::exchange(actions_, {});
+}
+
+void Leader::adoptJob(Job& job, bool inherited) {
+    job.beginRun(inherited, now_);
+    open_.push_back(&job);
+    orderStale_ = true;
+}
+
+// --- workers ----------------------------------------------------------------------------------------------
+
+void Leader::on(ReportArrived& command) {
+    const Report& report = command.report;
+    if (report.token > token_) {
+        // Another node leads by now: its token outranks ours wherever it was seen.
+        actions_.push_back(AnswerReport{command.request, false, {}});
+        actions_.push_back(Resign{"a worker has seen a higher token"});
+        return;
+    }
+    if (deleted_.contains(report.machine)) {
+        // A report that was held back: the machine is gone for good.
+        actions_.push_back(AnswerReport{command.request, false, {}});
+        return;
+    }
+    lastReport_ = now_;
+    const bool known = fleet_.find(report.machine) != nullptr;
+    auto& machine = fleet_.add(report.machine, now_);
+    if (!known) {
+        machine.type = report.type;
+        machine.zone = report.zone;
+        machine.spot = report.spot;
+        machine.settled = true;  // not in the roster, so no earlier leader gave it a task
+    }
+    machine.lastReport = now_;
+    machine.leaseUntil = now_ + leaseBound(settings_);
+    machine.reports = true;
+    // A report may arrive after a newer message of its worker; its tasks are then old news.
+    const bool newer = std::pair(report.session, report.sequence) > std::pair(machine.session, machine.sequence);
+    if (!newer) {
+        actions_.push_back(AnswerReport{command.request, true, {}});
+        return;
+    }
+    merge(machine, report, true);
+    keepRoster(machine);
+    actions_.push_back(AnswerReport{command.request, true, compose(machine, report)});
+    urgent_.erase(machine.id);  // the response has its stops
+}
+
+void Leader::on(WorkerAnswered& command) {
+    auto* machine = fleet_.find(command.machine);
+    if (!machine) return;
+    machine->probing = false;
+    if (!command.report) return;
+    const Report& report = *command.report;
+    if (report.machine != machine->id) return;
+    if (report.token > token_) {
+        actions_.push_back(Resign{"a worker has seen a higher token"});
+        return;
+    }
+    machine->probedAt = now_;
+    const bool retry = !machine->heard && report.token < token_ && report.session != machine->session;
+    if (std::pair(report.session, report.sequence) > std::pair(machine->session, machine->sequence))
+        merge(*machine, report, false);
+    // The probe named an old session and was turned down; with the right one the token gets through.
+    if (retry) actions_.push_back(SendOrders{machine->id, machine->address, machine->session, {}});
+}
+
+void Leader::merge(Machine& machine, const Report& report, bool isReport) {
+    if (report.session > machine.session && machine.heard) {
+        // The worker killed and forgot all its tasks; planned ones never reached it.
+        for (auto at = machine.places.begin(); at != machine.places.end();) {
+            const Placement placement = at->second;
+            if (placement.state == PlaceState::planned) {
+                ++at;
+                continue;
+            }
+            fleet_.remove(machine, at);
+            gone(machine, placement, ExitReason::none);
+            at = machine.places.upper_bound({placement.job, placement.task, placement.attempt});
+        }
+    }
+    machine.session = report.session;
+    machine.sequence = report.sequence;
+    machine.address = report.address;
+    if (report.notice && !machine.recallAt) machine.recallAt = now_ + ticks(*report.notice);
+    if (!report.notice) machine.recallAt.reset();
+    if (report.token == token_ && !machine.heard) {
+        machine.heard = true;
+        machine.settled = true;
+        orderStale_ = true;
+    }
+    if (!machine.heard) return;
+
+    for (auto& [key, placement] : machine.places) placement.seen = placement.state == PlaceState::planned;
+    for (const auto& task : report.tasks) mergeTask(machine, task);
+    for (auto at = machine.places.begin(); at != machine.places.end();) {
+        const Placement placement = at->second;
+        // A start that left with a report's response may still be on its way when a direct command's reply
+        // comes in. Only the worker's next report shows that it was taken or dropped.
+        const bool inFlight =
+            placement.state == PlaceState::sent && (!isReport || report.sequence <= placement.sentSequence);
+        if (placement.seen || inFlight) {
+            ++at;
+            continue;
+        }
+        fleet_.remove(machine, at);
+        gone(machine, placement, ExitReason::none);
+        at = machine.places.upper_bound({placement.job, placement.task, placement.attempt});
+    }
+    if (machine.recallAt) recall(machine);
+    if (!machine.places.empty()) machine.busyUntil = now_;
+}
+
+void Leader::mergeTask(Machine& machine, const TaskReport& task) {
+    auto* job = mirror_.find(task.attempt.job);
+    if (!job || task.attempt.task >= job->spec.tasks) return;  // compose() has it killed
+    const AttemptKey key{job, task.attempt.task, task.attempt.number};
+    const auto at = machine.places.find(key);
+    if (task.state == TaskState::exited) {
+        if (task.why == ExitReason::done) finished(*job, key.task);
+        if (at == machine.places.end()) return;
+        const Placement placement = at->second;
+        fleet_.remove(machine, at);
+        gone(machine, placement, task.why);
+        return;
+    }
+    const auto state = placeState(task.state);
+    Placement* placement = nullptr;
+    if (at == machine.places.end()) {
+        if (!job->run) job->beginRun(true, now_);
+        placement = &fleet_.place(machine, *job, key.task, key.attempt, state, now_);
+        if (job->spec.kind == Kind::gang) job->run->gangAttempt = std::max(job->run->gangAttempt, key.attempt);
+        orderStale_ = true;
+    } else {
+        placement = &at->second;
+        if (placement->state == PlaceState::fetching && state != PlaceState::fetching) {
+            const double took = Seconds(now_ - placement->since).count();
+            meanFetch_ = fetchesSeen_ == 0 ? took : meanFetch_ + (took - meanFetch_) * 0.1;
+            ++fetchesSeen_;
+        }
+        fleet_.setState(*placement, state, now_);
+    }
+    placement->seen = true;
+    if (state != PlaceState::fetching) {
+        const auto* type = typeOf(machine.type);
+        machine.useImage(job->spec.image, job->spec.imageGb, type ? type->cacheGb : 0);
+    }
+    if (job->final != Final::open || job->isFinished(key.task)) {
+        // Cancelled, or done elsewhere under an earlier leader. Gang tasks end with their gang.
+        if (job->final != Final::open || job->spec.kind != Kind::gang) stop(machine, *placement, Seconds(0));
+    }
+}
+
+/// The task is done, whichever attempt did it. Its bit is to be stored before anybody hears of it.
+void Leader::finished(Job& job, std::uint32_t task) {
+    if (job.final != Final::open || job.spec.kind == Kind::service) return;
+    if (!job.run) adoptJob(job, true);
+    bool fresh = false;
+    if (job.spec.kind == Kind::gang) {
+        // They complete together: when one is done, all are.
+        for (std::uint32_t each = 0; each < job.spec.tasks; ++each) fresh |= job.finish(each);
+    } else {
+        fresh = job.finish(task);
+    }
+    if (!fresh) return;
+    unstored_.insert(&job);
+    job.run->errorMachines.clear();
+    job.run->succeeded = true;
+}
+
+void Leader::gone(Machine& machine, const Placement& placement, ExitReason why) {
+    Job& job = *placement.job;
+    orderStale_ = true;
+    if (machine.places.empty()) machine.busyUntil = now_;
+    switch (why) {
+        case ExitReason::done:
+            machine.errorJobs.clear();
+            break;
+        case ExitReason::error:
+            // A faulty machine fails the tasks of many jobs; a faulty job fails on many machines.
+            job.run->errorMachines[machine.id] = now_;
+            if (job.run->errorMachines.size() >= 3)
+                job.run->notBefore = now_ + std::min<Clock::duration>(5s * (job.run->errorMachines.size() - 2), 60s);
+            else
+                machine.errorJobs.insert(job.spec.id);
+            break;
+        case ExitReason::noRoom:
+        case ExitReason::busy:
+            machine.quietUntil = now_ + 2s;
+            break;
+        case ExitReason::unknown:
+            job.run->notBefore = now_ + 2s;
+            break;
+        default:
+            break;
+    }
+    if (job.final != Final::open) return;
+    if (job.run->waiting > 0) job.run->waitingSince = now_;
+    if (job.spec.kind == Kind::gang) {
+        // Without one of its tasks this attempt comes to nothing; the next waits until all have left.
+        if (!job.isFinished(placement.task)) stopJob(job, job.spec.save);
+        if (job.run->liveTotal == 0) job.run->gangAttempt = 0;
+    }
+}
+
+void Leader::stop(Machine& machine, Placement& placement, Seconds grace) {
+    if (placement.stopping && placement.grace <= grace) return;
+    placement.stopping = true;
+    placement.grace = grace;
+    urgent_.insert(machine.id);
+}
+
+void Leader::stopJob(Job& job, Seconds grace) {
+    for (auto [machine, placement] : fleet_.placesOf(job)) {
+        if (placement->state == PlaceState::planned) {
+            fleet_.remove(*machine, machine->places.find({&job, placement->task, placement->attempt}));
+            orderStale_ = true;
+        } else {
+            stop(*machine, *placement, grace);
+        }
+    }
+}
+
+std::vector<Order> Leader::stopOrders(const Machine& machine) const {
+    std::vector<Order> orders;
+    for (const auto& [key, p] : machine.places) {
+        if (!p.stopping || p.state == PlaceState::planned || orders.size() >= kMostOrders) continue;
+        if (p.state == PlaceState::saving && p.grace > Seconds(0)) continue;  // it is at it
+        orders.push_back({Op::stop, {p.job->spec.id, p.task, p.attempt}, p.grace});
+    }
+    return orders;
+}
+
+void Leader::sendUrgent() {
+    for (const auto& id : std::exchange(urgent_, {})) {
+        const auto* machine = fleet_.find(id);
+        if (!machine || !machine->heard || machine->address.empty()) continue;
+        auto orders = stopOrders(*machine);
+        if (!orders.empty())
+            actions_.push_back(SendOrders{id, machine->address, machine->session, std::move(orders)});
+    }
+}
+
+std::vector<Order> Leader::compose(Machine& machine, const Report& report) {
+    std::vector<Order> orders;
+    if (!machine.heard) return orders;
+    for (const auto& task : report.tasks) {
+        if (orders.size() >= kMostOrders) return orders;
+        const auto* job = mirror_.find(task.attempt.job);
+        const bool stray = !job || task.attempt.task >= job->spec.tasks;
+        if (task.state != TaskState::exited) {
+            if (stray) orders.push_back({Op::stop, task.attempt, Seconds(0)});
+        } else if (stray || task.why != ExitReason::done || job->final != Final::open ||
+                   job->isDone(task.attempt.task) || job->spec.kind == Kind::service) {
+            // A result is cleared only once its bit is stored: until then the report is the only record.
+            orders.push_back({Op::forget, task.attempt, Seconds(0)});
+        }
+    }
+    for (auto& order : stopOrders(machine)) orders.push_back(std::move(order));
+    if (usable(machine)) schedule(machine, orders);
+    return orders;
+}
+
+void Leader::recall(Machine& machine) {
+    machine.draining = true;
+    const Seconds left = *machine.recallAt - now_;
+    for (auto& [key, placement] : machine.places) {
+        const auto& spec = placement.job->spec;
+        if (placement.state == PlaceState::planned) continue;
+        if (spec.checkpoint > Seconds(0)) {
+            stop(machine, placement, spec.save);
+        } else if (spec.kind == Kind::array) {
+            const Seconds ran = placement.state == PlaceState::running ? Seconds(now_ - placement.runningSince)
+                                                                       : Seconds(0);
+            if (ran + left < spec.estimate * 0.7) stop(machine, placement, Seconds(0));
+        } else {
+            stop(machine, placement, Seconds(0));
+        }
+    }
+    for (auto at = machine.places.begin(); at != machine.places.end();) {
+        if (at->second.state != PlaceState::planned) {
+            ++at;
+            continue;
+        }
+        const Placement placement = at->second;
+        fleet_.remove(machine, at);
+        gone(machine, placement, ExitReason::none);
+        at = machine.places.upper_bound({placement.job, placement.task, placement.attempt});
+    }
+}
+
+/// Proof that nothing sent so far is on the machine.
+void Leader::settle(Machine& machine) {
+    machine.settled = true;
+    orderStale_ = true;
+    fleet_.removeAll(machine, [&](const Placement& placement) { gone(machine, placement, ExitReason::none); });
+}
+
+void Leader::forget(Machine& machine) {
+    const auto id = machine.id;
+    settle(machine);
+    if (machine.roster != RosterState::absent) rosterDrop_.insert(id);
+    rosterAdd_.erase(id);
+    fleet_.erase(id);
+    orderStale_ = true;
+}
+
+void Leader::keepRoster(Machine& machine) {
+    const storage::MachineRecord record{machine.address, machine.type, machine.zone, machine.spot};
+    const auto stored = mirror_.roster.find(machine.id);
+    if (machine.roster == RosterState::writing) return;
+    if (stored != mirror_.roster.end() && stored->second.record == record) {
+        machine.roster = RosterState::stored;
+        rosterAdd_.erase(machine.id);
+        return;
+    }
+    machine.roster = stored == mirror_.roster.end() ? RosterState::absent : RosterState::stored;
+    rosterAdd_.insert(machine.id);
+}
+
+void Leader::watchSilence() {
+    if (now_ < nextSilence_) return;
+    nextSilence_ = now_ + 500ms;
+    const auto patience = ticks(settings_.report * 2 + Seconds(0.5));
+    std::size_t reporting = 0, silent = 0;
+    std::vector<Machine*> lapsed;
+    for (auto& [id, machine] : fleet_.machines()) {
+        const bool quiet = now_ - machine->lastReport > patience;
+        if (!machine->settled || machine->reports) (quiet || !machine->settled ? silent : reporting) += 1;
+        if (now_ > machine->leaseUntil && (!machine->settled || machine->reports || !machine->places.empty()))
+            lapsed.push_back(machine.get());
+    }
+    for (auto* machine : lapsed) {
+        settle(*machine);
+        machine->reports = false;
+    }
+    const bool few = silent <= std::max<std::size_t>(2, (reporting + silent) / 4);
+    const auto giveUp = std::max<Clock::duration>(ticks(settings_.lease * 0.4), patience + 1500ms);
+    for (auto& [id, machine] : fleet_.machines()) {
+        const bool unheard = !machine->settled;
+        if (!unheard && !machine->reports) continue;
+        const auto silence = now_ - machine->lastReport;
+        if (!unheard && silence <= patience) continue;
+        // The probe carries the token, so a reachable worker reports anew and an unheard one is heard.
+        if (!machine->address.empty() && !machine->probing) {
+            machine->probing = true;
+            actions_.push_back(SendOrders{id, machine->address, machine->session, stopOrders(*machine)});
+        }
+        const bool answered = now_ - machine->probedAt < giveUp;
+        const bool holds = unheard || !machine->places.empty();
+        if (few && holds && !answered && silence > giveUp) machine->releasing = true;
+    }
+    // Nobody reports here any more: more likely this node's network than all machines at once.
+    if (reporting == 0 && silent >= 2 && now_ - lastReport_ > patience + 4s && now_ - began_ > patience + 6s)
+        actions_.push_back(Resign{"no worker reaches this node", true});
+}
+
+// --- users and the state service --------------------------------------------------------------------------
+
+void Leader::on(JobsChanged& command) {
+    for (const auto& id : command.ids) {
+        auto* job = mirror_.find(id);
+        if (!job) continue;
+        orderStale_ = true;
+        if (job->final == Final::open) {
+            if (!job->run) adoptJob(*job, false);
+            continue;
+        }
+        std::erase(open_, job);
+        unstored_.erase(job);
+        if (job->run) stopJob(*job, Seconds(0));
+    }
+}
+
+void Leader::maybeWrite() {
+    if (writing_ || refreshing_ || now_ < nextWrite_) return;
+    const auto most = std::min<std::size_t>(settings_.txnOps,
+                                            static_cast<std::size_t>(std::max(0.0, writeBudget_.available(now_))));
+    constexpr std::size_t kBytes = 48 * 1024;  // of the 64 KiB that a transaction may have
+    WriteState write;
+    write.conditions.push_back({keys::kToken, mirror_.tokenVersion});
+    std::size_t bytes = 0;
+    const auto room = [&] { return write.writes.size() < most && bytes < kBytes; };
+    const auto put = [&](const std::string& key, std::optional<std::string> value, std::uint64_t version) {
+        bytes += value ? value->size() + 200 : 200;
+        write.conditions.push_back({key, version});
+        write.writes.push_back({key, std::move(value), 0});
+    };
+
+    for (const auto& id : rosterAdd_) {
+        if (!room()) break;
+        auto* machine = fleet_.find(id);
+        const auto stored = mirror_.roster.find(id);
+        if (machine->roster == RosterState::absent) machine->roster = RosterState::writing;
+        put(keys::machine(id),
+            storage::encodeMachine({machine->address, machine->type, machine->zone, machine->spot}),
+            stored == mirror_.roster.end() ? 0 : stored->second.version);
+        rosterWrites_.push_back(id);
+    }
+    for (auto* job : unstored_) {
+        if (!room()) break;
+        if (!endsWithOneWrite(*job)) continue;
+        // Whatever bits are missing, the record that says "done" stands for all of them.
+        put(keys::job(job->spec.id),
+            storage::encodeJob({job->spec, Final::done, job->acceptedMs, job->spec.tasks, job->chunkTasks}),
+            job->version);
+        finalWrites_.push_back(job);
+    }
+    if (typesUnstored_ && room()) {
+        for (const auto& [name, type] : types_) typesWrite_.push_back(type);
+        put(keys::kTypes, protocol::encodeMachineTypes(typesWrite_), mirror_.typesVersion);
+    }
+    for (auto* job : unstored_) {
+        if (!room() || now_ < job->run->nextBits || endsWithOneWrite(*job)) continue;
+        std::map<std::size_t, std::vector<std::uint32_t>> chunks;
+        for (const auto task : job->run->unstored) chunks[task / job->chunkTasks].push_back(task);
+        for (auto& [chunk, tasks] : chunks) {
+            if (!room()) break;
+            auto bits = job->done;
+            bits.resize(job->spec.tasks);
+            for (const auto task : tasks) bits[task] = true;
+            put(keys::doneChunk(job->spec.id, chunk),
+                storage::encodeBits(bits, chunk * job->chunkTasks, job->chunkTasks), job->chunkVersion(chunk));
+            doneWrites_.push_back({job, chunk, std::move(tasks)});
+        }
+        job->run->nextBits = now_ + kBitsPause;
+    }
+    std::erase_if(rosterDrop_, [&](const auto& id) { return !mirror_.roster.contains(id); });
+    for (const auto& id : rosterDrop_) {
+        if (!room()) break;
+        put(keys::machine(id), std::nullopt, mirror_.roster[id].version);
+        rosterDeletes_.push_back(id);
+    }
+    if (write.writes.empty()) return;
+    writeBudget_.force(static_cast<double>(write.writes.size()), now_);
+    writing_ = true;
+    actions_.push_back(std::move(write));
+}
+
+bool Leader::endsWithOneWrite(const Job& job) const {
+    if (job.doneCount + job.run->unstored.size() < job.spec.tasks) return false;
+    return job.run->unstored.empty() || job.chunks() == 1;
+}
+
+void Leader::on(StateWritten& command) {
+    writing_ = false;
+    const auto& result = command.result;
+    // Other users of the store need their turn, and a moment's wait lets changes gather.
+    nextWrite_ = now_ + 150ms;
+    const bool applied = result.status == TxnStatus::applied;
+    for (const auto& id : rosterWrites_) {
+        auto* machine = fleet_.find(id);
+        if (machine && applied) machine->roster = RosterState::stored;
+        if (machine && machine->roster == RosterState::writing) machine->roster = RosterState::absent;
+        if (!applied) continue;
+        rosterAdd_.erase(id);
+        if (!machine) {
+            rosterDrop_.insert(id);
+            mirror_.roster[id] = {{}, result.revision};
+            continue;
+        }
+        auto& stored = mirror_.roster[id];
+        stored = {{machine->address, machine->type, machine->zone, machine->spot}, result.revision};
+    }
+    if (applied) {
+        for (const auto& id : rosterDeletes_) {
+            mirror_.roster.erase(id);
+            rosterDrop_.erase(id);
+        }
+        for (auto& write : doneWrites_) {
+            if (write.job->final != Final::open) continue;
+            for (const auto task : write.tasks) write.job->setDone(task);
+            write.job->setChunkVersion(write.chunk, result.revision);
+            if (write.job->run->unstored.empty() && write.job->doneCount < write.job->spec.tasks)
+                unstored_.erase(write.job);
+        }
+        for (auto* job : finalWrites_) {
+            if (job->final != Final::open) continue;
+            job->final = Final::done;
+            job->doneCount = job->spec.tasks;
+            job->version = result.revision;
+            job->run->waiting = 0;
+            job->run->unstored.clear();
+            unstored_.erase(job);
+            std::erase(open_, job);
+            orderStale_ = true;
+        }
+        if (!typesWrite_.empty()) {
+            mirror_.types = typesWrite_;
+            mirror_.typesVersion = result.revision;
+            typesUnstored_ = false;
+        }
+    } else if (result.status == TxnStatus::conflict &&
+               std::find(result.failed.begin(), result.failed.end(), keys::kToken) != result.failed.end()) {
+        actions_.push_back(Resign{"another node raised the token"});
+    } else if (result.status == TxnStatus::refused) {
+        nextWrite_ = now_ + 500ms;
+    } else {
+        // Changed by a user's cancellation, or of unknown outcome: see what is stored, then try again.
+        refreshing_ = true;
+        actions_.push_back(RefreshMirror{});
+    }
+    typesWrite_.clear();
+    doneWrites_.clear();
+    finalWrites_.clear();
+    rosterWrites_.clear();
+    rosterDeletes_.clear();
+}
+
+void Leader::on(MirrorRefreshed& command) {
+    if (!command.ok) {
+        actions_.push_back(RefreshMirror{});
+        return;
+    }
+    refreshing_ = false;
+    for (auto& [id, machine] : fleet_.machines())
+        if (machine->reports && machine->roster != RosterState::stored) keepRoster(*machine);
+}
+
+// --- time -------------------------------------------------------------------------------------------------
+
+void Leader::on(Tick&) {
+    watchSilence();
+    refreshOrder();
+    refreshPacing();
+    planGangs();
+    if (now_ >= nextPlan_) {
+        nextPlan_ = now_ + 1s;
+        if (policy_.preempt) preempt();
+        provision();
+    }
+}
+
+}  // namespace burlpoint::coordination
--- /dev/null
+++ b/src/coordination/leader.h
@@ -0,0 +1,258 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "bookkeeping/fleet.h"
+#include "protocol/settings.h"
+#include "storage/store.h"
+
+namespace burlpoint::coordination {
+
+using bookkeeping::Fleet;
+using bookkeeping::Job;
+using bookkeeping::Machine;
+using bookkeeping::Mirror;
+using bookkeeping::Placement;
+using bookkeeping::PlaceState;
+using bookkeeping::Resources;
+using protocol::MachineType;
+using protocol::Order;
+using protocol::Policy;
+using protocol::Priority;
+using protocol::Report;
+using protocol::Seconds;
+using protocol::Settings;
+using transport::Clock;
+using transport::Time;
+
+// What a leader is told.
+struct ReportArrived {
+    std::uint64_t request = 0;
+    Report report;
+};
+struct WorkerAnswered {  // to SendOrders; no report: it could not be reached
+    std::string machine;
+    std::optional<Report> report;
+};
+struct JobsChanged {
+    std::vector<std::string> ids;
+};
+struct StateWritten {  // what came of WriteState
+    storage::TxnResult result;
+};
+struct MirrorRefreshed {
+    bool ok = false;
+};
+struct RentalAnswered {
+    std::string name;
+    bool rented = false, noCapacity = false, malformed = false;
+    std::vector<std::string> machines;
+};
+struct ReleaseAnswered {
+    std::vector<std::string> machines;
+    bool ok = false;
+};
+struct MachinesListed {
+    std::vector<protocol::Rented> machines;
+    Time asked{};
+    bool ok = false;
+};
+struct TypesListed {
+    std::vector<MachineType> types;
+};
+struct Tick {};
+
+using Command = std::variant<ReportArrived, WorkerAnswered, JobsChanged, StateWritten, MirrorRefreshed,
+                             RentalAnswered, ReleaseAnswered, MachinesListed, TypesListed, Tick>;
+
+// What a leader wants done.
+struct AnswerReport {
+    std::uint64_t request = 0;
+    bool accepted = true;  // false: 503
+    std::vector<Order> orders;
+};
+struct SendOrders {
+    std::string machine, address;
+    std::uint64_t session = 0;
+    std::vector<Order> orders;
+};
+struct WriteState {
+    std::vector<protocol::KeyCondition> conditions;
+    std::vector<protocol::KeyWrite> writes;
+};
+struct RefreshMirror {};
+struct Rent {
+    protocol::RentalRequest request;
+};
+struct Release {
+    std::vector<std::string> machines;
+};
+struct ListMachines {};
+struct ListTypes {};
+struct Resign {
+    std::string why;
+    bool selfish = false;  // this node is the likely cause, so it should not lead again soon
+};
+
+using Action = std::variant<AnswerReport, SendOrders, WriteState, RefreshMirror, Rent, Release, ListMachines,
+                            ListTypes, Resign>;
+
+/// The decisions of a leading controller, from take-over to resignation: functions of its state, a command
+/// and the time. It does no I/O. The mirror must be fresh when it is made.
+class Leader {
+  public:
+    Leader(const Settings& settings, const Policy& policy, Mirror& mirror, std::uint64_t token, Time now);
+    ~Leader();
+    Leader(const Leader&) = delete;
+    Leader& operator=(const Leader&) = delete;
+
+    std::vector<Action> handle(Command command, Time now);
+
+    std::uint64_t token() const { return token_; }
+    const Fleet& fleet() const { return fleet_; }
+    std::vector<std::pair<std::string, std::uint32_t>> runningCounts() const;
+
+    /// The worker's lease as its controllers must count it: from the receipt of a report, with drift.
+    static Clock::duration leaseBound(const Settings& settings);
+
+  private:
+    friend class LeaderProbe;  // tests look inside
+
+    struct DoneWrite {
+        Job* job;
+        std::size_t chunk;
+        std::vector<std::uint32_t> tasks;
+    };
+    struct PendingRental {
+        protocol::RentalRequest request;
+        Time since{}, nextTry{};
+        bool asked = false;
+    };
+    struct Shape {  // type, zone and kind of a machine
+        std::string type, zone;
+        bool spot = false;
+        auto operator<=>(const Shape&) const = default;
+    };
+    struct Refusal {
+        Time until{};
+        Clock::duration pause{};
+    };
+
+    // leader.cpp
+    void on(ReportArrived& command);
+    void on(WorkerAnswered& command);
+    void on(JobsChanged& command);
+    void on(StateWritten& command);
+    void on(MirrorRefreshed& command);
+    void on(RentalAnswered& command);
+    void on(ReleaseAnswered& command);
+    void on(MachinesListed& command);
+    void on(TypesListed& command);
+    void on(Tick& command);
+
+    void merge(Machine& machine, const Report& report, bool isReport);
+    void mergeTask(Machine& machine, const protocol::TaskReport& task);
+    void finished(Job& job, std::uint32_t task);
+    void gone(Machine& machine, const Placement& placement, protocol::ExitReason why);
+    void stop(Machine& machine, Placement& placement, Seconds grace);
+    void stopJob(Job& job, Seconds grace);
+    void settle(Machine& machine);
+    void forget(Machine& machine);
+    void adoptJob(Job& job, bool inherited);
+    std::vector<Order> compose(Machine& machine, const Report& report);
+    std::vector<Order> stopOrders(const Machine& machine) const;
+    void sendUrgent();
+    void recall(Machine& machine);
+    void watchSilence();
+    void keepRoster(Machine& machine);
+    void maybeWrite();
+    bool endsWithOneWrite(const Job& job) const;
+
+    // placement.cpp
+    bool usable(const Machine& machine) const;
+    const MachineType* typeOf(const std::string& name) const;
+    Resources roomOn(const Machine& machine, const Job& job) const;
+    bool allows(const Job& job, const std::string& type, const std::string& zone, bool spot) const;
+    bool mayStart(const Job& job, const Machine& machine) const;
+    bool withinTeamLimit(const Job& job, std::uint32_t tasks) const;
+    bool zoneAllows(const Job& job, const std::string& zone) const;
+    bool blockedByUnheard(const Job& job) const;
+    int rankOf(const Job& job) const;
+    void refreshOrder();
+    void admit(Job& job);
+    void schedule(Machine& machine, std::vector<Order>& orders);
+    bool startOne(Machine& machine, Job& job, std::vector<Order>& orders);
+    bool paceAllows(const Job& job, const Machine& machine);
+    std::uint32_t cachedRoomElsewhere(const Job& job, const Machine& machine, std::uint32_t enough) const;
+    void refreshPacing();
+    double cachedSeconds(const Machine& machine) const;
+    void noteFetch(Machine& machine, Job& job);
+    void planGangs();
+    bool planGang(Job& job, const std::string* zone);
+    void preempt();
+    bool preemptFor(Job& job);
+
+    // provisioning.cpp
+    void provision();
+    void requestRentals(const std::map<Shape, std::uint32_t>& wanted);
+    void releaseIdle(const std::set<std::string>& needed);
+    bool refused(const Shape& shape) const;
+    void refuse(const Shape& shape);
+
+    const Settings& settings_;
+    const Policy& policy_;
+    Mirror& mirror_;
+    const std::uint64_t token_;
+    const Time began_;
+    Time now_;
+    std::vector<Action> actions_;
+    std::mt19937_64 random_;
+
+    Fleet fleet_;
+    std::map<std::string, MachineType> types_;
+    std::uint64_t attempts_ = 0, rentals_ = 0;
+    std::set<std::string> deleted_;      // machines whose deletion was completed
+    std::set<std::string> urgent_;       // machines to be sent their stops at once
+
+    // the state service
+    storage::RateBudget writeBudget_;
+    bool writing_ = false, refreshing_ = false;
+    Time nextWrite_{};
+    std::set<Job*> unstored_;            // with done tasks whose bits are to be stored
+    std::set<std::string> rosterAdd_, rosterDrop_;
+    bool typesUnstored_ = false;
+    std::vector<DoneWrite> doneWrites_;  // of the write under way
+    std::vector<Job*> finalWrites_;
+    std::vector<std::string> rosterWrites_, rosterDeletes_;
+    std::vector<MachineType> typesWrite_;
+
+    // placement
+    std::vector<Job*> order_;            // waiting jobs in the order they are walked
+    std::map<const Job*, int> ranks_;
+    std::vector<Job*> open_;
+    bool orderStale_ = true;
+    Time nextOrder_{}, nextPacing_{};
+    std::map<std::string, Time> zoneFetch_;      // the last fetch started per zone
+    std::map<std::string, double> imageWork_;    // processor seconds waiting per image and cached processor
+    double meanCachedSeconds_ = 0;
+    double meanFetch_ = 0;
+    std::uint32_t fetchesSeen_ = 0;
+
+    // machines
+    Time nextSilence_{}, nextPlan_{}, nextList_{}, nextTypes_{}, lastReport_{};
+    bool listing_ = false, listed_ = false;
+    storage::RateBudget cloudBudget_;
+    std::deque<PendingRental> rentalsPending_;
+    std::map<Shape, Refusal> refusals_;
+    bool releasing_ = false;
+    Time nextRelease_{};
+};
+
+}  // namespace burlpoint::coordination
--- /dev/null
+++ b/src/coordination/node.cpp
@@ -0,0 +1,367 @@
+#include "coordination/node.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace burlpoint::coordination {
+
+using protocol::Malformed;
+using storage::TxnResult;
+using transport::Clock;
+using transport::Outcome;
+using transport::Reply;
+using transport::Request;
+using transport::Response;
+using transport::Time;
+using namespace std::chrono_literals;
+
+namespace paths = protocol::paths;
+
+namespace {
+
+constexpr auto kTick = 100ms;
+constexpr auto kOrdersTimeout = 2500ms;
+constexpr auto kCloudTimeout = 6000ms;
+constexpr auto kWriteTimeout = 1500ms;
+constexpr auto kPeerTimeout = 900ms;
+constexpr auto kAlone = 2500ms;  // without an answer of the state service that others get
+constexpr unsigned kPageMachines = 500;
+
+Response respond(int status, std::string body = {}) {
+    Response r;
+    r.status = status;
+    r.body = std::move(body);
+    return r;
+}
+
+transport::ServerLimits limits(const protocol::Settings& settings, double share) {
+    transport::ServerLimits limits;
+    limits.connections = static_cast<std::size_t>(settings.maxConnections * share);
+    return limits;
+}
+
+}  // namespace
+
+void Readiness::update(bool able, Time now) {
+    if (!able) {
+        if (ready_) {
+            penalty_ = now - lostAt_ < 120s ? std::min(penalty_ * 2, std::chrono::seconds(40)) : 3s;
+            lostAt_ = now;
+        }
+        ready_ = false;
+        ableSince_ = Time::max();
+        return;
+    }
+    if (ableSince_ == Time::max()) ableSince_ = now;
+    if (!ever_ || now - ableSince_ >= penalty_) ready_ = ever_ = true;
+}
+
+Node::Node(asio::io_context& io, const protocol::Settings& settings, const protocol::Policy& policy)
+    : io_(io), settings_(settings), policy_(policy), http_(io, settings.maxConnections * 3 / 10),
+      state_(http_, settings.state, settings.stateRps, settings.stateWriteRps, 0.5, Clock::now()),
+      sync_(io, state_, mirror_,
+            [this](const std::vector<bookkeeping::Change>& changes) {
+                JobsChanged jobs;
+                for (const auto& change : changes)
+                    if (change.kind == bookkeeping::ChangeKind::job) jobs.ids.push_back(change.id);
+                if (leader_ && !jobs.ids.empty()) enqueue(Command(std::move(jobs)));
+            }),
+      election_(
+          settings, policy, state_, mirror_, sync_, [this](std::uint64_t token) { won(token); },
+          [this] { lost(); }),
+      desk_(io, settings, state_, mirror_, sync_), ticker_(io),
+      users_(io, transport::parseEndpoint(settings.listen), limits(settings, 0.55),
+             [this](Request&& request, Reply reply) { enqueue(Call{std::move(request), std::move(reply), false}); }),
+      peerServer_(io, transport::parseEndpoint(settings.peerListen), limits(settings, 0.05),
+                  [this](Request&& request, Reply reply) {
+                      enqueue(Call{std::move(request), std::move(reply), true});
+                  }) {
+    sync_.start();
+    tick();
+}
+
+// --- the queue --------------------------------------------------------------------------------------------
+
+void Node::enqueue(Queued command) {
+    queue_.push_back(std::move(command));
+    if (draining_) return;
+    draining_ = true;
+    asio::post(io_, [this] { drain(); });
+}
+
+void Node::drain() {
+    auto batch = std::exchange(queue_, {});
+    draining_ = false;
+    for (auto& command : batch) {
+        if (auto* call = std::get_if<Call>(&command))
+            call->fromPeer ? servePeer(*call) : serve(*call);
+        else
+            lead(std::move(std::get<Command>(command)));
+    }
+}
+
+void Node::tick() {
+    const auto now = Clock::now();
+    election_.tick(now);
+    if (leader_) lead(Tick{});
+    if (now >= nextHeartbeat_ && now - state_.lastAnswer() > 800ms) {
+        nextHeartbeat_ = now + 800ms;
+        sync_.fresh([](bool) {});
+    }
+    readiness_.update(able(now), now);
+    talkToPeers(now);
+    if (now >= nextClean_) {
+        nextClean_ = now + 5s;
+        http_.closeIdle(20s);
+    }
+    ticker_.expires_after(kTick);
+    ticker_.async_wait([this](auto error) {
+        if (!error) tick();
+    });
+}
+
+// --- requests ---------------------------------------------------------------------------------------------
+
+void Node::serve(Call& call) {
+    const Request& request = call.request;
+    if (request.oversize) return call.reply(respond(413, protocol::errorReply("more than 64 KiB")));
+    if (request.path == paths::kReady) {
+        if (request.method != "GET") {
+            auto r = respond(405);
+            r.allow = "GET";
+            return call.reply(r);
+        }
+        return call.reply(respond(readiness_.ready() ? 200 : 503));
+    }
+    if (request.path == paths::kReport) return serveReport(call);
+    if (!desk_.handle(request, call.reply)) call.reply(respond(404, protocol::errorReply("no such path")));
+}
+
+void Node::serveReport(Call& call) {
+    if (call.request.method != "POST") {
+        auto r = respond(405);
+        r.allow = "POST";
+        return call.reply(r);
+    }
+    if (!election_.valid(Clock::now()) || !leader_) {
+        std::string elsewhere;
+        if (!election_.leading() && mirror_.leader && mirror_.leader->node != settings_.name)
+            elsewhere = mirror_.leader->node;
+        return call.reply(respond(421, protocol::encodeElsewhere(elsewhere)));
+    }
+    ReportArrived command;
+    try {
+        command.report = protocol::decodeReport(call.request.body);
+    } catch (const Malformed& error) {
+        spdlog::error("malformed report: {}", error.what());
+        return call.reply(respond(400, protocol::errorReply(error.what())));
+    }
+    command.request = ++requests_;
+    reports_[command.request] = std::move(call.reply);
+    lead(std::move(command));
+}
+
+// --- peers ------------------------------------------------------------------------------------------------
+
+protocol::PeerStatus Node::ownStatus(Time now) const {
+    protocol::PeerStatus status;
+    status.node = settings_.name;
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - state_.lastAnswer());
+    status.stateAgeMs = static_cast<std::uint64_t>(std::max<std::int64_t>(0, age.count()));
+    if (leader_ && election_.valid(now)) {
+        status.token = leader_->token();
+        status.running = leader_->runningCounts();
+    }
+    return status;
+}
+
+void Node::talkToPeers(Time now) {
+    if (now < nextPeers_) return;
+    nextPeers_ = now + 1s;
+    const auto body = protocol::encodePeerStatus(ownStatus(now));
+    if (leader_) desk_.setRunning(leader_->runningCounts());
+    for (const auto& peer : settings_.peers)
+        http_.request(peer.address, "POST", paths::kPeer, body, kPeerTimeout, [this](Outcome outcome) {
+            if (!outcome.ok()) return;
+            try {
+                notePeer(protocol::decodePeerStatus(outcome.body), Clock::now());
+            } catch (const Malformed& error) {
+                spdlog::error("malformed answer of a peer: {}", error.what());
+            }
+        });
+}
+
+void Node::servePeer(Call& call) {
+    if (call.request.oversize) return call.reply(respond(413));
+    if (call.request.path != paths::kPeer) return call.reply(respond(404));
+    if (call.request.method != "POST") return call.reply(respond(405));
+    try {
+        const auto now = Clock::now();
+        notePeer(protocol::decodePeerStatus(call.request.body), now);
+        auto status = ownStatus(now);
+        status.running.clear();
+        call.reply(respond(200, protocol::encodePeerStatus(status)));
+    } catch (const Malformed& error) {
+        call.reply(respond(400, protocol::errorReply(error.what())));
+    }
+}
+
+void Node::notePeer(const protocol::PeerStatus& status, Time now) {
+    const bool known = std::any_of(settings_.peers.begin(), settings_.peers.end(),
+                                   [&](const auto& peer) { return peer.name == status.node; });
+    if (!known) return;
+    auto& view = peers_[status.node];
+    view.heardAt = now;
+    view.stateAnsweredAt = now - std::chrono::milliseconds(std::min<std::uint64_t>(status.stateAgeMs, 1u << 30));
+    view.token = status.token;
+    if (!status.running.empty() && status.token >= mirror_.token) desk_.setRunning(status.running);
+}
+
+bool Node::able(Time now) const {
+    if (!sync_.synced() || mirror_.types.empty()) return false;
+    if (now - state_.lastAnswer() < kAlone) return true;
+    // When nobody is answered it is an outage that all nodes share; going unready would help nobody.
+    return std::none_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+        return now - entry.second.heardAt < 2500ms && now - entry.second.stateAnsweredAt < 2000ms;
+    });
+}
+
+// --- leading ----------------------------------------------------------------------------------------------
+
+void Node::won(std::uint64_t token) {
+    ++leaderRound_;
+    leader_ = std::make_unique<Leader>(settings_, policy_, mirror_, token, Clock::now());
+    lead(Tick{});
+}
+
+void Node::lost() {
+    spdlog::info("no longer leading");
+    ++leaderRound_;
+    leader_.reset();
+    for (auto& [request, reply] : std::exchange(reports_, {})) reply(respond(503));
+}
+
+void Node::lead(Command command) {
+    if (!leader_) return;
+    for (auto& action : leader_->handle(std::move(command), Clock::now())) {
+        if (!leader_) return;  // it resigned
+        perform(action);
+    }
+}
+
+void Node::perform(Action& action) {
+    std::visit([this](auto& a) { perform(a); }, action);
+}
+
+void Node::perform(AnswerReport& action) {
+    const auto found = reports_.find(action.request);
+    if (found == reports_.end()) return;
+    const auto reply = std::move(found->second);
+    reports_.erase(found);
+    if (!action.accepted || !election_.valid(Clock::now())) return reply(respond(503));
+    reply(respond(200, protocol::encodeReportReply(leader_->token(), action.orders)));
+}
+
+void Node::perform(SendOrders& action) {
+    if (!election_.valid(Clock::now())) return enqueue(Command(WorkerAnswered{action.machine, std::nullopt}));
+    http_.request(action.address, "POST", paths::kOrders,
+                  protocol::encodeDirectOrders(leader_->token(), action.session, action.orders), kOrdersTimeout,
+                  [this, round = leaderRound_, machine = action.machine](Outcome outcome) {
+                      if (round != leaderRound_) return;
+                      WorkerAnswered answered{machine, std::nullopt};
+                      try {
+                          if (outcome.status == 200 || outcome.status == 409)
+                              answered.report = protocol::decodeReport(outcome.body);
+                      } catch (const Malformed& error) {
+                          spdlog::error("malformed answer of {}: {}", machine, error.what());
+                      }
+                      enqueue(Command(std::move(answered)));
+                  });
+}
+
+void Node::perform(WriteState& action) {
+    state_.transact(action.conditions, action.writes, kWriteTimeout,
+                    [this, round = leaderRound_](const TxnResult& result) {
+                        if (round == leaderRound_) enqueue(Command(StateWritten{result}));
+                    });
+}
+
+void Node::perform(RefreshMirror&) {
+    sync_.fresh([this, round = leaderRound_](bool ok) {
+        if (round == leaderRound_) enqueue(Command(MirrorRefreshed{ok}));
+    });
+}
+
+void Node::perform(Rent& action) {
+    http_.request(settings_.cloud, "POST", paths::kRentals, protocol::encodeRental(action.request), kCloudTimeout,
+                  [this, round = leaderRound_, name = action.request.name](Outcome outcome) {
+                      if (round != leaderRound_) return;
+                      RentalAnswered answered;
+                      answered.name = name;
+                      answered.malformed = outcome.status == 400;
+                      try {
+                          if (outcome.ok()) {
+                              answered.machines = protocol::decodeRentalReply(outcome.body);
+                              answered.rented = true;
+                          }
+                      } catch (const Malformed& error) {
+                          spdlog::error("malformed answer of the cloud: {}", error.what());
+                      }
+                      answered.noCapacity = outcome.status == 503 && protocol::saysNoCapacity(outcome.body);
+                      enqueue(Command(std::move(answered)));
+                  });
+}
+
+void Node::perform(Release& action) {
+    http_.request(settings_.cloud, "POST", paths::kRelease, protocol::encodeRelease(action.machines), kCloudTimeout,
+                  [this, round = leaderRound_, machines = action.machines](Outcome outcome) {
+                      if (round == leaderRound_) enqueue(Command(ReleaseAnswered{machines, outcome.ok()}));
+                  });
+}
+
+void Node::perform(ListMachines&) {
+    auto listed = std::make_shared<MachinesListed>();
+    listed->asked = Clock::now();
+    listPage("", std::move(listed));
+}
+
+void Node::listPage(const std::string& after, std::shared_ptr<MachinesListed> listed) {
+    http_.request(settings_.cloud, "GET", paths::rentedPage(after, kPageMachines), "", kCloudTimeout,
+                  [this, round = leaderRound_, listed](Outcome outcome) {
+                      if (round != leaderRound_) return;
+                      try {
+                          if (outcome.ok()) {
+                              auto page = protocol::decodeRentedPage(outcome.body);
+                              std::move(page.machines.begin(), page.machines.end(),
+                                        std::back_inserter(listed->machines));
+                              if (page.more && !listed->machines.empty())
+                                  return listPage(listed->machines.back().id, listed);
+                              listed->ok = true;
+                          }
+                      } catch (const Malformed& error) {
+                          spdlog::error("malformed list of machines: {}", error.what());
+                      }
+                      enqueue(Command(std::move(*listed)));
+                  });
+}
+
+void Node::perform(ListTypes&) {
+    http_.request(settings_.cloud, "GET", paths::kTypes, "", kCloudTimeout,
+                  [this, round = leaderRound_](Outcome outcome) {
+                      if (round != leaderRound_ || !outcome.ok()) return;
+                      try {
+                          const auto handle = protocol::unpackBody(outcome.body);
+                          enqueue(Command(TypesListed{protocol::decodeMachineTypes(handle.get())}));
+                      } catch (const Malformed& error) {
+                          spdlog::error("malformed list of machine types: {}", error.what());
+                      }
+                  });
+}
+
+void Node::perform(Resign& action) {
+    spdlog::info("resigning: {}", action.why);
+    election_.resign(Clock::now(), action.selfish);
+}
+
+}  // namespace burlpoint::coordination
--- /dev/null
+++ b/src/coordination/provisioning.cpp
@@ -0,0 +1,294 @@
+// Renting machines for what waits and returning those that nobody needs.
+#include <algorithm>
+#include <cmath>
+
+#include "coordination/leader.h"
+
+namespace burlpoint::coordination {
+
+using bookkeeping::RosterState;
+using protocol::Kind;
+using protocol::MachineState;
+using protocol::Rented;
+using storage::Final;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t kMostPerRequest = 50;
+constexpr std::size_t kMostPerRelease = 100;
+
+Clock::duration ticks(Seconds s) { return std::chrono::duration_cast<Clock::duration>(s); }
+
+}  // namespace
+
+bool Leader::refused(const Shape& shape) const {
+    const auto found = refusals_.find(shape);
+    return found != refusals_.end() && found->second.until > now_;
+}
+
+void Leader::refuse(const Shape& shape) {
+    auto& refusal = refusals_[shape];
+    refusal.pause = std::clamp<Clock::duration>(refusal.pause * 2, 4s, 16s);
+    refusal.until = now_ + refusal.pause;
+}
+
+void Leader::provision() {
+    // Virtual packing: what waits is put into the room that exists or is on its way; the rest needs machines.
+    struct Bin {
+        std::string type, zone;
+        bool spot = false;
+        Resources room;
+        Machine* machine = nullptr;  // null: asked for or to be asked for
+        const Job* reservedFor = nullptr;
+        bool fresh = false;          // would have to be rented
+        bool used = false;
+    };
+    std::vector<Bin> bins;
+    for (auto& [id, m] : fleet_.machines()) {
+        const auto* type = typeOf(m->type);
+        if (!type || m->draining || m->releasing || m->failed || m->recallAt || m->errorJobs.size() >= 2) continue;
+        if (m->settled && !m->reports && m->session > 0) continue;  // lost
+        Bin bin{m->type, m->zone, m->spot, bookkeeping::sizeOf(*type) - m->used, m.get()};
+        if (m->reservedUntil > now_) bin.reservedFor = m->reservedFor;
+        bins.push_back(std::move(bin));
+    }
+    for (const auto& rental : rentalsPending_) {
+        const auto* type = typeOf(rental.request.type);
+        if (!type) continue;
+        for (std::uint32_t i = 0; i < rental.request.count; ++i)
+            bins.push_back({rental.request.type, rental.request.zone, rental.request.spot,
+                            bookkeeping::sizeOf(*type), nullptr});
+    }
+    std::map<Shape, std::uint32_t> wanted;
+    std::map<std::string, Resources> teamUse;
+    for (auto* job : order_) {
+        const auto& spec = job->spec;
+        if (job->final != Final::open || job->run->waiting == 0) continue;
+        if (job->run->errorMachines.size() >= 3) continue;  // nothing is rented for what fails everywhere
+        const auto need = bookkeeping::needOf(spec);
+        auto waiting = job->run->waiting;
+        if (const auto* team = settings_.team(spec.team)) {
+            const auto use = fleet_.teamUse(spec.team);
+            auto& planned = teamUse[spec.team];
+            const auto most = [&](double limit, double used, double each) {
+                if (limit > 0 && each > 0)
+                    waiting = std::min(waiting, static_cast<std::uint32_t>(std::max(0.0, (limit - used) / each)));
+            };
+            most(team->cpusMax, use.cpus + planned.cpus, spec.cpus);
+            most(team->gpusMax, use.gpus + planned.gpus, spec.gpus);
+            planned += {spec.cpus * waiting, spec.gpus * waiting, 0};
+        }
+        if (spec.kind == Kind::array && spec.estimate > Seconds(0)) {
+            // One machine after another runs these tasks: enough of them at once to be through in time.
+            Seconds horizon = policy_.backlogHorizon;
+            if (spec.deadline) {
+                const Seconds waited = now_ - job->run->waitingSince;
+                horizon = std::max(*spec.deadline * 0.5 - waited, spec.estimate);
+            }
+            const double rounds = std::max(1.0, horizon / spec.estimate);
+            waiting = static_cast<std::uint32_t>(std::ceil(waiting / rounds));
+        }
+        std::map<std::string, std::uint32_t> zones = job->run->zones;
+        const std::uint32_t zoneMost = spec.spread ? (spec.tasks + 1) / 2 : spec.tasks;
+        const auto zoneRoom = [&](const std::string& zone) {
+            if (spec.oneZone && !zones.empty() && !zones.contains(zone)) return 0u;
+            const auto found = zones.find(zone);
+            const auto here = found == zones.end() ? 0 : found->second;
+            return here >= zoneMost ? 0u : zoneMost - here;
+        };
+        const auto fill = [&](Bin& bin) {
+            if (!allows(*job, bin.type, bin.zone, bin.spot)) return;
+            if (bin.reservedFor && bin.reservedFor != job) return;
+            const auto fits = std::min({bin.room.times(need), waiting, zoneRoom(bin.zone)});
+            if (fits == 0) return;
+            bin.used = true;
+            zones[bin.zone] += fits;
+            waiting -= fits;
+            bin.room -= {need.cpus * fits, need.gpus * fits, need.memoryGb * fits};
+        };
+        for (auto& bin : bins) {
+            if (waiting == 0) break;
+            fill(bin);
+        }
+        while (waiting > 0) {
+            // The cheapest machine for what is left; unused room counts against large ones.
+            const Shape* best = nullptr;
+            Shape bestShape;
+            double bestCost = 0;
+            for (const auto& [name, type] : types_) {
+                const auto size = bookkeeping::sizeOf(type);
+                if (!size.covers(need)) continue;
+                for (const auto& zone : type.zones) {
+                    for (const bool spot : {false, true}) {
+                        if (!allows(*job, name, zone, spot)) continue;
+                        const Shape shape{name, zone, spot};
+                        const auto count = std::min({size.times(need), waiting, zoneRoom(zone)});
+                        if (count == 0 || refused(shape)) continue;
+                        const double cost = (spot ? type.spotPrice : type.price) / count;
+                        if (best && cost >= bestCost) continue;
+                        bestShape = shape;
+                        best = &bestShape;
+                        bestCost = cost;
+                    }
+                }
+            }
+            if (!best) break;
+            ++wanted[bestShape];
+            bins.push_back({bestShape.type, bestShape.zone, bestShape.spot,
+                            bookkeeping::sizeOf(types_.at(bestShape.type)), nullptr, nullptr, true, false});
+            const auto before = waiting;
+            fill(bins.back());
+            if (waiting == before || bins.size() > 500) break;
+        }
+    }
+    std::set<std::string> needed;
+    for (const auto& bin : bins)
+        if (bin.used && bin.machine) needed.insert(bin.machine->id);
+    requestRentals(wanted);
+    releaseIdle(needed);
+    if (now_ >= nextList_ && !listing_ && cloudBudget_.take(1, 0, now_)) {
+        nextList_ = now_ + std::clamp<Clock::duration>(ticks(settings_.listLag / 2), 3s, 10s);
+        listing_ = true;
+        actions_.push_back(ListMachines{});
+    }
+    if (now_ >= nextTypes_ && cloudBudget_.take(1, 0, now_)) {
+        nextTypes_ = now_ + (types_.empty() ? Clock::duration(2s) : 30s);
+        actions_.push_back(ListTypes{});
+    }
+}
+
+void Leader::requestRentals(const std::map<Shape, std::uint32_t>& wanted) {
+    for (const auto& [shape, count] : wanted) {
+        protocol::RentalRequest request{"r-" + std::to_string(token_) + "-" + std::to_string(++rentals_), shape.type,
+                                        shape.zone, shape.spot, std::min(count, kMostPerRequest)};
+        rentalsPending_.push_back({std::move(request), now_, now_, false});
+    }
+    for (auto& rental : rentalsPending_) {
+        // One whose outcome is not known is repeated under its name: it rents nothing twice.
+        if (rental.asked || now_ < rental.nextTry) continue;
+        if (!cloudBudget_.take(1, 0, now_)) break;
+        rental.asked = true;
+        actions_.push_back(Rent{rental.request});
+    }
+}
+
+void Leader::on(RentalAnswered& command) {
+    const auto found = std::find_if(rentalsPending_.begin(), rentalsPending_.end(),
+                                    [&](const auto& r) { return r.request.name == command.name; });
+    if (found == rentalsPending_.end()) return;
+    const auto request = found->request;
+    const Shape shape{request.type, request.zone, request.spot};
+    found->asked = false;
+    if (!command.rented && !command.noCapacity && !command.malformed) {
+        found->nextTry = now_ + 2s;
+        return;
+    }
+    rentalsPending_.erase(found);
+    if (!command.rented || command.machines.size() < request.count) refuse(shape);
+    if (command.rented && command.machines.size() >= request.count) refusals_.erase(shape);
+    for (const auto& id : command.machines) {
+        if (deleted_.contains(id)) continue;
+        const bool known = fleet_.find(id) != nullptr;
+        auto& machine = fleet_.add(id, now_);
+        if (known) continue;
+        machine.type = request.type;
+        machine.zone = request.zone;
+        machine.spot = request.spot;
+        machine.settled = true;  // new: no earlier leader can have used it
+        // In the roster before its worker's first report, so that that report can be answered with tasks.
+        rosterAdd_.insert(id);
+    }
+}
+
+void Leader::releaseIdle(const std::set<std::string>& needed) {
+    std::vector<std::string> machines;
+    for (auto& [id, m] : fleet_.machines()) {
+        if (machines.size() >= kMostPerRelease) break;
+        if (m->releasing || m->failed) {
+            machines.push_back(id);
+            continue;
+        }
+        if (!m->places.empty() || !m->settled) continue;
+        const auto* type = typeOf(m->type);
+        const bool neverUp = m->session == 0;
+        const auto known = now_ - m->knownSince;
+        if (neverUp) {
+            if (type && known > ticks(type->boot * 3.5 + Seconds(15))) machines.push_back(id);
+            continue;
+        }
+        const bool lost = !m->reports && now_ > m->leaseUntil + 10s;
+        const bool sick = m->errorJobs.size() >= 2;
+        const bool leaving = m->draining || sick;
+        const bool idle = now_ - m->busyUntil > ticks(policy_.idleKeep) && known > ticks(policy_.minimumKeep) &&
+                          !needed.contains(id) && m->reservedUntil <= now_;
+        if (lost || leaving || idle) machines.push_back(id);
+    }
+    if (machines.empty() || releasing_ || now_ < nextRelease_ || !cloudBudget_.take(1, 0, now_)) return;
+    for (const auto& id : machines) fleet_.find(id)->releasing = true;  // no starts from here on
+    releasing_ = true;
+    nextRelease_ = now_ + 500ms;
+    actions_.push_back(Release{std::move(machines)});
+}
+
+void Leader::on(ReleaseAnswered& command) {
+    releasing_ = false;
+    if (!command.ok) {
+        nextRelease_ = now_ + 2s;  // repeated: names that are gone already are ignored
+        return;
+    }
+    for (const auto& id : command.machines) {
+        deleted_.insert(id);
+        if (auto* machine = fleet_.find(id)) forget(*machine);
+    }
+}
+
+void Leader::on(MachinesListed& command) {
+    listing_ = false;
+    if (!command.ok) return;
+    std::set<std::string> seen;
+    for (const Rented& rented : command.machines) {
+        seen.insert(rented.id);
+        if (deleted_.contains(rented.id)) continue;
+        const bool known = fleet_.find(rented.id) != nullptr;
+        auto& machine = fleet_.add(rented.id, now_);
+        if (!known) {
+            // Rented by an earlier leader, or by a request that was carried out late.
+            machine.type = rented.type;
+            machine.zone = rented.zone;
+            machine.spot = rented.spot;
+            machine.settled = true;  // not in the roster, so it never had a task
+            machine.knownSince = now_ - ticks(std::min(rented.age, Seconds(86'400)));
+            machine.busyUntil = now_;
+        }
+        if (machine.address.empty()) machine.address = rented.address;
+        if (rented.state == MachineState::failed) machine.failed = true;
+    }
+    // Lists lag by up to twice the setting, and one may be older than the one before.
+    const auto lag = ticks(settings_.listLag * 2.5);
+    std::vector<Machine*> vanished;
+    for (auto& [id, m] : fleet_.machines()) {
+        if (seen.contains(id) || m->releasing || !m->places.empty() || !m->settled || m->reports) continue;
+        const auto newest = m->session == 0 ? m->knownSince : std::max(m->lastReport, m->knownSince);
+        if (command.asked - newest > lag) vanished.push_back(m.get());
+    }
+    for (auto* machine : vanished) forget(*machine);
+}
+
+void Leader::on(TypesListed& command) {
+    if (command.types.empty()) return;
+    bool changed = false;
+    for (auto& type : command.types) {
+        auto& known = types_[type.name];
+        // Prices move all the time and are asked for anew; only the rest is worth a write.
+        auto compared = type;
+        compared.price = known.price;
+        compared.spotPrice = known.spotPrice;
+        changed |= !(compared == known);
+        known = std::move(type);
+    }
+    if (changed) typesUnstored_ = true;
+    orderStale_ = true;
+}
+
+}  // namespace burlpoint::coordination
--- /dev/null
+++ b/src/coordination/sync.cpp
@@ -0,0 +1,119 @@
+#include "coordination/sync.h"
+
+#include <spdlog/spdlog.h>
+
+namespace burlpoint::coordination {
+
+using bookkeeping::Change;
+using protocol::KeyPage;
+using storage::ReadStatus;
+using transport::Clock;
+using namespace std::chrono_literals;
+
+namespace {
+constexpr auto kWatch = 10s;
+constexpr auto kWatchTimeout = 12s;
+constexpr auto kFreshTimeout = 1200ms;  // users wait 2 s for an answer
+constexpr auto kFreshSpacing = 25ms;    // what comes in meanwhile shares the next read
+constexpr auto kPollSpacing = 60ms;
+constexpr auto kRetry = 400ms;
+constexpr double kReserve = 10;  // requests kept for lease renewals and a leader's writes
+}  // namespace
+
+Sync::Sync(asio::io_context& io, storage::StateClient& state, bookkeeping::Mirror& mirror, Changed changed)
+    : state_(state), mirror_(mirror), changed_(std::move(changed)), pollTimer_(io), freshTimer_(io) {}
+
+void Sync::later(asio::steady_timer& timer, transport::Duration pause, void (Sync::*next)()) {
+    timer.expires_after(pause);
+    timer.async_wait([this, next](auto error) {
+        if (!error) (this->*next)();
+    });
+}
+
+void Sync::load() {
+    if (loading_) return;
+    loading_ = true;
+    read_.clear();
+    loadRevision_ = 0;
+    loadPage("");
+}
+
+void Sync::loadPage(const std::string& after) {
+    state_.page(storage::keys::kAll, after, [this](ReadStatus status, const KeyPage& page) {
+        if (status != ReadStatus::ok) {
+            loading_ = false;
+            return later(pollTimer_, kRetry, &Sync::load);
+        }
+        if (loadRevision_ == 0) loadRevision_ = page.revision;
+        std::vector<Change> changes;
+        for (const auto& entry : page.entries) {
+            read_.insert(entry.key);
+            if (!mirror_.apply(entry, changes)) spdlog::error("the value of {} in the state service is malformed", entry.key);
+        }
+        const bool more = page.more && !page.entries.empty();
+        if (!more) mirror_.dropUnread(read_, changes);
+        if (!changes.empty()) changed_(changes);
+        if (more) return loadPage(page.entries.back().key);
+        loading_ = false;
+        // What changed while the pages were read follows from the first page's revision on.
+        mirror_.revision = loadRevision_;
+        poll();
+        fresh([](bool) {});
+    });
+}
+
+void Sync::take(const KeyPage& page) {
+    std::vector<Change> changes;
+    for (const auto& entry : page.entries) {
+        if (entry.version <= mirror_.revision) continue;
+        if (!mirror_.apply(entry, changes)) spdlog::error("the value of {} in the state service is malformed", entry.key);
+    }
+    mirror_.revision = std::max(mirror_.revision, page.revision);
+    if (!changes.empty()) changed_(changes);
+}
+
+void Sync::poll() {
+    if (polling_ || loading_) return;
+    if (!state_.requests().take(0, kReserve, Clock::now())) return later(pollTimer_, kPollSpacing, &Sync::poll);
+    polling_ = true;
+    state_.watch(storage::keys::kAll, mirror_.revision, kWatch, kWatchTimeout,
+                 [this](ReadStatus status, const KeyPage& page) {
+                     polling_ = false;
+                     if (status == ReadStatus::tooOld) return load();
+                     if (status == ReadStatus::failed) return later(pollTimer_, kRetry, &Sync::poll);
+                     take(page);
+                     later(pollTimer_, kPollSpacing, &Sync::poll);
+                 });
+}
+
+void Sync::fresh(Fresh done) {
+    next_.push_back(std::move(done));
+    if (!asking_ && !waiting_) sendFresh();
+}
+
+void Sync::sendFresh() {
+    waiting_ = false;
+    if (asking_ || next_.empty()) return;
+    asking_ = true;
+    asked_ = std::exchange(next_, {});
+    const auto answer = [this](bool ok) {
+        asking_ = false;
+        for (auto& done : std::exchange(asked_, {})) done(ok);
+        if (waiting_) return;
+        waiting_ = true;
+        later(freshTimer_, kFreshSpacing, &Sync::sendFresh);
+    };
+    state_.watch(storage::keys::kAll, mirror_.revision, 0s, kFreshTimeout,
+                 [this, answer](ReadStatus status, const KeyPage& page) {
+                     if (status == ReadStatus::tooOld) load();
+                     // While all keys are read anew the mirror is a mixture of times and proves nothing.
+                     if (status == ReadStatus::ok && !loading_) {
+                         take(page);
+                         synced_ = true;
+                         return answer(true);
+                     }
+                     answer(false);
+                 });
+}
+
+}  // namespace burlpoint::coordination
--- /dev/null
+++ b/src/coordination/sync.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <functional>
+#include <set>
+#include <vector>
+
+#include "bookkeeping/jobs.h"
+#include "storage/store.h"
+
+namespace burlpoint::coordination {
+
+/// Keeps the mirror up to date by a long watch, and on demand proves it fresh.
+class Sync {
+  public:
+    using Changed = std::function<void(const std::vector<bookkeeping::Change>&)>;
+    using Fresh = std::function<void(bool ok)>;
+
+    Sync(asio::io_context& io, storage::StateClient& state, bookkeeping::Mirror& mirror, Changed changed);
+
+    void start() { load(); }
+    /// Everything stored has been read at least once.
+    bool synced() const { return synced_; }
+    /// `done(true)` once the mirror holds all that was stored when this was called.
+    void fresh(Fresh done);
+
+  private:
+    void load();
+    void loadPage(const std::string& after);
+    void poll();
+    void later(asio::steady_timer& timer, transport::Duration pause, void (Sync::*next)());
+    void take(const protocol::KeyPage& page);
+    void sendFresh();
+
+    storage::StateClient& state_;
+    bookkeeping::Mirror& mirror_;
+    Changed changed_;
+    asio::steady_timer pollTimer_, freshTimer_;
+    std::set<std::string> read_;
+    std::uint64_t loadRevision_ = 0;
+    bool synced_ = false, loading_ = false, polling_ = false, asking_ = false, waiting_ = false;
+    std::vector<Fresh> asked_, next_;
+};
+
+}  // namespace burlpoint::coordination
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,58 @@
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+
+#include "coordination/node.h"
+#include "protocol/settings.h"
+
+namespace {
+
+void startLogging() {
+    spdlog::set_default_logger(spdlog::stderr_logger_st("burlpointd"));
+    spdlog::set_pattern("%H:%M:%S.%e %l %v");
+    const char* wanted = std::getenv("LOG_LEVEL");
+    const std::string level = wanted ? wanted : "info";
+    if (level == "error")
+        spdlog::set_level(spdlog::level::err);
+    else if (level == "debug")
+        spdlog::set_level(spdlog::level::debug);
+    else
+        spdlog::set_level(spdlog::level::info);
+    if (level != "error" && level != "debug" && level != "info")
+        spdlog::error("LOG_LEVEL={}: not error, info or debug; info is used", level);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app{"burlpointd, a controller of the burlpoint cluster scheduler"};
+    std::string config, policyFile;
+    bool check = false;
+    app.add_option("--config", config, "the platform's settings (TOML)")->required()->type_name("FILE");
+    app.add_option("--policy", policyFile, "the operators' settings (XML)")->type_name("FILE");
+    app.add_flag("--check", check, "read the settings, report and exit");
+    app.set_version_flag("--version", std::string("burlpointd ") + BURLPOINT_VERSION);
+    CLI11_PARSE(app, argc, argv);
+
+    startLogging();
+    try {
+        const auto settings = burlpoint::protocol::readSettings(config);
+        const auto policy =
+            policyFile.empty() ? burlpoint::protocol::Policy{} : burlpoint::protocol::readPolicy(policyFile);
+        if (check) {
+            std::cout << config << ": node " << settings.name << " in " << settings.zone << ", "
+                      << settings.peers.size() << " peers, " << settings.teams.size() << " teams: good\n";
+            return EXIT_SUCCESS;
+        }
+        asio::io_context io(1);
+        burlpoint::coordination::Node node(io, settings, policy);
+        spdlog::info("{} serves {}", settings.name, settings.listen);
+        io.run();
+    } catch (const std::exception& error) {
+        spdlog::error("{}", error.what());
+        return EXIT_FAILURE;
+    }
+    return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/protocol/pack.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include <cmath>
+#include <cstdint>
+#include <msgpack.hpp>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace burlpoint::protocol {
+
+/// A message that does not have the form it must have.
+struct Malformed : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+/// Read access to a MessagePack map. Unknown fields are ignored; null counts as absent.
+class Fields {
+  public:
+    explicit Fields(const msgpack::object& object) : map_(object) {
+        if (object.type != msgpack::type::MAP) throw Malformed("not a map");
+    }
+
+    const msgpack::object* find(std::string_view key) const {
+        for (const auto& pair : map_.via.map) {
+            if (pair.key.type != msgpack::type::STR) throw Malformed("a key is not text");
+            if (std::string_view(pair.key.via.str.ptr, pair.key.via.str.size) == key)
+                return pair.val.is_nil() ? nullptr : &pair.val;
+        }
+        return nullptr;
+    }
+    const msgpack::object& need(std::string_view key) const {
+        if (const auto* value = find(key)) return *value;
+        throw Malformed("field " + std::string(key) + " is missing");
+    }
+
+    std::string text(std::string_view key, std::size_t most = 200) const {
+        return asText(need(key), key, most);
+    }
+    std::optional<std::string> maybeText(std::string_view key, std::size_t most = 200) const {
+        const auto* value = find(key);
+        return value ? std::optional(asText(*value, key, most)) : std::nullopt;
+    }
+    std::uint64_t integer(std::string_view key) const { return asInteger(need(key), key); }
+    std::uint64_t integerOr(std::string_view key, std::uint64_t otherwise) const {
+        const auto* value = find(key);
+        return value ? asInteger(*value, key) : otherwise;
+    }
+    /// A finite decimal number, 0 or more.
+    double amount(std::string_view key) const { return asAmount(need(key), key); }
+    std::optional<double> maybeAmount(std::string_view key) const {
+        const auto* value = find(key);
+        return value ? std::optional(asAmount(*value, key)) : std::nullopt;
+    }
+    bool flag(std::string_view key) const { return asFlag(need(key), key); }
+    bool flagOr(std::string_view key, bool otherwise) const {
+        const auto* value = find(key);
+        return value ? asFlag(*value, key) : otherwise;
+    }
+    /// The elements of a list field; an absent one has none.
+    template <typename Each>
+    void each(std::string_view key, Each&& visit) const {
+        const auto* value = find(key);
+        if (!value) return;
+        if (value->type != msgpack::type::ARRAY) wrong(key);
+        for (const auto& element : value->via.array) visit(element);
+    }
+    std::vector<std::string> texts(std::string_view key) const {
+        std::vector<std::string> out;
+        each(key, [&](const msgpack::object& element) { out.push_back(asText(element, key, 200)); });
+        return out;
+    }
+
+  private:
+    [[noreturn]] static void wrong(std::string_view key) {
+        throw Malformed("field " + std::string(key) + " is invalid");
+    }
+    static std::string asText(const msgpack::object& value, std::string_view key, std::size_t most) {
+        if (value.type != msgpack::type::STR || value.via.str.size > most) wrong(key);
+        return {value.via.str.ptr, value.via.str.size};
+    }
+    static std::uint64_t asInteger(const msgpack::object& value, std::string_view key) {
+        if (value.type != msgpack::type::POSITIVE_INTEGER) wrong(key);
+        return value.via.u64;
+    }
+    static bool asFlag(const msgpack::object& value, std::string_view key) {
+        if (value.type != msgpack::type::BOOLEAN) wrong(key);
+        return value.via.boolean;
+    }
+    static double asAmount(const msgpack::object& value, std::string_view key) {
+        double number = 0;
+        if (value.type == msgpack::type::POSITIVE_INTEGER)
+            number = static_cast<double>(value.via.u64);
+        else if (value.type == msgpack::type::FLOAT32 || value.type == msgpack::type::FLOAT64)
+            number = value.via.f64;
+        else
+            wrong(key);
+        if (!std::isfinite(number) || number < 0 || number > 1e12) wrong(key);
+        return number;
+    }
+
+    const msgpack::object& map_;
+};
+
+/// Unpacks one whole body; anything else, trailing bytes included, is Malformed.
+inline msgpack::object_handle unpackBody(std::string_view body) {
+    try {
+        std::size_t offset = 0;
+        const msgpack::unpack_limit limit(100'000, 100'000, 8 << 20, 8 << 20, 8 << 20, 32);
+        auto handle = msgpack::unpack(body.data(), body.size(), offset, nullptr, nullptr, limit);
+        if (offset != body.size()) throw Malformed("bytes after the body");
+        return handle;
+    } catch (const msgpack::unpack_error& error) {
+        throw Malformed(std::string("not MessagePack: ") + error.what());
+    } catch (const std::bad_alloc&) {
+        throw Malformed("not MessagePack: sizes beyond memory");
+    }
+}
+
+/// Writes MessagePack; a map or list is opened with its size, then its parts follow.
+class Packer {
+  public:
+    Packer() : packer_(buffer_) {}
+
+    Packer& map(std::size_t fields) {
+        packer_.pack_map(static_cast<std::uint32_t>(fields));
+        return *this;
+    }
+    Packer& list(std::size_t elements) {
+        packer_.pack_array(static_cast<std::uint32_t>(elements));
+        return *this;
+    }
+    template <typename T>
+    Packer& value(const T& v) {
+        packer_.pack(v);
+        return *this;
+    }
+    Packer& key(std::string_view name) { return value(name); }
+    template <typename T>
+    Packer& field(std::string_view name, const T& v) {
+        return key(name).value(v);
+    }
+    Packer& nil(std::string_view name) {
+        key(name);
+        packer_.pack_nil();
+        return *this;
+    }
+    template <typename T>
+    Packer& maybe(std::string_view name, const std::optional<T>& v) {
+        return v ? field(name, *v) : nil(name);
+    }
+    /// Bytes that are MessagePack already.
+    Packer& raw(std::string_view packed) {
+        buffer_.write(packed.data(), packed.size());
+        return *this;
+    }
+    std::string take() const { return {buffer_.data(), buffer_.size()}; }
+
+  private:
+    msgpack::sbuffer buffer_;
+    msgpack::packer<msgpack::sbuffer> packer_;
+};
+
+}  // namespace burlpoint::protocol
--- /dev/null
+++ b/src/protocol/settings.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "protocol/messages.h"
+
+namespace burlpoint::protocol {
+
+/// A settings file that cannot be used; the message names the field or element.
+struct BadSettings : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct Peer {
+    std::string name, zone, address;
+};
+
+struct Team {
+    std::string name;
+    // 0: no guarantee, no limit
+    double cpus = 0, cpusMax = 0, gpus = 0, gpusMax = 0;
+};
+
+/// What the platform's users expect of a class of jobs.
+struct Objective {
+    std::string kind, jobClass;
+    Seconds within{0};
+    double share = 0;
+};
+
+/// The platform's settings, one file per node.
+struct Settings {
+    std::string name, zone, listen, peerListen;
+    std::vector<Peer> peers;
+    std::string cloud, state;
+    std::vector<std::string> zones;
+    std::chrono::milliseconds clockError{0};
+    std::vector<Team> teams;
+    std::vector<Objective> objectives;
+    Seconds report{3}, lease{30}, gangWait{40}, gangPeer{8}, cancel{45};
+    double stateRps = 100, stateWriteRps = 20, valueKb = 8;
+    unsigned txnOps = 16;
+    double cloudRps = 2;
+    Seconds listLag{10};
+    double coreShare = 1, memoryMb = 100;
+    unsigned maxConnections = 1000;
+
+    const Team* team(const std::string& name) const;
+};
+
+/// The operators' own settings (XML). Each has a default that suits both first deployments.
+struct Policy {
+    Seconds leadership{0};      // 0: derived from the workers' lease
+    Seconds idleKeep{20};       // how long a machine without tasks is kept
+    Seconds minimumKeep{55};    // the cloud charges a minute at least
+    Seconds backlogHorizon{45};  // a backlog of short tasks should be gone after this
+    double headroom = 0.0;      // share of the production tasks kept free for the next ones
+    Seconds fetchStart{5};      // fetch time assumed before one was seen
+    bool preempt = true;
+};
+
+Settings readSettings(const std::string& path);
+Settings parseSettings(const std::string& toml);
+Policy readPolicy(const std::string& path);
+Policy parsePolicy(const std::string& xml);
+
+}  // namespace burlpoint::protocol
--- /dev/null
+++ b/src/storage/records.cpp
@@ -0,0 +1,93 @@
+#include "storage/records.h"
+
+#include <algorithm>
+
+namespace burlpoint::storage {
+
+using protocol::Fields;
+using protocol::Malformed;
+using protocol::Packer;
+
+namespace keys {
+std::string job(const std::string& id) { return kJobs + id; }
+std::string doneChunk(const std::string& id, std::size_t chunk) { return kJobs + id + "/" + std::to_string(chunk); }
+std::string machine(const std::string& id) { return kMachines + id; }
+}  // namespace keys
+
+std::string encodeJob(const JobRecord& r) {
+    Packer p;
+    protocol::packSpec(p, r.spec, 4);
+    p.field("final", static_cast<unsigned>(r.final)).field("accepted_ms", r.acceptedMs);
+    return p.field("tasks_done", r.done).field("chunk_tasks", r.chunkTasks).take();
+}
+
+JobRecord decodeJob(const msgpack::object& value) {
+    const Fields f(value);
+    JobRecord r;
+    r.spec = protocol::decodeSpec(value);
+    const auto final = f.integer("final");
+    if (final > static_cast<unsigned>(Final::cancelled)) throw Malformed("field final is invalid");
+    r.final = static_cast<Final>(final);
+    r.acceptedMs = f.integer("accepted_ms");
+    r.done = static_cast<std::uint32_t>(std::min<std::uint64_t>(f.integer("tasks_done"), r.spec.tasks));
+    const auto chunk = f.integer("chunk_tasks");
+    if (chunk < 1 || chunk > 1u << 30) throw Malformed("field chunk_tasks is invalid");
+    r.chunkTasks = static_cast<std::uint32_t>(chunk);
+    return r;
+}
+
+std::string encodeLeader(const LeaderRecord& r) {
+    return Packer().map(2).field("node", r.node).field("token", r.token).take();
+}
+
+LeaderRecord decodeLeader(const msgpack::object& value) {
+    const Fields f(value);
+    return {f.text("node"), f.integer("token")};
+}
+
+std::string encodeToken(std::uint64_t token) { return Packer().map(1).field("token", token).take(); }
+
+std::uint64_t decodeToken(const msgpack::object& value) { return Fields(value).integer("token"); }
+
+std::string encodeMachine(const MachineRecord& r) {
+    Packer p;
+    p.map(4).field("address", r.address).field("type", r.type).field("zone", r.zone);
+    return p.field("spot", r.spot).take();
+}
+
+MachineRecord decodeMachine(const msgpack::object& value) {
+    const Fields f(value);
+    return {f.text("address"), f.text("type"), f.text("zone"), f.flag("spot")};
+}
+
+std::uint32_t chunkTasks(double valueKb) {
+    // Half of a value's bytes, which leaves room for what else the service may count.
+    return std::max<std::uint32_t>(4, static_cast<std::uint32_t>(std::min(valueKb, 1024.0) * 1024 / 2) * 4);
+}
+
+std::string encodeBits(const std::vector<bool>& bits, std::size_t first, std::size_t count) {
+    static constexpr char digits[] = "0123456789abcdef";
+    std::string text;
+    const auto end = std::min(bits.size(), first + count);
+    for (auto at = first; at < end; at += 4) {
+        unsigned digit = 0;
+        for (std::size_t bit = 0; bit < 4 && at + bit < end; ++bit) digit |= bits[at + bit] ? 1u << bit : 0u;
+        text += digits[digit];
+    }
+    return Packer().value(text).take();
+}
+
+void decodeBits(const msgpack::object& value, std::vector<bool>& bits, std::size_t first, std::size_t count) {
+    if (value.type != msgpack::type::STR) throw Malformed("a bitmap is not text");
+    const auto end = std::min(bits.size(), first + count);
+    auto at = first;
+    for (const char c : std::string_view(value.via.str.ptr, value.via.str.size)) {
+        const bool digit = c >= '0' && c <= '9', letter = c >= 'a' && c <= 'f';
+        if (!digit && !letter) throw Malformed("a bitmap has a wrong digit");
+        const unsigned four = static_cast<unsigned>(digit ? c - '0' : c - 'a' + 10);
+        for (unsigned bit = 0; bit < 4; ++bit, ++at)
+            if (at < end && (four >> bit & 1u)) bits[at] = true;
+    }
+}
+
+}  // namespace burlpoint::storage
--- /dev/null
+++ b/src/storage/records.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "protocol/messages.h"
+
+namespace burlpoint::storage {
+
+/// Where things stand in the state service. All keys share one prefix, so one watch sees everything, and a
+/// job's record sorts before the chunks of its bitmap.
+namespace keys {
+inline constexpr char kAll[] = "bp/";
+inline constexpr char kLeader[] = "bp/leader";
+inline constexpr char kToken[] = "bp/token";
+inline constexpr char kTypes[] = "bp/types";
+inline constexpr char kJobs[] = "bp/job/";
+inline constexpr char kMachines[] = "bp/machine/";
+std::string job(const std::string& id);
+std::string doneChunk(const std::string& id, std::size_t chunk);
+std::string machine(const std::string& id);
+}  // namespace keys
+
+enum class Final { open, done, cancelled };
+
+struct JobRecord {
+    protocol::JobSpec spec;
+    Final final = Final::open;
+    std::uint64_t acceptedMs = 0;  // time of day
+    std::uint32_t done = 0;        // tasks done, of a job that is over
+    std::uint32_t chunkTasks = 1;  // tasks per bitmap chunk, fixed when the job is accepted
+    bool operator==(const JobRecord&) const = default;
+};
+
+struct LeaderRecord {
+    std::string node;
+    std::uint64_t token = 0;
+};
+
+struct MachineRecord {
+    std::string address, type, zone;
+    bool spot = false;
+    bool operator==(const MachineRecord&) const = default;
+};
+
+// Each encode function returns a packed value; each decode function throws protocol::Malformed.
+std::string encodeJob(const JobRecord& record);
+JobRecord decodeJob(const msgpack::object& value);
+std::string encodeLeader(const LeaderRecord& record);
+LeaderRecord decodeLeader(const msgpack::object& value);
+std::string encodeToken(std::uint64_t token);
+std::uint64_t decodeToken(const msgpack::object& value);
+std::string encodeMachine(const MachineRecord& record);
+MachineRecord decodeMachine(const msgpack::object& value);
+
+/// How many tasks of a bitmap fit into one value.
+std::uint32_t chunkTasks(double valueKb);
+/// Bits [first, first + count) as text, four to a hexadecimal digit.
+std::string encodeBits(const std::vector<bool>& bits, std::size_t first, std::size_t count);
+/// Sets the bits that `value` has, from `first` on and within `count`.
+void decodeBits(const msgpack::object& value, std::vector<bool>& bits, std::size_t first, std::size_t count);
+
+}  // namespace burlpoint::storage
--- /dev/null
+++ b/src/storage/store.cpp
@@ -0,0 +1,128 @@
+#include "storage/store.h"
+
+#include <algorithm>
+
+namespace burlpoint::storage {
+
+using protocol::KeyCondition;
+using protocol::KeyPage;
+using protocol::KeyWrite;
+using protocol::Malformed;
+using transport::Clock;
+using transport::Outcome;
+
+namespace {
+constexpr Duration kLeaseTimeout{1500};
+constexpr Duration kPageTimeout{4000};
+constexpr unsigned kPageEntries = 500;
+}  // namespace
+
+void RateBudget::refill(Time now) {
+    if (now > at_) {
+        level_ = std::min(rate_, level_ + rate_ * std::chrono::duration<double>(now - at_).count());
+        at_ = now;
+    }
+}
+
+bool RateBudget::take(double n, double reserve, Time now) {
+    refill(now);
+    if (level_ < n + reserve) return false;
+    level_ -= n;
+    return true;
+}
+
+StateClient::StateClient(transport::Client& http, std::string address, double rps, double writeRps, double share,
+                         Time now)
+    : http_(http), address_(std::move(address)), requests_(rps * share, now), writes_(writeRps * share, now),
+      lastAnswer_(now) {}
+
+void StateClient::answered(int status) {
+    if (status == 200 || status == 404 || status == 409) lastAnswer_ = Clock::now();
+}
+
+void StateClient::transact(const std::vector<KeyCondition>& conditions, const std::vector<KeyWrite>& writes,
+                           Duration timeout, TxnDone done) {
+    const auto now = Clock::now();
+    requests_.force(1, now);
+    writes_.force(static_cast<double>(writes.size()), now);
+    http_.request(address_, "POST", protocol::paths::kTransaction, protocol::encodeTransaction(conditions, writes),
+                  timeout, [this, done = std::move(done)](Outcome outcome) {
+                      answered(outcome.status);
+                      TxnResult result;
+                      try {
+                          if (outcome.status == 200 || outcome.status == 409) {
+                              auto reply = protocol::decodeTransactionReply(outcome.body);
+                              result.status = outcome.status == 200 ? TxnStatus::applied : TxnStatus::conflict;
+                              result.revision = reply.revision;
+                              result.failed = std::move(reply.failed);
+                          } else if (outcome.status == 400) {
+                              result.status = TxnStatus::noLease;
+                          } else if (outcome.status != 0) {
+                              result.status = TxnStatus::refused;
+                          }
+                      } catch (const Malformed&) {
+                          result = {};
+                      }
+                      done(std::move(result));
+                  });
+}
+
+void StateClient::read(const std::string& target, Duration timeout, bool isWatch, PageDone done) {
+    requests_.force(1, Clock::now());
+    http_.request(address_, "GET", target, "", timeout, [this, isWatch, done = std::move(done)](Outcome outcome) {
+        answered(outcome.status);
+        if (outcome.status == 410) return done(ReadStatus::tooOld, {});
+        if (outcome.status != 200) return done(ReadStatus::failed, {});
+        msgpack::object_handle handle;  // the page points into it
+        KeyPage page;
+        auto status = ReadStatus::ok;
+        try {
+            handle = protocol::unpackBody(outcome.body);
+            page = isWatch ? protocol::decodeWatch(handle.get()) : protocol::decodeKeyPage(handle.get());
+        } catch (const Malformed&) {
+            status = ReadStatus::failed;
+            page = {};
+        }
+        done(status, page);
+    });
+}
+
+void StateClient::page(const std::string& prefix, const std::string& after, PageDone done) {
+    read(protocol::paths::keyPage(prefix, after, kPageEntries), kPageTimeout, false, std::move(done));
+}
+
+void StateClient::watch(const std::string& prefix, std::uint64_t after, Duration wait, Duration timeout,
+                        PageDone done) {
+    read(protocol::paths::watch(prefix, after, wait), timeout, true, std::move(done));
+}
+
+void StateClient::makeLease(Duration life, LeaseDone done) {
+    requests_.force(1, Clock::now());
+    http_.request(address_, "POST", protocol::paths::kLeases, protocol::encodeLease(life), kLeaseTimeout,
+                  [this, done = std::move(done)](Outcome outcome) {
+                      answered(outcome.status);
+                      std::uint64_t lease = 0;
+                      try {
+                          if (outcome.ok()) lease = protocol::decodeLease(outcome.body);
+                      } catch (const Malformed&) {
+                          outcome.status = 0;
+                      }
+                      done(outcome.status, lease);
+                  });
+}
+
+void StateClient::extendLease(std::uint64_t lease, LeaseDone done) {
+    requests_.force(1, Clock::now());
+    http_.request(address_, "POST", protocol::paths::extendLease(lease), "", kLeaseTimeout,
+                  [this, lease, done = std::move(done)](Outcome outcome) {
+                      answered(outcome.status);
+                      done(outcome.status, lease);
+                  });
+}
+
+void StateClient::endLease(std::uint64_t lease) {
+    requests_.force(1, Clock::now());
+    http_.request(address_, "DELETE", protocol::paths::lease(lease), "", kLeaseTimeout, [](Outcome) {});
+}
+
+}  // namespace burlpoint::storage
