--- a/src/bookkeeping/fleet.cpp
+++ b/src/bookkeeping/fleet.cpp
@@ -58,8 +58,8 @@
 
 void Fleet::erase(const std::string& id) { machines_.erase(id); }
 
-Placement& Fleet::place(Machine& machine, Job& job, std::uint32_t task, std::uint64_t attempt, PlaceState state,
-                        Time now) {
+Placement& Fleet::place(Machine& machine, Job& job, std::uint32_t task, std::uint64_t attempt,
+                        PlaceState state, Time now) {
     Placement placement{&job, task, attempt, state, 0, now, now, false, Seconds(0), true};
     const auto [at, fresh] = machine.places.emplace(AttemptKey{&job, task, attempt}, placement);
     if (!fresh) return at->second;
--- a/src/bookkeeping/fleet.h
+++ b/src/bookkeeping/fleet.h
@@ -41,8 +41,8 @@
 inline Resources sizeOf(const MachineType& type) { return {type.cpus, type.gpus, type.memoryGb}; }
 
 enum class PlaceState {
-    planned,   // room kept, nothing sent yet
-    sent,      // the start left in a report response, not seen yet
+    planned,  // room kept, nothing sent yet
+    sent,     // the start left in a report response, not seen yet
     fetching,
     waiting,
     running,
@@ -60,7 +60,7 @@
     Time runningSince{};
     bool stopping = false;
     Seconds grace{0};
-    bool seen = false;               // scratch for one report's sweep
+    bool seen = false;  // scratch for one report's sweep
 };
 
 struct AttemptKey {
@@ -82,24 +82,24 @@
     bool heard = false;
     /// Nothing of earlier leaders can be on it, as it was heard or its lease ran out.
     bool settled = false;
-    bool reports = false;                     // a report of it was answered and its lease is not over
+    bool reports = false;  // a report of it was answered and its lease is not over
     Time lastReport{};
-    Time leaseUntil = Time::max();            // the worker has forgotten its tasks by then
-    std::optional<Time> recallAt;             // the cloud takes it away
+    Time leaseUntil = Time::max();  // the worker has forgotten its tasks by then
+    std::optional<Time> recallAt;   // the cloud takes it away
 
     RosterState roster = RosterState::absent;
     std::map<AttemptKey, Placement> places;
     Resources used;
 
     std::vector<std::pair<std::string, double>> images;  // inferred cache, most recently used first
-    bool draining = false;   // takes no more tasks
-    bool releasing = false;  // its deletion was asked for
-    bool failed = false;     // the cloud says that it stopped by itself
-    Time knownSince{};       // rented or first seen
-    Time busyUntil{};        // when it last had a task
-    Time probedAt{};         // when a probe was last answered
+    bool draining = false;                               // takes no more tasks
+    bool releasing = false;                              // its deletion was asked for
+    bool failed = false;                                 // the cloud says that it stopped by itself
+    Time knownSince{};                                   // rented or first seen
+    Time busyUntil{};                                    // when it last had a task
+    Time probedAt{};                                     // when a probe was last answered
     bool probing = false;
-    Time quietUntil{};       // no new starts after a refusal
+    Time quietUntil{};  // no new starts after a refusal
     const Job* reservedFor = nullptr;
     Time reservedUntil{};
     std::set<std::string> errorJobs;  // jobs that failed on it since a task last worked
--- a/src/bookkeeping/jobs.cpp
+++ b/src/bookkeeping/jobs.cpp
@@ -127,7 +127,11 @@
         } else if (key.starts_with(keys::kMachines)) {
             const auto id = key.substr(sizeof keys::kMachines - 1);
             const auto known = roster.find(id);
-            if (known != roster.end() && change.version <= known->second.version) return true;
+            // A transaction may write and delete a key at one revision; the deletion is then the later of the
+            // two.
+            if (known != roster.end() && (change.value ? change.version <= known->second.version
+                                                       : change.version < known->second.version))
+                return true;
             if (change.value)
                 roster[id] = {storage::decodeMachine(*change.value), change.version};
             else
@@ -149,7 +153,8 @@
                 std::vector<bool> bits(job->spec.tasks);
                 const auto first = chunk * job->chunkTasks;
                 storage::decodeBits(*change.value, bits, first, job->chunkTasks);
-                for (auto task = first; task < std::min<std::size_t>(first + job->chunkTasks, bits.size()); ++task)
+                for (auto task = first; task < std::min<std::size_t>(first + job->chunkTasks, bits.size());
+                     ++task)
                     if (bits[task]) job->setDone(static_cast<std::uint32_t>(task));
                 job->setChunkVersion(chunk, change.version);
             }
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -22,26 +22,26 @@
 struct Run {
     explicit Run(std::uint32_t tasks) : live(tasks, 0) {}
 
-    std::vector<std::uint8_t> live;     // machines that each task is possibly on
-    std::uint32_t liveTotal = 0;        // sum of `live`
-    std::uint32_t waiting = 0;          // tasks neither finished nor possibly on a machine
-    std::uint32_t running = 0;          // tasks seen running
-    std::set<std::uint32_t> unstored;   // tasks seen done whose bit is not stored yet
-    std::uint32_t hint = 0;             // no task before this one is waiting
+    std::vector<std::uint8_t> live;              // machines that each task is possibly on
+    std::uint32_t liveTotal = 0;                 // sum of `live`
+    std::uint32_t waiting = 0;                   // tasks neither finished nor possibly on a machine
+    std::uint32_t running = 0;                   // tasks seen running
+    std::set<std::uint32_t> unstored;            // tasks seen done whose bit is not stored yet
+    std::uint32_t hint = 0;                      // no task before this one is waiting
     std::map<std::string, std::uint32_t> zones;  // possible tasks per zone
-    bool inherited = false;             // accepted before this leader began
+    bool inherited = false;                      // accepted before this leader began
 
     // Pacing by the design: launched (m), paced fetches (md) and their expected number (Md).
     std::uint32_t launched = 0, paced = 0;
     double pacedTotal = 0;
     bool admitted = false;
 
-    std::uint64_t gangAttempt = 0;      // the attempt under way, 0: none
-    Time notBefore{};                   // back-off after failures
+    std::uint64_t gangAttempt = 0;  // the attempt under way, 0: none
+    Time notBefore{};               // back-off after failures
     Time waitingSince{};
-    Time nextBits{};                    // when its finished tasks are stored next
+    Time nextBits{};                            // when its finished tasks are stored next
     std::map<std::string, Time> errorMachines;  // where a task of it failed since its last success
-    bool succeeded = false;             // a task of it has worked somewhere
+    bool succeeded = false;                     // a task of it has worked somewhere
 };
 
 /// A job as stored, and while this node leads, its run.
@@ -50,9 +50,9 @@
     Final final = Final::open;
     std::uint64_t acceptedMs = 0;
     std::uint32_t chunkTasks = 1;
-    std::uint64_t version = 0;          // of its record
-    std::uint64_t accepted = 0;         // revision at which it was first seen: the order of arrival
-    std::vector<bool> done;             // stored bits; empty until needed and once the job is over
+    std::uint64_t version = 0;   // of its record
+    std::uint64_t accepted = 0;  // revision at which it was first seen: the order of arrival
+    std::vector<bool> done;      // stored bits; empty until needed and once the job is over
     std::uint32_t doneCount = 0;
     std::vector<std::uint64_t> chunkVersions;
     std::unique_ptr<Run> run;
@@ -61,7 +61,9 @@
     bool isDone(std::uint32_t task) const {
         return final == Final::done || (task < done.size() && done[task]);
     }
-    bool isFinished(std::uint32_t task) const { return isDone(task) || (run && run->unstored.contains(task)); }
+    bool isFinished(std::uint32_t task) const {
+        return isDone(task) || (run && run->unstored.contains(task));
+    }
     bool isWaiting(std::uint32_t task) const {
         return final == Final::open && !isFinished(task) && run->live[task] == 0;
     }
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -13,9 +13,14 @@
 
 namespace keys = storage::keys;
 
-Election::Election(const protocol::Settings& settings, const protocol::Policy& policy, storage::StateClient& state,
-                   bookkeeping::Mirror& mirror, Sync& sync, Won won, Lost lost)
-    : settings_(settings), state_(state), mirror_(mirror), sync_(sync), won_(std::move(won)), lost_(std::move(lost)),
+Election::Election(const protocol::Settings& settings, const protocol::Policy& policy,
+                   storage::StateClient& state, bookkeeping::Mirror& mirror, Sync& sync, Won won, Lost lost)
+    : settings_(settings),
+      state_(state),
+      mirror_(mirror),
+      sync_(sync),
+      won_(std::move(won)),
+      lost_(std::move(lost)),
       random_(std::random_device{}()) {
     // Short enough that a successor takes over within the workers' lease, long enough that the leader's
     // silence during an outage of the state service, added to that lease, spans the outage.
@@ -40,7 +45,8 @@
         // Nodes that see the key go at the same moment should not all try at once. Its own name on the key
         // tells a restarted node that its former self held it: that process is gone, so nobody else acts.
         vacant_ = true;
-        notBefore_ = std::max(notBefore_, now + (own ? 0ms : std::uniform_int_distribution<>(0, 250)(random_) * 1ms));
+        notBefore_ =
+            std::max(notBefore_, now + (own ? 0ms : std::uniform_int_distribution<>(0, 250)(random_) * 1ms));
     }
     if (now >= notBefore_) attempt(now);
 }
--- a/src/coordination/frontdesk.cpp
+++ b/src/coordination/frontdesk.cpp
@@ -67,8 +67,10 @@
         (team->gpusMax > 0 && spec.gpus * tasks > team->gpusMax + 1e-9))
         return "more than the team's limit";
     for (const auto& type : types) {
-        if (spec.types && std::find(spec.types->begin(), spec.types->end(), type.name) == spec.types->end()) continue;
-        if (type.cpus + 1e-9 >= spec.cpus && type.gpus + 1e-9 >= spec.gpus && type.memoryGb + 1e-9 >= spec.memoryGb)
+        if (spec.types && std::find(spec.types->begin(), spec.types->end(), type.name) == spec.types->end())
+            continue;
+        if (type.cpus + 1e-9 >= spec.cpus && type.gpus + 1e-9 >= spec.gpus &&
+            type.memoryGb + 1e-9 >= spec.memoryGb)
             return std::nullopt;
     }
     return "fits no allowed machine type";
@@ -91,7 +93,8 @@
     const bool cancels = id.ends_with(paths::kCancel);
     if (cancels) id.resize(id.size() - std::string_view(paths::kCancel).size());
     if (id.find('/') != std::string::npos) return false;
-    if (request.method != (cancels ? "POST" : "GET")) return reply(wrongMethod(cancels ? "POST" : "GET")), true;
+    if (request.method != (cancels ? "POST" : "GET"))
+        return reply(wrongMethod(cancels ? "POST" : "GET")), true;
     // An id of another form cannot have been accepted.
     if (!protocol::isJobId(id)) return reply(respond(404, protocol::errorReply("no such job"))), true;
     if (const auto* job = mirror_.find(id); job && job->final != Final::open)
@@ -238,13 +241,15 @@
     if (!job) return reply(respond(404, protocol::errorReply("no such job")));
     if (job->final != Final::open) return answerState(*job, reply);
     const auto key = keys::job(id);
-    const storage::JobRecord record{job->spec, Final::cancelled, job->acceptedMs, job->doneCount, job->chunkTasks};
+    const storage::JobRecord record{job->spec, Final::cancelled, job->acceptedMs, job->doneCount,
+                                    job->chunkTasks};
     // Conditional on the record: a job becomes either done or cancelled, whichever is stored first.
     state_.transact({{key, job->version}}, {{key, storage::encodeJob(record), 0}}, kStoreTimeout,
                     [this, id, reply, tries](const TxnResult& result) {
                         if (result.status == TxnStatus::applied)
                             return reply(respond(200, protocol::jobReply(id, JobState::cancelled)));
-                        if (result.status == TxnStatus::conflict && tries > 1) return cancel(id, reply, tries - 1);
+                        if (result.status == TxnStatus::conflict && tries > 1)
+                            return cancel(id, reply, tries - 1);
                         reply(comeBack(503, "the state service does not answer"));
                     });
 }
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -20,7 +20,7 @@
 namespace {
 
 constexpr std::size_t kMostOrders = 300;  // keeps a response well below 64 KiB
-constexpr auto kBitsPause = 1s;             // a job's finished tasks gather for this long
+constexpr auto kBitsPause = 1s;           // a job's finished tasks gather for this long
 
 Clock::duration ticks(Seconds s) { return std::chrono::duration_cast<Clock::duration>(s); }
 
@@ -45,8 +45,15 @@
 }
 
 Leader::Leader(const Settings& settings, const Policy& policy, Mirror& mirror, std::uint64_t token, Time now)
-    : settings_(settings), policy_(policy), mirror_(mirror), token_(token), began_(now), now_(now), random_(token),
-      writeBudget_(settings.stateWriteRps * 0.6, now), lastReport_(now),
+    : settings_(settings),
+      policy_(policy),
+      mirror_(mirror),
+      token_(token),
+      began_(now),
+      now_(now),
+      random_(token),
+      writeBudget_(settings.stateWriteRps * 0.6, now),
+      lastReport_(now),
       cloudBudget_(settings.cloudRps * 0.8, now) {
     for (const auto& type : mirror.types) types_[type.name] = type;
     for (const auto& [id, job] : mirror.jobs()) {
@@ -88,6 +95,8 @@
 
 void Leader::adoptJob(Job& job, bool inherited) {
     job.beginRun(inherited, now_);
+    // An earlier leader may have stored the last bits and not the end of the job.
+    if (job.doneCount == job.spec.tasks) unstored_.insert(&job);
     open_.push_back(&job);
     orderStale_ = true;
 }
@@ -120,7 +129,8 @@
     machine.leaseUntil = now_ + leaseBound(settings_);
     machine.reports = true;
     // A report may arrive after a newer message of its worker; its tasks are then old news.
-    const bool newer = std::pair(report.session, report.sequence) > std::pair(machine.session, machine.sequence);
+    const bool newer =
+        std::pair(report.session, report.sequence) > std::pair(machine.session, machine.sequence);
     if (!newer) {
         actions_.push_back(AnswerReport{command.request, true, {}});
         return;
@@ -214,7 +224,8 @@
     if (at == machine.places.end()) {
         if (!job->run) job->beginRun(true, now_);
         placement = &fleet_.place(machine, *job, key.task, key.attempt, state, now_);
-        if (job->spec.kind == Kind::gang) job->run->gangAttempt = std::max(job->run->gangAttempt, key.attempt);
+        if (job->spec.kind == Kind::gang)
+            job->run->gangAttempt = std::max(job->run->gangAttempt, key.attempt);
         orderStale_ = true;
     } else {
         placement = &at->second;
@@ -265,7 +276,8 @@
             // A faulty machine fails the tasks of many jobs; a faulty job fails on many machines.
             job.run->errorMachines[machine.id] = now_;
             if (job.run->errorMachines.size() >= 3)
-                job.run->notBefore = now_ + std::min<Clock::duration>(5s * (job.run->errorMachines.size() - 2), 60s);
+                job.run->notBefore =
+                    now_ + std::min<Clock::duration>(5s * (job.run->errorMachines.size() - 2), 60s);
             else
                 machine.errorJobs.insert(job.spec.id);
             break;
@@ -355,8 +367,8 @@
         if (spec.checkpoint > Seconds(0)) {
             stop(machine, placement, spec.save);
         } else if (spec.kind == Kind::array) {
-            const Seconds ran = placement.state == PlaceState::running ? Seconds(now_ - placement.runningSince)
-                                                                       : Seconds(0);
+            const Seconds ran =
+                placement.state == PlaceState::running ? Seconds(now_ - placement.runningSince) : Seconds(0);
             if (ran + left < spec.estimate * 0.7) stop(machine, placement, Seconds(0));
         } else {
             stop(machine, placement, Seconds(0));
@@ -378,7 +390,8 @@
 void Leader::settle(Machine& machine) {
     machine.settled = true;
     orderStale_ = true;
-    fleet_.removeAll(machine, [&](const Placement& placement) { gone(machine, placement, ExitReason::none); });
+    fleet_.removeAll(machine,
+                     [&](const Placement& placement) { gone(machine, placement, ExitReason::none); });
 }
 
 void Leader::forget(Machine& machine) {
@@ -394,6 +407,14 @@
     const storage::MachineRecord record{machine.address, machine.type, machine.zone, machine.spot};
     const auto stored = mirror_.roster.find(machine.id);
     if (machine.roster == RosterState::writing) return;
+    // It was forgotten, and is back. A deletion of its entry may still be on its way, so the entry counts
+    // only once it is written anew: with its new version that deletion fails.
+    rosterDrop_.erase(machine.id);
+    if (rosterDeleted_.contains(machine.id)) {
+        machine.roster = RosterState::absent;
+        rosterAdd_.insert(machine.id);
+        return;
+    }
     if (stored != mirror_.roster.end() && stored->second.record == record) {
         machine.roster = RosterState::stored;
         rosterAdd_.erase(machine.id);
@@ -406,6 +427,9 @@
 void Leader::watchSilence() {
     if (now_ < nextSilence_) return;
     nextSilence_ = now_ + 500ms;
+    // Entries of machines that are no more, such as one whose writing was carried out late.
+    for (const auto& [id, stored] : mirror_.roster)
+        if (!fleet_.find(id)) rosterDrop_.insert(id);
     const auto patience = ticks(settings_.report * 2 + Seconds(0.5));
     std::size_t reporting = 0, silent = 0;
     std::vector<Machine*> lapsed;
@@ -459,8 +483,8 @@
 
 void Leader::maybeWrite() {
     if (writing_ || refreshing_ || now_ < nextWrite_) return;
-    const auto most = std::min<std::size_t>(settings_.txnOps,
-                                            static_cast<std::size_t>(std::max(0.0, writeBudget_.available(now_))));
+    const auto most = std::min<std::size_t>(
+        settings_.txnOps, static_cast<std::size_t>(std::max(0.0, writeBudget_.available(now_))));
     constexpr std::size_t kBytes = 48 * 1024;  // of the 64 KiB that a transaction may have
     WriteState write;
     write.conditions.push_back({keys::kToken, mirror_.tokenVersion});
@@ -505,7 +529,8 @@
             bits.resize(job->spec.tasks);
             for (const auto task : tasks) bits[task] = true;
             put(keys::doneChunk(job->spec.id, chunk),
-                storage::encodeBits(bits, chunk * job->chunkTasks, job->chunkTasks), job->chunkVersion(chunk));
+                storage::encodeBits(bits, chunk * job->chunkTasks, job->chunkTasks),
+                job->chunkVersion(chunk));
             doneWrites_.push_back({job, chunk, std::move(tasks)});
         }
         job->run->nextBits = now_ + kBitsPause;
@@ -515,6 +540,7 @@
         if (!room()) break;
         put(keys::machine(id), std::nullopt, mirror_.roster[id].version);
         rosterDeletes_.push_back(id);
+        rosterDeleted_.insert(id);
     }
     if (write.writes.empty()) return;
     writeBudget_.force(static_cast<double>(write.writes.size()), now_);
@@ -539,6 +565,7 @@
         if (machine && machine->roster == RosterState::writing) machine->roster = RosterState::absent;
         if (!applied) continue;
         rosterAdd_.erase(id);
+        rosterDeleted_.erase(id);
         if (!machine) {
             rosterDrop_.insert(id);
             mirror_.roster[id] = {{}, result.revision};
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -218,15 +218,16 @@
     Fleet fleet_;
     std::map<std::string, MachineType> types_;
     std::uint64_t attempts_ = 0, rentals_ = 0;
-    std::set<std::string> deleted_;      // machines whose deletion was completed
-    std::set<std::string> urgent_;       // machines to be sent their stops at once
+    std::set<std::string> deleted_;  // machines whose deletion was completed
+    std::set<std::string> urgent_;   // machines to be sent their stops at once
 
     // the state service
     storage::RateBudget writeBudget_;
     bool writing_ = false, refreshing_ = false;
     Time nextWrite_{};
-    std::set<Job*> unstored_;            // with done tasks whose bits are to be stored
+    std::set<Job*> unstored_;  // with done tasks whose bits are to be stored
     std::set<std::string> rosterAdd_, rosterDrop_;
+    std::set<std::string> rosterDeleted_;  // entries whose deletion was sent and that were not written since
     bool typesUnstored_ = false;
     std::vector<DoneWrite> doneWrites_;  // of the write under way
     std::vector<Job*> finalWrites_;
@@ -234,13 +235,13 @@
     std::vector<MachineType> typesWrite_;
 
     // placement
-    std::vector<Job*> order_;            // waiting jobs in the order they are walked
+    std::vector<Job*> order_;  // waiting jobs in the order they are walked
     std::map<const Job*, int> ranks_;
     std::vector<Job*> open_;
     bool orderStale_ = true;
     Time nextOrder_{}, nextPacing_{};
-    std::map<std::string, Time> zoneFetch_;      // the last fetch started per zone
-    std::map<std::string, double> imageWork_;    // processor seconds waiting per image and cached processor
+    std::map<std::string, Time> zoneFetch_;    // the last fetch started per zone
+    std::map<std::string, double> imageWork_;  // processor seconds waiting per image and cached processor
     double meanCachedSeconds_ = 0;
     double meanFetch_ = 0;
     std::uint32_t fetchesSeen_ = 0;
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -58,7 +58,10 @@
 }
 
 Node::Node(asio::io_context& io, const protocol::Settings& settings, const protocol::Policy& policy)
-    : io_(io), settings_(settings), policy_(policy), http_(io, settings.maxConnections * 3 / 10),
+    : io_(io),
+      settings_(settings),
+      policy_(policy),
+      http_(io, settings.maxConnections * 3 / 10),
       state_(http_, settings.state, settings.stateRps, settings.stateWriteRps, 0.5, Clock::now()),
       sync_(io, state_, mirror_,
             [this](const std::vector<bookkeeping::Change>& changes) {
@@ -70,9 +73,12 @@
       election_(
           settings, policy, state_, mirror_, sync_, [this](std::uint64_t token) { won(token); },
           [this] { lost(); }),
-      desk_(io, settings, state_, mirror_, sync_), ticker_(io),
+      desk_(io, settings, state_, mirror_, sync_),
+      ticker_(io),
       users_(io, transport::parseEndpoint(settings.listen), limits(settings, 0.55),
-             [this](Request&& request, Reply reply) { enqueue(Call{std::move(request), std::move(reply), false}); }),
+             [this](Request&& request, Reply reply) {
+                 enqueue(Call{std::move(request), std::move(reply), false});
+             }),
       peerServer_(io, transport::parseEndpoint(settings.peerListen), limits(settings, 0.05),
                   [this](Request&& request, Reply reply) {
                       enqueue(Call{std::move(request), std::move(reply), true});
@@ -213,7 +219,8 @@
     if (!known) return;
     auto& view = peers_[status.node];
     view.heardAt = now;
-    view.stateAnsweredAt = now - std::chrono::milliseconds(std::min<std::uint64_t>(status.stateAgeMs, 1u << 30));
+    view.stateAnsweredAt =
+        now - std::chrono::milliseconds(std::min<std::uint64_t>(status.stateAgeMs, 1u << 30));
     view.token = status.token;
     if (!status.running.empty() && status.token >= mirror_.token) desk_.setRunning(status.running);
 }
@@ -266,8 +273,8 @@
 void Node::perform(SendOrders& action) {
     if (!election_.valid(Clock::now())) return enqueue(Command(WorkerAnswered{action.machine, std::nullopt}));
     http_.request(action.address, "POST", paths::kOrders,
-                  protocol::encodeDirectOrders(leader_->token(), action.session, action.orders), kOrdersTimeout,
-                  [this, round = leaderRound_, machine = action.machine](Outcome outcome) {
+                  protocol::encodeDirectOrders(leader_->token(), action.session, action.orders),
+                  kOrdersTimeout, [this, round = leaderRound_, machine = action.machine](Outcome outcome) {
                       if (round != leaderRound_) return;
                       WorkerAnswered answered{machine, std::nullopt};
                       try {
@@ -294,8 +301,8 @@
 }
 
 void Node::perform(Rent& action) {
-    http_.request(settings_.cloud, "POST", paths::kRentals, protocol::encodeRental(action.request), kCloudTimeout,
-                  [this, round = leaderRound_, name = action.request.name](Outcome outcome) {
+    http_.request(settings_.cloud, "POST", paths::kRentals, protocol::encodeRental(action.request),
+                  kCloudTimeout, [this, round = leaderRound_, name = action.request.name](Outcome outcome) {
                       if (round != leaderRound_) return;
                       RentalAnswered answered;
                       answered.name = name;
@@ -314,8 +321,8 @@
 }
 
 void Node::perform(Release& action) {
-    http_.request(settings_.cloud, "POST", paths::kRelease, protocol::encodeRelease(action.machines), kCloudTimeout,
-                  [this, round = leaderRound_, machines = action.machines](Outcome outcome) {
+    http_.request(settings_.cloud, "POST", paths::kRelease, protocol::encodeRelease(action.machines),
+                  kCloudTimeout, [this, round = leaderRound_, machines = action.machines](Outcome outcome) {
                       if (round == leaderRound_) enqueue(Command(ReleaseAnswered{machines, outcome.ok()}));
                   });
 }
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -27,8 +27,9 @@
 
 bool Leader::usable(const Machine& m) const {
     // A machine without a stored roster entry would be unknown to the next leader, tasks and all.
-    return m.heard && m.reports && m.roster == RosterState::stored && !m.draining && !m.releasing && !m.failed &&
-           !m.recallAt && m.quietUntil <= now_ && m.errorJobs.size() < kSickJobs && typeOf(m.type);
+    return m.heard && m.reports && m.roster == RosterState::stored && !m.draining && !m.releasing &&
+           !m.failed && !m.recallAt && m.quietUntil <= now_ && m.errorJobs.size() < kSickJobs &&
+           typeOf(m.type);
 }
 
 bool Leader::allows(const Job& job, const std::string& type, const std::string& zone, bool spot) const {
@@ -91,7 +92,8 @@
 bool Leader::mayStart(const Job& job, const Machine& machine) const {
     const auto& run = *job.run;
     if (job.final != Final::open || run.waiting == 0 || run.notBefore > now_) return false;
-    if (!allows(job, machine.type, machine.zone, machine.spot) || !zoneAllows(job, machine.zone)) return false;
+    if (!allows(job, machine.type, machine.zone, machine.spot) || !zoneAllows(job, machine.zone))
+        return false;
     const auto failed = run.errorMachines.find(machine.id);
     if (failed != run.errorMachines.end() && now_ - failed->second < kErrorMemory &&
         run.errorMachines.size() < 3)
@@ -109,7 +111,8 @@
     if (!orderStale_ || now_ < nextOrder_) return;
     orderStale_ = false;
     nextOrder_ = now_ + 100ms;
-    std::sort(open_.begin(), open_.end(), [](const Job* a, const Job* b) { return a->accepted < b->accepted; });
+    std::sort(open_.begin(), open_.end(),
+              [](const Job* a, const Job* b) { return a->accepted < b->accepted; });
     ranks_.clear();
     order_.clear();
     std::map<std::string, Resources> teams;
@@ -119,8 +122,8 @@
         demand += {job->spec.cpus * unfinished, job->spec.gpus * unfinished, 0};
         const auto* team = settings_.team(job->spec.team);
         // "A value of 0 means none": with no guarantee of accelerators, work that needs them has none.
-        const bool guaranteed = team && (team->cpus > 0 || team->gpus > 0) && demand.cpus <= team->cpus + 1e-6 &&
-                                demand.gpus <= team->gpus + 1e-6;
+        const bool guaranteed = team && (team->cpus > 0 || team->gpus > 0) &&
+                                demand.cpus <= team->cpus + 1e-6 && demand.gpus <= team->gpus + 1e-6;
         const bool production = job->spec.priority == Priority::production;
         ranks_[job] = production ? 10 : guaranteed ? 5 : static_cast<int>(job->spec.priority);
         if (!job->run->admitted) admit(*job);
@@ -191,7 +194,8 @@
     // Only zones that report count: one that is cut off would raise the mean for all others.
     std::set<std::string> zones;
     for (const auto& [id, m] : fleet_.machines())
-        if (m->reports && now_ - m->lastReport < std::chrono::duration_cast<Clock::duration>(settings_.report * 3))
+        if (m->reports &&
+            now_ - m->lastReport < std::chrono::duration_cast<Clock::duration>(settings_.report * 3))
             zones.insert(m->zone);
     double sum = 0;
     std::size_t count = 0;
@@ -206,7 +210,8 @@
     return Seconds(now_ - own->second).count() >= std::min(mean, threshold);
 }
 
-std::uint32_t Leader::cachedRoomElsewhere(const Job& job, const Machine& machine, std::uint32_t enough) const {
+std::uint32_t Leader::cachedRoomElsewhere(const Job& job, const Machine& machine,
+                                          std::uint32_t enough) const {
     std::uint32_t room = 0;
     const auto soon = std::chrono::duration_cast<Clock::duration>(settings_.report * 1.5);
     for (const auto& [id, m] : fleet_.machines()) {
@@ -275,7 +280,8 @@
         // What room is left takes any waiting task, unless machines that have its image report soon.
         for (auto at = first; at != last; ++at) {
             Job& job = **at;
-            if (job.run->waiting == 0 || machine.hasImage(job.spec.image) || !mayStart(job, machine)) continue;
+            if (job.run->waiting == 0 || machine.hasImage(job.spec.image) || !mayStart(job, machine))
+                continue;
             const auto waiting = job.run->waiting;
             const auto elsewhere = cachedRoomElsewhere(job, machine, waiting);
             bool fetching = machine.isFetching(job.spec.image);
@@ -344,8 +350,8 @@
         if (job->spec.priority <= Priority::normal && rankOf(*job) < 5) continue;
         if (job->final != Final::open || run.waiting == 0 || run.notBefore > now_) continue;
         if (job->spec.kind == Kind::gang && job->spec.tasks > 1) continue;
-        const auto patience = job->spec.priority == Priority::production ? settings_.report * 0.8
-                                                                         : settings_.report * 1.5;
+        const auto patience =
+            job->spec.priority == Priority::production ? settings_.report * 0.8 : settings_.report * 1.5;
         if (Seconds(now_ - run.waitingSince) < patience) continue;
         if (blockedByUnheard(*job) || !withinTeamLimit(*job, 1)) continue;
         if (preemptFor(*job)) ++made;
@@ -382,8 +388,9 @@
             const auto use = fleet_.teamUse(spec.team);
             const bool beyond = team && use.cpus > team->cpus;
             // Lower priority always yields; any other team's borrowed work yields to a guarantee.
-            const bool yields = spec.priority < job.spec.priority ||
-                                (rankOf(job) == 5 && spec.team != job.spec.team && beyond && rankOf(*p.job) < 5);
+            const bool yields =
+                spec.priority < job.spec.priority ||
+                (rankOf(job) == 5 && spec.team != job.spec.team && beyond && rankOf(*p.job) < 5);
             if (!yields || spec.kind == Kind::service) continue;
             double lost = p.state == PlaceState::running ? Seconds(now_ - p.runningSince).count() : 0;
             if (spec.checkpoint > Seconds(0)) lost = std::min(lost, spec.save.count() + 5);
@@ -394,7 +401,8 @@
             m->reservedUntil = now_ + std::chrono::duration_cast<Clock::duration>(settings_.report * 4);
             return false;
         }
-        std::sort(victims.begin(), victims.end(), [](const Victim& a, const Victim& b) { return a.loss < b.loss; });
+        std::sort(victims.begin(), victims.end(),
+                  [](const Victim& a, const Victim& b) { return a.loss < b.loss; });
         std::vector<Placement*> chosen;
         double loss = m->hasImage(job.spec.image) ? 0 : 10;
         for (const auto& victim : victims) {
@@ -411,7 +419,8 @@
     if (!best) return false;
     for (auto* victim : bestVictims) stop(*best, *victim, victim->job->spec.save);
     best->reservedFor = &job;
-    best->reservedUntil = now_ + std::chrono::duration_cast<Clock::duration>(settings_.report * 4 + job.spec.save);
+    best->reservedUntil =
+        now_ + std::chrono::duration_cast<Clock::duration>(settings_.report * 4 + job.spec.save);
     return true;
 }
 
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -41,13 +41,14 @@
         Resources room;
         Machine* machine = nullptr;  // null: asked for or to be asked for
         const Job* reservedFor = nullptr;
-        bool fresh = false;          // would have to be rented
+        bool fresh = false;  // would have to be rented
         bool used = false;
     };
     std::vector<Bin> bins;
     for (auto& [id, m] : fleet_.machines()) {
         const auto* type = typeOf(m->type);
-        if (!type || m->draining || m->releasing || m->failed || m->recallAt || m->errorJobs.size() >= 2) continue;
+        if (!type || m->draining || m->releasing || m->failed || m->recallAt || m->errorJobs.size() >= 2)
+            continue;
         if (m->settled && !m->reports && m->session > 0) continue;  // lost
         Bin bin{m->type, m->zone, m->spot, bookkeeping::sizeOf(*type) - m->used, m.get()};
         if (m->reservedUntil > now_) bin.reservedFor = m->reservedFor;
@@ -73,7 +74,8 @@
             auto& planned = teamUse[spec.team];
             const auto most = [&](double limit, double used, double each) {
                 if (limit > 0 && each > 0)
-                    waiting = std::min(waiting, static_cast<std::uint32_t>(std::max(0.0, (limit - used) / each)));
+                    waiting =
+                        std::min(waiting, static_cast<std::uint32_t>(std::max(0.0, (limit - used) / each)));
             };
             most(team->cpusMax, use.cpus + planned.cpus, spec.cpus);
             most(team->gpusMax, use.gpus + planned.gpus, spec.gpus);
@@ -160,8 +162,8 @@
 
 void Leader::requestRentals(const std::map<Shape, std::uint32_t>& wanted) {
     for (const auto& [shape, count] : wanted) {
-        protocol::RentalRequest request{"r-" + std::to_string(token_) + "-" + std::to_string(++rentals_), shape.type,
-                                        shape.zone, shape.spot, std::min(count, kMostPerRequest)};
+        protocol::RentalRequest request{"r-" + std::to_string(token_) + "-" + std::to_string(++rentals_),
+                                        shape.type, shape.zone, shape.spot, std::min(count, kMostPerRequest)};
         rentalsPending_.push_back({std::move(request), now_, now_, false});
     }
     for (auto& rental : rentalsPending_) {
@@ -220,8 +222,9 @@
         const bool lost = !m->reports && now_ > m->leaseUntil + 10s;
         const bool sick = m->errorJobs.size() >= 2;
         const bool leaving = m->draining || sick;
-        const bool idle = now_ - m->busyUntil > ticks(policy_.idleKeep) && known > ticks(policy_.minimumKeep) &&
-                          !needed.contains(id) && m->reservedUntil <= now_;
+        const bool idle = now_ - m->busyUntil > ticks(policy_.idleKeep) &&
+                          known > ticks(policy_.minimumKeep) && !needed.contains(id) &&
+                          m->reservedUntil <= now_;
         if (lost || leaving || idle) machines.push_back(id);
     }
     if (machines.empty() || releasing_ || now_ < nextRelease_ || !cloudBudget_.take(1, 0, now_)) return;
--- a/src/coordination/sync.cpp
+++ b/src/coordination/sync.cpp
@@ -48,7 +48,8 @@
         std::vector<Change> changes;
         for (const auto& entry : page.entries) {
             read_.insert(entry.key);
-            if (!mirror_.apply(entry, changes)) spdlog::error("the value of {} in the state service is malformed", entry.key);
+            if (!mirror_.apply(entry, changes))
+                spdlog::error("the value of {} in the state service is malformed", entry.key);
         }
         const bool more = page.more && !page.entries.empty();
         if (!more) mirror_.dropUnread(read_, changes);
@@ -66,7 +67,8 @@
     std::vector<Change> changes;
     for (const auto& entry : page.entries) {
         if (entry.version <= mirror_.revision) continue;
-        if (!mirror_.apply(entry, changes)) spdlog::error("the value of {} in the state service is malformed", entry.key);
+        if (!mirror_.apply(entry, changes))
+            spdlog::error("the value of {} in the state service is malformed", entry.key);
     }
     mirror_.revision = std::max(mirror_.revision, page.revision);
     if (!changes.empty()) changed_(changes);
@@ -74,7 +76,8 @@
 
 void Sync::poll() {
     if (polling_ || loading_) return;
-    if (!state_.requests().take(0, kReserve, Clock::now())) return later(pollTimer_, kPollSpacing, &Sync::poll);
+    if (!state_.requests().take(0, kReserve, Clock::now()))
+        return later(pollTimer_, kPollSpacing, &Sync::poll);
     polling_ = true;
     state_.watch(storage::keys::kAll, mirror_.revision, kWatch, kWatchTimeout,
                  [this](ReadStatus status, const KeyPage& page) {
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -63,7 +63,8 @@
     attempt.job = name.substr(0, slash);
     const char* end = name.data() + name.size();
     const auto [stop, error] = std::from_chars(name.data() + slash + 1, end, attempt.task);
-    if (error != std::errc() || stop != end || attempt.task >= kMostTasks) throw Malformed("not a task: " + name);
+    if (error != std::errc() || stop != end || attempt.task >= kMostTasks)
+        throw Malformed("not a task: " + name);
     attempt.number = fields.integer("launch");
     return attempt;
 }
@@ -307,8 +308,8 @@
     s.stateAgeMs = f.integer("state_age_ms");
     f.each("running", [&](const msgpack::object& element) {
         const Fields r(element);
-        s.running.emplace_back(r.text("job"), static_cast<std::uint32_t>(std::min<std::uint64_t>(
-                                                  r.integer("count"), kMostTasks)));
+        s.running.emplace_back(r.text("job"), static_cast<std::uint32_t>(
+                                                  std::min<std::uint64_t>(r.integer("count"), kMostTasks)));
     });
     return s;
 }
@@ -321,7 +322,8 @@
     return p.take();
 }
 
-std::string encodeTransaction(const std::vector<KeyCondition>& conditions, const std::vector<KeyWrite>& writes) {
+std::string encodeTransaction(const std::vector<KeyCondition>& conditions,
+                              const std::vector<KeyWrite>& writes) {
     Packer p;
     p.map(2).key("when").list(conditions.size());
     for (const auto& c : conditions) p.map(2).field("path", c.key).field("mark", c.version);
@@ -389,7 +391,8 @@
     return "/kv?under=" + prefix + "&most=" + std::to_string(most) + (after.empty() ? "" : "&since=" + after);
 }
 std::string watch(const std::string& prefix, std::uint64_t after, std::chrono::milliseconds wait) {
-    return "/watch?under=" + prefix + "&since=" + std::to_string(after) + "&blockMs=" + std::to_string(wait.count());
+    return "/watch?under=" + prefix + "&since=" + std::to_string(after) +
+           "&blockMs=" + std::to_string(wait.count());
 }
 
 }  // namespace paths
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -104,7 +104,7 @@
 /// What nodes tell each other.
 struct PeerStatus {
     std::string node;
-    std::uint64_t token = 0;      // of the sender's leadership, 0 for a follower
+    std::uint64_t token = 0;       // of the sender's leadership, 0 for a follower
     std::uint64_t stateAgeMs = 0;  // since the state service last answered the sender
     std::vector<std::pair<std::string, std::uint32_t>> running;  // a leader's counts per job
     bool operator==(const PeerStatus&) const = default;
@@ -178,7 +178,8 @@
     std::vector<std::string> failed;
 };
 
-std::string encodeTransaction(const std::vector<KeyCondition>& conditions, const std::vector<KeyWrite>& writes);
+std::string encodeTransaction(const std::vector<KeyCondition>& conditions,
+                              const std::vector<KeyWrite>& writes);
 TransactionReply decodeTransactionReply(std::string_view body);
 KeyPage decodeKeyPage(const msgpack::object& body);
 KeyPage decodeWatch(const msgpack::object& body);
--- a/src/protocol/pack.h
+++ b/src/protocol/pack.h
@@ -142,15 +142,15 @@
     Packer& field(std::string_view name, const T& v) {
         return key(name).value(v);
     }
-    Packer& nil(std::string_view name) {
-        key(name);
-        packer_.pack_nil();
-        return *this;
-    }
+    Packer& nil(std::string_view name) { return key(name).nilValue(); }
     template <typename T>
     Packer& maybe(std::string_view name, const std::optional<T>& v) {
         return v ? field(name, *v) : nil(name);
     }
+    Packer& nilValue() {
+        packer_.pack_nil();
+        return *this;
+    }
     /// Bytes that are MessagePack already.
     Packer& raw(std::string_view packed) {
         buffer_.write(packed.data(), packed.size());
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -100,7 +100,8 @@
 }  // namespace
 
 const Team* Settings::team(const std::string& wanted) const {
-    const auto found = std::find_if(teams.begin(), teams.end(), [&](const auto& t) { return t.name == wanted; });
+    const auto found =
+        std::find_if(teams.begin(), teams.end(), [&](const auto& t) { return t.name == wanted; });
     return found == teams.end() ? nullptr : &*found;
 }
 
@@ -121,7 +122,8 @@
     std::set<std::string> names{s.name};
     for (const auto& peer : top.sections("known")) {
         s.peers.push_back({peer.text("label"), peer.text("area"), peer.address("peer_addr")});
-        if (!names.insert(s.peers.back().name).second) throw BadSettings("known: two nodes named " + s.peers.back().name);
+        if (!names.insert(s.peers.back().name).second)
+            throw BadSettings("known: two nodes named " + s.peers.back().name);
     }
     const auto services = top.section("services");
     s.cloud = services.address("cloud");
@@ -138,8 +140,8 @@
         s.teams.push_back(std::move(team));
     }
     for (const auto& o : cluster.sections("objectives"))
-        s.objectives.push_back({o.text("kind"), o.textOr("class", ""), Seconds(o.numberOr("within_s", 0, kDay, 0)),
-                                o.numberOr("share", 0, 1, 1)});
+        s.objectives.push_back({o.text("kind"), o.textOr("class", ""),
+                                Seconds(o.numberOr("within_s", 0, kDay, 0)), o.numberOr("share", 0, 1, 1)});
     const auto workers = cluster.section("workers");
     s.report = Seconds(workers.number("report_s", 0.01, 600));
     s.lease = Seconds(workers.number("lease_s", 0.1, kDay));
@@ -183,9 +185,10 @@
         const std::string_view value = node.text().get();
         double parsed = 0;
         const auto [stop, error] = std::from_chars(value.data(), value.data() + value.size(), parsed);
-        if (error != std::errc() || stop != value.data() + value.size() || !(parsed >= least && parsed <= most))
-            throw BadSettings("<" + std::string(node.name()) + ">: a number between " + std::to_string(least) +
-                              " and " + std::to_string(most) + " is needed");
+        if (error != std::errc() || stop != value.data() + value.size() ||
+            !(parsed >= least && parsed <= most))
+            throw BadSettings("<" + std::string(node.name()) + ">: a number between " +
+                              std::to_string(least) + " and " + std::to_string(most) + " is needed");
         return parsed;
     };
     const std::map<std::string_view, std::function<void(const pugi::xml_node&)>> readers{
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -54,12 +54,12 @@
 
 /// The operators' own settings (XML). Each has a default that suits both first deployments.
 struct Policy {
-    Seconds leadership{0};      // 0: derived from the workers' lease
-    Seconds idleKeep{20};       // how long a machine without tasks is kept
-    Seconds minimumKeep{55};    // the cloud charges a minute at least
+    Seconds leadership{0};       // 0: derived from the workers' lease
+    Seconds idleKeep{20};        // how long a machine without tasks is kept
+    Seconds minimumKeep{55};     // the cloud charges a minute at least
     Seconds backlogHorizon{45};  // a backlog of short tasks should be gone after this
-    double headroom = 0.0;      // share of the production tasks kept free for the next ones
-    Seconds fetchStart{5};      // fetch time assumed before one was seen
+    double headroom = 0.0;       // share of the production tasks kept free for the next ones
+    Seconds fetchStart{5};       // fetch time assumed before one was seen
     bool preempt = true;
 };
 
--- a/src/storage/records.cpp
+++ b/src/storage/records.cpp
@@ -10,7 +10,9 @@
 
 namespace keys {
 std::string job(const std::string& id) { return kJobs + id; }
-std::string doneChunk(const std::string& id, std::size_t chunk) { return kJobs + id + "/" + std::to_string(chunk); }
+std::string doneChunk(const std::string& id, std::size_t chunk) {
+    return kJobs + id + "/" + std::to_string(chunk);
+}
 std::string machine(const std::string& id) { return kMachines + id; }
 }  // namespace keys
 
--- a/src/storage/store.cpp
+++ b/src/storage/store.cpp
@@ -31,9 +31,12 @@
     return true;
 }
 
-StateClient::StateClient(transport::Client& http, std::string address, double rps, double writeRps, double share,
-                         Time now)
-    : http_(http), address_(std::move(address)), requests_(rps * share, now), writes_(writeRps * share, now),
+StateClient::StateClient(transport::Client& http, std::string address, double rps, double writeRps,
+                         double share, Time now)
+    : http_(http),
+      address_(std::move(address)),
+      requests_(rps * share, now),
+      writes_(writeRps * share, now),
       lastAnswer_(now) {}
 
 void StateClient::answered(int status) {
@@ -45,46 +48,48 @@
     const auto now = Clock::now();
     requests_.force(1, now);
     writes_.force(static_cast<double>(writes.size()), now);
-    http_.request(address_, "POST", protocol::paths::kTransaction, protocol::encodeTransaction(conditions, writes),
-                  timeout, [this, done = std::move(done)](Outcome outcome) {
-                      answered(outcome.status);
-                      TxnResult result;
-                      try {
-                          if (outcome.status == 200 || outcome.status == 409) {
-                              auto reply = protocol::decodeTransactionReply(outcome.body);
-                              result.status = outcome.status == 200 ? TxnStatus::applied : TxnStatus::conflict;
-                              result.revision = reply.revision;
-                              result.failed = std::move(reply.failed);
-                          } else if (outcome.status == 400) {
-                              result.status = TxnStatus::noLease;
-                          } else if (outcome.status != 0) {
-                              result.status = TxnStatus::refused;
-                          }
-                      } catch (const Malformed&) {
-                          result = {};
-                      }
-                      done(std::move(result));
-                  });
+    http_.request(
+        address_, "POST", protocol::paths::kTransaction, protocol::encodeTransaction(conditions, writes),
+        timeout, [this, done = std::move(done)](Outcome outcome) {
+            answered(outcome.status);
+            TxnResult result;
+            try {
+                if (outcome.status == 200 || outcome.status == 409) {
+                    auto reply = protocol::decodeTransactionReply(outcome.body);
+                    result.status = outcome.status == 200 ? TxnStatus::applied : TxnStatus::conflict;
+                    result.revision = reply.revision;
+                    result.failed = std::move(reply.failed);
+                } else if (outcome.status == 400) {
+                    result.status = TxnStatus::noLease;
+                } else if (outcome.status != 0) {
+                    result.status = TxnStatus::refused;
+                }
+            } catch (const Malformed&) {
+                result = {};
+            }
+            done(std::move(result));
+        });
 }
 
 void StateClient::read(const std::string& target, Duration timeout, bool isWatch, PageDone done) {
     requests_.force(1, Clock::now());
-    http_.request(address_, "GET", target, "", timeout, [this, isWatch, done = std::move(done)](Outcome outcome) {
-        answered(outcome.status);
-        if (outcome.status == 410) return done(ReadStatus::tooOld, {});
-        if (outcome.status != 200) return done(ReadStatus::failed, {});
-        msgpack::object_handle handle;  // the page points into it
-        KeyPage page;
-        auto status = ReadStatus::ok;
-        try {
-            handle = protocol::unpackBody(outcome.body);
-            page = isWatch ? protocol::decodeWatch(handle.get()) : protocol::decodeKeyPage(handle.get());
-        } catch (const Malformed&) {
-            status = ReadStatus::failed;
-            page = {};
-        }
-        done(status, page);
-    });
+    http_.request(
+        address_, "GET", target, "", timeout, [this, isWatch, done = std::move(done)](Outcome outcome) {
+            answered(outcome.status);
+            if (outcome.status == 410) return done(ReadStatus::tooOld, {});
+            if (outcome.status != 200) return done(ReadStatus::failed, {});
+            msgpack::object_handle handle;  // the page points into it
+            KeyPage page;
+            auto status = ReadStatus::ok;
+            try {
+                handle = protocol::unpackBody(outcome.body);
+                page = isWatch ? protocol::decodeWatch(handle.get()) : protocol::decodeKeyPage(handle.get());
+            } catch (const Malformed&) {
+                status = ReadStatus::failed;
+                page = {};
+            }
+            done(status, page);
+        });
 }
 
 void StateClient::page(const std::string& prefix, const std::string& after, PageDone done) {
--- a/src/storage/store.h
+++ b/src/storage/store.h
@@ -52,12 +52,14 @@
     /// 200: extended or made; 404: ended; anything else: not known.
     using LeaseDone = std::function<void(int status, std::uint64_t lease)>;
 
-    StateClient(transport::Client& http, std::string address, double rps, double writeRps, double share, Time now);
+    StateClient(transport::Client& http, std::string address, double rps, double writeRps, double share,
+                Time now);
 
     void transact(const std::vector<protocol::KeyCondition>& conditions,
                   const std::vector<protocol::KeyWrite>& writes, Duration timeout, TxnDone done);
     void page(const std::string& prefix, const std::string& after, PageDone done);
-    void watch(const std::string& prefix, std::uint64_t after, Duration wait, Duration timeout, PageDone done);
+    void watch(const std::string& prefix, std::uint64_t after, Duration wait, Duration timeout,
+               PageDone done);
     void makeLease(Duration life, LeaseDone done);
     void extendLease(std::uint64_t lease, LeaseDone done);
     void endLease(std::uint64_t lease);
--- a/src/transport/client.cpp
+++ b/src/transport/client.cpp
@@ -81,11 +81,12 @@
 
     // One read is always under way, so a connection that the other side closes leaves the pool at once.
     void read() {
-        socket_.async_read_some(asio::buffer(buffer_), [self = shared_from_this()](auto error, std::size_t n) {
-            if (self->closed_) return;
-            if (error || !self->busy()) return self->fail();
-            self->parse(n);
-        });
+        socket_.async_read_some(asio::buffer(buffer_),
+                                [self = shared_from_this()](auto error, std::size_t n) {
+                                    if (self->closed_) return;
+                                    if (error || !self->busy()) return self->fail();
+                                    self->parse(n);
+                                });
     }
 
     void parse(std::size_t n) {
@@ -154,8 +155,8 @@
         }
 }
 
-void Client::request(const std::string& address, const char* method, const std::string& target, std::string body,
-                     Duration timeout, Done done) {
+void Client::request(const std::string& address, const char* method, const std::string& target,
+                     std::string body, Duration timeout, Done done) {
     auto& pool = pools_[address];
     const auto idle = std::find_if(pool.begin(), pool.end(), [](const auto& c) { return !c->busy(); });
     if (idle != pool.end()) {
--- a/src/transport/server.cpp
+++ b/src/transport/server.cpp
@@ -9,10 +9,9 @@
 
 constexpr std::size_t kTargetBytes = 2048;
 constexpr std::size_t kHeaderBytes = 16 * 1024;
+constexpr Duration kLinger{1000};
 
-const char* reason(int status) {
-    return http_status_str(static_cast<http_status>(status));
-}
+const char* reason(int status) { return http_status_str(static_cast<http_status>(status)); }
 
 std::string render(const Response& response, bool keepAlive) {
     std::string out = "HTTP/1.1 " + std::to_string(response.status) + " " + reason(response.status) + "\r\n";
@@ -33,8 +32,9 @@
     asio::error_code error;
     const auto address = asio::ip::make_address_v4(text.substr(0, colon), error);
     const std::string digits = text.substr(colon + 1);
-    const bool numeric = !digits.empty() && digits.size() <= 5 &&
-                         std::all_of(digits.begin(), digits.end(), [](char c) { return c >= '0' && c <= '9'; });
+    const bool numeric =
+        !digits.empty() && digits.size() <= 5 &&
+        std::all_of(digits.begin(), digits.end(), [](char c) { return c >= '0' && c <= '9'; });
     if (error || !numeric || std::stoi(digits) > 65535)
         throw std::invalid_argument("not an IPv4 address and port: \"" + text + "\"");
     return {address, static_cast<unsigned short>(std::stoi(digits))};
@@ -49,13 +49,15 @@
     }
 
     void read() {
-        socket_.async_read_some(asio::buffer(buffer_), [self = shared_from_this()](auto error, std::size_t n) {
-            if (self->closed_) return;
-            if (error) return self->close();
-            self->begin_ = 0;
-            self->end_ = n;
-            self->parse();
-        });
+        socket_.async_read_some(asio::buffer(buffer_),
+                                [self = shared_from_this()](auto error, std::size_t n) {
+                                    if (self->closed_) return;
+                                    if (error) return self->close();
+                                    if (self->lingering_) return self->read();
+                                    self->begin_ = 0;
+                                    self->end_ = n;
+                                    self->parse();
+                                });
     }
 
     void close() {
@@ -69,6 +71,7 @@
     /// Silent and slow peers may not hold their sockets for ever.
     bool overdue(Time now, const ServerLimits& limits) const {
         if (answering_) return false;
+        if (lingering_) return now - since_ > kLinger;
         return now - since_ > (receiving_ ? limits.receive : limits.idle);
     }
 
@@ -156,13 +159,22 @@
                           [self = shared_from_this(), keepAlive](auto error, std::size_t) {
                               if (self->closed_) return;
                               self->out_.clear();
-                              if (error || !keepAlive) return self->close();
+                              if (error) return self->close();
+                              if (!keepAlive) return self->linger();
                               http_parser_pause(&self->parser_, 0);
                               if (self->begin_ < self->end_) return self->parse();
                               self->read();
                           });
     }
 
+    // Closing with bytes unread would reset the connection, and the peer might lose the answer.
+    void linger() {
+        lingering_ = true;
+        asio::error_code ignored;
+        socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        read();
+    }
+
     Server& server_;
     asio::ip::tcp::socket socket_;
     http_parser parser_{};
@@ -171,7 +183,8 @@
     Request request_;
     std::string target_, out_;
     std::size_t headerBytes_ = 0;
-    bool complete_ = false, keepAlive_ = true, receiving_ = false, answering_ = false, closed_ = false;
+    bool complete_ = false, keepAlive_ = true, receiving_ = false, answering_ = false, lingering_ = false,
+         closed_ = false;
     Time since_;
 };
 
--- /dev/null
+++ b/tests/codec_test.cpp
@@ -0,0 +1,201 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "protocol/messages.h"
+#include "storage/records.h"
+
+using namespace burlpoint;
+using namespace burlpoint::protocol;
+
+namespace {
+
+rc::Gen<std::string> name() {
+    return rc::gen::nonEmpty(rc::gen::container<std::string>(rc::gen::elementOf(std::string("abcxyz-019"))));
+}
+std::string shortName() { return (*name()).substr(0, 40); }
+double amount() { return *rc::gen::inRange(0, 100'000) / 8.0; }
+std::string jobId() { return "wk-" + std::to_string(*rc::gen::inRange(0, 1'000'000)); }
+std::uint64_t big() { return *rc::gen::arbitrary<std::uint64_t>(); }
+
+JobSpec spec() {
+    JobSpec s;
+    s.id = jobId();
+    s.jobClass = shortName();
+    s.team = shortName();
+    s.kind = *rc::gen::element(Kind::array, Kind::gang, Kind::service);
+    s.priority = *rc::gen::element(Priority::low, Priority::normal, Priority::high, Priority::production);
+    s.tasks = *rc::gen::inRange<std::uint32_t>(1, kMostTasks + 1);
+    s.cpus = amount();
+    s.gpus = amount();
+    s.memoryGb = amount();
+    s.image = shortName();
+    s.imageGb = amount();
+    if (*rc::gen::arbitrary<bool>()) s.types = std::vector<std::string>{shortName(), shortName()};
+    if (*rc::gen::arbitrary<bool>()) s.zone = shortName();
+    s.oneZone = *rc::gen::arbitrary<bool>();
+    s.spread = *rc::gen::arbitrary<bool>();
+    s.spot = *rc::gen::arbitrary<bool>();
+    s.estimate = Seconds(amount());
+    s.checkpoint = Seconds(amount());
+    s.save = Seconds(amount());
+    if (*rc::gen::arbitrary<bool>()) s.deadline = Seconds(amount());
+    return s;
+}
+
+Report report() {
+    Report r{shortName(), "10.0.0.1:9000", shortName(), shortName(), *rc::gen::arbitrary<bool>(),
+             big(),       big(),           big(),       {},          {}};
+    if (*rc::gen::arbitrary<bool>()) r.notice = Seconds(amount());
+    const int tasks = *rc::gen::inRange(0, 20);
+    for (int i = 0; i < tasks; ++i) {
+        TaskReport t;
+        t.attempt = {jobId(), *rc::gen::inRange<std::uint32_t>(0, kMostTasks), big()};
+        t.state = *rc::gen::element(TaskState::fetching, TaskState::waiting, TaskState::running,
+                                    TaskState::saving, TaskState::exited);
+        if (t.state == TaskState::exited) {
+            t.why = *rc::gen::element(ExitReason::done, ExitReason::stopped, ExitReason::peers,
+                                      ExitReason::alone, ExitReason::error, ExitReason::noRoom,
+                                      ExitReason::busy, ExitReason::unknown);
+            t.saved = *rc::gen::arbitrary<bool>();
+        }
+        r.tasks.push_back(t);
+    }
+    return r;
+}
+
+/// Runs a decoder on damaged bytes: it may only decode them or throw Malformed.
+template <typename Decode>
+void survives(std::string bytes, Decode decode) {
+    const int damage = *rc::gen::inRange(0, 6);
+    for (int i = 0; i < damage && !bytes.empty(); ++i) {
+        const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+        switch (*rc::gen::inRange(0, 3)) {
+            case 0:
+                bytes[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+                break;
+            case 1:
+                bytes.resize(at);
+                break;
+            default:
+                bytes.insert(at, 1, static_cast<char>(*rc::gen::inRange(0, 256)));
+        }
+    }
+    try {
+        decode(bytes);
+    } catch (const Malformed&) {
+    }
+}
+
+std::string packed(const JobSpec& s) {
+    Packer p;
+    packSpec(p, s);
+    return p.take();
+}
+
+}  // namespace
+
+RC_GTEST_PROP(Codec, SpecRoundTrip, ()) {
+    const auto s = spec();
+    const auto bytes = packed(s);
+    RC_ASSERT(decodeSpec(unpackBody(bytes).get()) == s);
+    survives(bytes, [](const std::string& b) { decodeSpec(unpackBody(b).get()); });
+}
+
+RC_GTEST_PROP(Codec, ReportRoundTrip, ()) {
+    const auto r = report();
+    const auto bytes = encodeReport(r);
+    RC_ASSERT(decodeReport(bytes) == r);
+    survives(bytes, [](const std::string& b) { decodeReport(b); });
+}
+
+RC_GTEST_PROP(Codec, OrdersRoundTrip, ()) {
+    std::vector<Order> orders;
+    const int count = *rc::gen::inRange(0, 10);
+    for (int i = 0; i < count; ++i) {
+        Order order{*rc::gen::element(Op::start, Op::stop, Op::forget), {jobId(), 7, big()}, Seconds(0)};
+        if (order.op == Op::stop) order.grace = Seconds(amount());
+        orders.push_back(order);
+    }
+    RC_ASSERT(decodeOrders(encodeReportReply(big(), orders)) == orders);
+    const auto direct = encodeDirectOrders(big(), big(), orders);
+    RC_ASSERT(decodeOrders(direct) == orders);
+    survives(direct, [](const std::string& b) { decodeOrders(b); });
+}
+
+RC_GTEST_PROP(Codec, JobRecordRoundTrip, ()) {
+    storage::JobRecord r;
+    r.spec = spec();
+    r.final = *rc::gen::element(storage::Final::open, storage::Final::done, storage::Final::cancelled);
+    r.acceptedMs = big();
+    r.done = *rc::gen::inRange<std::uint32_t>(0, r.spec.tasks + 1);
+    r.chunkTasks = *rc::gen::inRange<std::uint32_t>(1, 1u << 20);
+    const auto bytes = storage::encodeJob(r);
+    RC_ASSERT(storage::decodeJob(unpackBody(bytes).get()) == r);
+    survives(bytes, [](const std::string& b) { storage::decodeJob(unpackBody(b).get()); });
+}
+
+RC_GTEST_PROP(Codec, BitmapChunksRoundTrip, ()) {
+    const auto tasks = *rc::gen::inRange<std::size_t>(1, 3000);
+    const auto chunk = *rc::gen::inRange<std::size_t>(1, 500) * 4;
+    std::vector<bool> bits(tasks), read(tasks);
+    for (std::size_t i = 0; i < tasks; ++i) bits[i] = *rc::gen::inRange(0, 3) == 0;
+    for (std::size_t first = 0; first < tasks; first += chunk) {
+        const auto value = storage::encodeBits(bits, first, chunk);
+        RC_ASSERT(value.size() <= chunk / 4 + 5);
+        storage::decodeBits(unpackBody(value).get(), read, first, chunk);
+    }
+    RC_ASSERT(read == bits);
+}
+
+RC_GTEST_PROP(Codec, PeerStatusRoundTrip, ()) {
+    PeerStatus s{shortName(), big(), big(), {{jobId(), 3}, {jobId(), kMostTasks}}};
+    const auto bytes = encodePeerStatus(s);
+    RC_ASSERT(decodePeerStatus(bytes) == s);
+    survives(bytes, [](const std::string& b) { decodePeerStatus(b); });
+}
+
+RC_GTEST_PROP(Codec, HostileBytes, (const std::string& bytes)) {
+    const auto tryAll = [&](auto decode) {
+        try {
+            decode();
+        } catch (const Malformed&) {
+        }
+    };
+    tryAll([&] { decodeReport(bytes); });
+    tryAll([&] { decodeRentedPage(bytes); });
+    tryAll([&] { decodeRentalReply(bytes); });
+    tryAll([&] { decodeTransactionReply(bytes); });
+    tryAll([&] { decodeWatch(unpackBody(bytes).get()); });
+    tryAll([&] { decodeKeyPage(unpackBody(bytes).get()); });
+    tryAll([&] { decodeMachineTypes(unpackBody(bytes).get()); });
+    tryAll([&] { decodeLease(bytes); });
+    saysNoCapacity(bytes);
+}
+
+TEST(Codec, LengthsBeyondTheBodyAreMalformed) {
+    // A list of 2^32-1 elements, a map, a text and deep nesting, each in a few bytes.
+    for (const auto& bytes : {std::string("\xdd\xff\xff\xff\xff", 5), std::string("\xdf\xff\xff\xff\xff", 5),
+                              std::string("\xdb\xff\xff\xff\xff", 5), std::string(5000, '\x91')})
+        EXPECT_THROW(unpackBody(bytes), Malformed);
+}
+
+TEST(Codec, SpecRefusesWhatTheProtocolDoes) {
+    JobSpec good;
+    good.id = "wk-000412";
+    good.jobClass = good.team = good.image = "x";
+    EXPECT_NO_THROW(decodeSpec(unpackBody(packed(good)).get()));
+    const auto refused = [&](auto change) {
+        auto s = good;
+        change(s);
+        EXPECT_THROW(decodeSpec(unpackBody(packed(s)).get()), Malformed);
+    };
+    refused([](auto& s) { s.id = "wk-"; });
+    refused([](auto& s) { s.id = "job-12"; });
+    refused([](auto& s) { s.tasks = 0; });
+    refused([](auto& s) { s.tasks = kMostTasks + 1; });
+    refused([](auto& s) { s.cpus = -1; });
+    refused([](auto& s) { s.memoryGb = std::numeric_limits<double>::infinity(); });
+    refused([](auto& s) { s.estimate = Seconds(std::nan("")); });
+    EXPECT_THROW(decodeSpec(unpackBody(Packer().map(1).field("uid", "wk-1").take()).get()), Malformed);
+    EXPECT_THROW(decodeSpec(unpackBody(Packer().list(0).take()).get()), Malformed);
+}
--- /dev/null
+++ b/tests/frontdesk_test.cpp
@@ -0,0 +1,216 @@
+#include "coordination/frontdesk.h"
+
+#include <gtest/gtest.h>
+
+#include "coordination/election.h"
+#include "state_stub.h"
+
+using namespace burlpoint;
+using namespace std::chrono_literals;
+using protocol::Packer;
+using tests::StateStub;
+using transport::Clock;
+
+namespace {
+
+protocol::Settings settings(const std::string& name) {
+    protocol::Settings s;
+    s.name = name;
+    s.teams = {{"team", 8, 16, 0, 1}};
+    s.zones = {"z"};
+    return s;
+}
+
+/// A node's users' side and election, against the stand-in.
+struct Desk {
+    Desk(asio::io_context& context, const StateStub& stub, const std::string& name = "one")
+        : io(context),
+          config(settings(name)),
+          state(http, stub.address(), 1000, 1000, 1, Clock::now()),
+          sync(io, state, mirror, [](const auto&) {}),
+          desk(io, config, state, mirror, sync),
+          election(
+              config, policy, state, mirror, sync, [this](std::uint64_t t) { token = t; },
+              [this] { token = 0; }) {
+        sync.start();
+    }
+    void until(const std::function<bool()>& holds) {
+        while (!holds()) io.run_one();
+    }
+    transport::Response ask(const char* method, const std::string& path, std::string body = {}) {
+        std::optional<transport::Response> out;
+        transport::Request request;
+        request.method = method;
+        request.path = path;
+        request.body = std::move(body);
+        if (!desk.handle(request, [&](transport::Response r) { out = std::move(r); }))
+            return {599, "", 0s, ""};
+        until([&] { return out.has_value(); });
+        return *out;
+    }
+    std::string bearing(const std::string& id) {
+        const auto r = ask("GET", "/submissions/" + id);
+        if (r.status != 200) return std::to_string(r.status);
+        return protocol::Fields(protocol::unpackBody(r.body).get()).text("bearing");
+    }
+
+    asio::io_context& io;
+    protocol::Settings config;
+    protocol::Policy policy;
+    transport::Client http{io, 50};
+    storage::StateClient state;
+    bookkeeping::Mirror mirror;
+    coordination::Sync sync;
+    coordination::FrontDesk desk;
+    coordination::Election election;
+    std::uint64_t token = 0;
+};
+
+std::string body(const std::string& id, double cpus = 1, const std::string& team = "team",
+                 std::uint32_t tasks = 2, protocol::Kind kind = protocol::Kind::array) {
+    protocol::JobSpec spec;
+    spec.id = id;
+    spec.jobClass = spec.image = "x";
+    spec.team = team;
+    spec.cpus = cpus;
+    spec.tasks = tasks;
+    spec.kind = kind;
+    Packer p;
+    protocol::packSpec(p, spec);
+    return p.take();
+}
+
+struct FrontDeskTest : testing::Test {
+    asio::io_context io{1};
+    StateStub stub{io};
+
+    void SetUp() override {
+        std::vector<std::string> failed;
+        protocol::MachineType type;
+        type.name = "m";
+        type.cpus = 8;
+        type.gpus = 1;
+        stub.store.transact({}, {{storage::keys::kTypes, protocol::encodeMachineTypes({type}), 0}}, failed);
+    }
+};
+
+}  // namespace
+
+TEST_F(FrontDeskTest, EveryStatusOfTheUsersInterface) {
+    Desk d(io, stub);
+    d.until([&] { return d.sync.synced(); });
+    EXPECT_EQ(d.ask("POST", "/submissions", "nonsense").status, 400);
+    EXPECT_EQ(d.ask("POST", "/submissions", Packer().map(0).take()).status, 400);
+    EXPECT_EQ(d.ask("POST", "/submissions", body("wk-1", 1, "nobody")).status, 422);
+    EXPECT_EQ(d.ask("POST", "/submissions", body("wk-1", 9)).status, 422);
+    EXPECT_EQ(d.ask("POST", "/submissions", body("wk-1", 8, "team", 3, protocol::Kind::gang)).status, 422);
+    EXPECT_EQ(d.ask("POST", "/submissions", body("wk-1", 8, "team", 3)).status, 201);
+    EXPECT_EQ(d.ask("POST", "/submissions", body("wk-1", 8, "team", 3)).status, 200);
+    EXPECT_EQ(d.bearing("wk-1"), "pending");
+    EXPECT_EQ(d.bearing("wk-2"), "404");
+    EXPECT_EQ(d.bearing("nonsense"), "404");
+    EXPECT_EQ(d.ask("POST", "/submissions/wk-2/cancel").status, 404);
+    EXPECT_EQ(d.ask("POST", "/submissions/wk-1/cancel").status, 200);
+    EXPECT_EQ(d.bearing("wk-1"), "cancelled");
+    EXPECT_EQ(d.ask("POST", "/submissions", body("wk-1", 8, "team", 3)).status, 200);
+    EXPECT_EQ(d.ask("GET", "/submissions").status, 405);
+    EXPECT_EQ(d.ask("POST", "/submissions/wk-1").status, 405);
+    EXPECT_EQ(d.ask("GET", "/submissions/wk-1/cancel").status, 405);
+    EXPECT_EQ(d.ask("GET", "/elsewhere").status, 599);
+}
+
+TEST_F(FrontDeskTest, NothingIsSaidThatAnOutageKeepsFromBeingKnown) {
+    Desk d(io, stub);
+    d.until([&] { return d.sync.synced(); });
+    EXPECT_EQ(d.ask("POST", "/submissions", body("wk-1")).status, 201);
+    EXPECT_EQ(d.ask("POST", "/submissions", body("wk-2")).status, 201);
+    EXPECT_EQ(d.ask("POST", "/submissions/wk-2/cancel").status, 200);
+    EXPECT_EQ(d.bearing("wk-2"), "cancelled");
+    stub.outage = true;
+    EXPECT_EQ(d.bearing("wk-1"), "503");
+    EXPECT_EQ(d.bearing("wk-3"), "503");        // another node may have accepted it
+    EXPECT_EQ(d.bearing("wk-2"), "cancelled");  // final, so it stays true
+    const auto refused = d.ask("POST", "/submissions", body("wk-3"));
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_GE(refused.retryAfter, 1s);
+    EXPECT_EQ(d.ask("POST", "/submissions/wk-1/cancel").status, 503);
+}
+
+// Each node sees at once what another has acknowledged.
+TEST_F(FrontDeskTest, NodesNeverAnswerWithOlderStates) {
+    Desk a(io, stub), b(io, stub, "two");
+    a.until([&] { return a.sync.synced() && b.sync.synced(); });
+    for (int i = 0; i < 20; ++i) {
+        const auto id = "wk-" + std::to_string(i);
+        EXPECT_EQ(b.bearing(id), "404");
+        EXPECT_EQ(a.ask("POST", "/submissions", body(id)).status, 201);
+        EXPECT_EQ(b.bearing(id), "pending");
+        EXPECT_EQ(b.ask("POST", "/submissions", body(id)).status, 200);
+        EXPECT_EQ(b.ask("POST", "/submissions/" + id + "/cancel").status, 200);
+        EXPECT_EQ(a.bearing(id), "cancelled");
+    }
+}
+
+// A write that was carried out without an answer is found again by the user's retry.
+TEST_F(FrontDeskTest, UnansweredWritesAreNotTakenForFailures) {
+    Desk d(io, stub);
+    d.until([&] { return d.sync.synced(); });
+    stub.swallowWrites = true;
+    EXPECT_EQ(d.ask("POST", "/submissions", body("wk-1")).status, 503);
+    stub.swallowWrites = false;
+    EXPECT_EQ(d.ask("POST", "/submissions", body("wk-1")).status, 200);
+}
+
+TEST_F(FrontDeskTest, ANodeThatCannotDecideSaysSo) {
+    asio::io_context other{1};
+    StateStub empty(other);
+    Desk d(other, empty);
+    d.until([&] { return d.sync.synced(); });
+    EXPECT_EQ(d.ask("POST", "/submissions", body("wk-1")).status, 503);  // no machine types yet
+}
+
+TEST_F(FrontDeskTest, AStoreReadInPagesIsWhole) {
+    Desk writer(io, stub);
+    writer.until([&] { return writer.sync.synced(); });
+    for (int i = 0; i < 25; ++i)
+        EXPECT_EQ(writer.ask("POST", "/submissions", body("wk-" + std::to_string(i))).status, 201);
+    stub.pageEntries = 4;
+    Desk reader(io, stub, "two");
+    reader.until([&] { return reader.sync.synced(); });
+    EXPECT_EQ(reader.mirror.jobs().size(), 25u);
+}
+
+TEST_F(FrontDeskTest, OneLeaderAtATimeAndTokensRise) {
+    Desk a(io, stub), b(io, stub, "two");
+    const auto tick = [&] {
+        a.election.tick(Clock::now());
+        b.election.tick(Clock::now());
+        io.run_one_for(5ms);
+    };
+    while (!a.token && !b.token) tick();
+    std::uint64_t last = 0;
+    for (int round = 0; round < 3; ++round) {
+        while (!a.token && !b.token) tick();
+        EXPECT_TRUE(!a.token || !b.token);
+        auto& leader = a.token ? a : b;
+        EXPECT_TRUE(leader.election.valid(Clock::now()));
+        EXPECT_GT(leader.token, last);
+        last = leader.token;
+        leader.election.resign(Clock::now(), false);
+        EXPECT_FALSE(leader.election.valid(Clock::now()));
+    }
+}
+
+// The lease ended behind the leader's back: its next renewal tells it, and its writes fail by the token.
+TEST_F(FrontDeskTest, ALeaderWhoseLeaseEndedStops) {
+    Desk a(io, stub);
+    while (!a.token) a.election.tick(Clock::now()), io.run_one_for(5ms);
+    const auto old = a.mirror.tokenVersion;
+    stub.store.endLease(stub.store.leases.begin()->first);
+    while (a.token) a.election.tick(Clock::now()), io.run_one_for(5ms);
+    while (!a.token) a.election.tick(Clock::now()), io.run_one_for(5ms);
+    std::vector<std::string> failed;
+    EXPECT_EQ(stub.store.transact({{storage::keys::kToken, old}}, {{"bp/x", Packer().nilValue().take(), 0}},
+                                  failed),
+              0u);
+}
--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,121 @@
+#include "transport/http.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace burlpoint::transport;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A server on loopback that answers with the method, the path and the body's size.
+struct Echo {
+    asio::io_context io{1};
+    std::unique_ptr<Server> server;
+    std::string address;
+
+    explicit Echo(ServerLimits limits = {}) {
+        server =
+            std::make_unique<Server>(io, parseEndpoint("127.0.0.1:0"), limits, [](Request&& r, Reply reply) {
+                Response response;
+                response.status = r.oversize ? 413 : 200;
+                response.body = r.method + " " + r.path + "?" + r.query + " " + std::to_string(r.body.size());
+                reply(response);
+            });
+        address = "127.0.0.1:" + std::to_string(server->localEndpoint().port());
+    }
+    Outcome ask(Client& client, const char* method, const std::string& target, std::string body = {}) {
+        Outcome out;
+        bool done = false;
+        client.request(address, method, target, std::move(body), 5000ms, [&](Outcome o) {
+            out = std::move(o);
+            done = true;
+        });
+        while (!done) io.run_one();
+        return out;
+    }
+    /// What the server sends for raw bytes, until it closes or has answered `answers` times.
+    std::string raw(const std::string& bytes) {
+        asio::ip::tcp::socket socket(io);
+        socket.connect(parseEndpoint(address));
+        asio::error_code ignored;
+        asio::write(socket, asio::buffer(bytes), ignored);
+        socket.shutdown(asio::socket_base::shutdown_send, ignored);
+        std::string out;
+        std::array<char, 2048> buffer;
+        bool open = true;
+        std::function<void()> read = [&] {
+            socket.async_read_some(asio::buffer(buffer), [&](auto error, std::size_t n) {
+                out.append(buffer.data(), n);
+                if (error)
+                    open = false;
+                else
+                    read();
+            });
+        };
+        read();
+        while (open) io.run_one();
+        return out;
+    }
+};
+
+}  // namespace
+
+TEST(Http, RequestsShareAConnection) {
+    Echo echo;
+    Client client(echo.io, 10);
+    EXPECT_EQ(echo.ask(client, "GET", "/a/b?c=1").body, "GET /a/b?c=1 0");
+    EXPECT_EQ(echo.ask(client, "POST", "/x", std::string(60'000, 'y')).body, "POST /x? 60000");
+    EXPECT_EQ(echo.server->connections(), 1u);
+}
+
+TEST(Http, OversizeBodiesAreAnsweredAtOnce) {
+    Echo echo;
+    Client client(echo.io, 10);
+    EXPECT_EQ(echo.ask(client, "POST", "/x", std::string(70'000, 'y')).status, 413);
+    EXPECT_EQ(echo.ask(client, "GET", "/after").status, 200);
+}
+
+TEST(Http, AFullTableFailsAtOnceAndRefusalsAreNoResponse) {
+    Echo echo;
+    Client client(echo.io, 0);
+    EXPECT_EQ(echo.ask(client, "GET", "/").status, 0);
+    Client other(echo.io, 1);
+    echo.address = "127.0.0.1:1";
+    EXPECT_EQ(echo.ask(other, "GET", "/").status, 0);
+    echo.address = "nonsense";
+    EXPECT_EQ(echo.ask(other, "GET", "/").status, 0);
+}
+
+TEST(Http, ConnectionsBeyondTheLimitAreClosed) {
+    ServerLimits limits;
+    limits.connections = 1;
+    Echo echo(limits);
+    Client client(echo.io, 10);
+    EXPECT_EQ(echo.ask(client, "GET", "/").status, 200);
+    EXPECT_EQ(echo.raw("GET / HTTP/1.1\r\n\r\n"), "");
+    EXPECT_EQ(echo.ask(client, "GET", "/").status, 200);
+}
+
+TEST(Http, MalformedRequestsAreRefused) {
+    Echo echo;
+    EXPECT_EQ(echo.raw("nonsense\r\n\r\n").substr(0, 12), "HTTP/1.1 400");
+    EXPECT_EQ(echo.raw("GET /" + std::string(5000, 'a') + " HTTP/1.1\r\n\r\n").substr(0, 12), "HTTP/1.1 400");
+    EXPECT_EQ(echo.raw("GET / HTTP/1.1\r\nA: " + std::string(20'000, 'a')).substr(0, 12), "HTTP/1.1 400");
+}
+
+// Whatever bytes arrive, in one piece or cut off, the server goes on serving.
+RC_GTEST_PROP(Http, HostileBytesLeaveTheServerServing, (const std::string& tail)) {
+    Echo echo;
+    const std::string request = "POST /p HTTP/1.1\r\nContent-Length: 5\r\nConnection: close\r\n\r\nhello";
+    const auto cut = *rc::gen::inRange<std::size_t>(0, request.size() + 1);
+    echo.raw(request.substr(0, cut) + tail);
+    Client client(echo.io, 2);
+    RC_ASSERT(echo.ask(client, "GET", "/still").status == 200);
+}
+
+TEST(Http, ParsesOnlyAddresses) {
+    EXPECT_EQ(parseEndpoint("10.0.0.1:80").port(), 80);
+    for (const char* bad : {"", "10.0.0.1", "host:80", "10.0.0.1:", "10.0.0.1:80x", "10.0.0.1:70000", "::1"})
+        EXPECT_THROW(parseEndpoint(bad), std::invalid_argument) << bad;
+}
--- /dev/null
+++ b/tests/jobs_test.cpp
@@ -0,0 +1,163 @@
+#include "bookkeeping/jobs.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "bookkeeping/fleet.h"
+#include "coordination/election.h"
+#include "coordination/node.h"
+
+using namespace burlpoint;
+using namespace burlpoint::bookkeeping;
+using namespace std::chrono_literals;
+
+namespace {
+
+protocol::JobSpec arrayOf(std::uint32_t tasks) {
+    protocol::JobSpec spec;
+    spec.id = "wk-1";
+    spec.team = "t";
+    spec.image = "i";
+    spec.tasks = tasks;
+    spec.cpus = 0.1;
+    return spec;
+}
+
+/// Applies a packed value as a stored change.
+bool store(Mirror& mirror, const std::string& key, const std::string& value, std::uint64_t version) {
+    const auto handle = protocol::unpackBody(value);
+    std::vector<Change> changes;
+    return mirror.apply({key, &handle.get(), version}, changes);
+}
+
+std::string record(const protocol::JobSpec& spec, Final final, std::uint32_t done = 0) {
+    return storage::encodeJob({spec, final, 0, done, 8});
+}
+
+}  // namespace
+
+// The counters of a run are kept step by step; here they are counted anew after each step.
+RC_GTEST_PROP(Jobs, CountersMatchTheTasks, ()) {
+    Job job;
+    job.spec = arrayOf(*rc::gen::inRange<std::uint32_t>(1, 30));
+    job.beginRun(false, Time{});
+    Fleet fleet;
+    auto& a = fleet.add("a", Time{});
+    a.zone = "x";
+    auto& b = fleet.add("b", Time{});
+    b.zone = "y";
+    std::uint64_t attempt = 0;
+    const int steps = *rc::gen::inRange(1, 80);
+    for (int i = 0; i < steps; ++i) {
+        auto& machine = *rc::gen::arbitrary<bool>() ? a : b;
+        const auto task = *rc::gen::inRange<std::uint32_t>(0, job.spec.tasks);
+        switch (*rc::gen::inRange(0, 5)) {
+            case 0:
+            case 1:
+                fleet.place(machine, job, task, ++attempt, PlaceState::running, Time{});
+                break;
+            case 2:
+                if (!machine.places.empty()) fleet.remove(machine, machine.places.begin());
+                break;
+            case 3:
+                job.finish(task);
+                break;
+            default:
+                job.setDone(task);
+        }
+        std::uint32_t waiting = 0, live = 0;
+        for (std::uint32_t t = 0; t < job.spec.tasks; ++t) {
+            waiting += job.isWaiting(t);
+            live += job.run->live[t];
+        }
+        RC_ASSERT(job.run->waiting == waiting);
+        RC_ASSERT(job.run->liveTotal == live);
+        RC_ASSERT(live == a.places.size() + b.places.size());
+        RC_ASSERT(job.run->running == live);
+        RC_ASSERT(std::abs(fleet.teamUse("t").cpus - 0.1 * live) < 1e-6);
+        const auto first = job.firstWaiting();
+        RC_ASSERT(first.has_value() == (waiting > 0));
+        if (first) RC_ASSERT(job.isWaiting(*first));
+    }
+}
+
+// Reads that cross on the way must not bring an older value back.
+TEST(Mirror, KeepsTheNewestOfEachKey) {
+    Mirror mirror;
+    const auto spec = arrayOf(20);
+    const auto key = storage::keys::job(spec.id);
+    EXPECT_TRUE(store(mirror, key, record(spec, Final::open), 5));
+    EXPECT_TRUE(store(mirror, key, record(spec, Final::cancelled, 3), 9));
+    EXPECT_TRUE(store(mirror, key, record(spec, Final::open), 5));
+    ASSERT_NE(mirror.find(spec.id), nullptr);
+    EXPECT_EQ(mirror.find(spec.id)->final, Final::cancelled);
+    EXPECT_EQ(mirror.find(spec.id)->accepted, 5u);
+    EXPECT_TRUE(mirror.openJobs().empty());
+}
+
+TEST(Mirror, ReadsBitmapsInChunks) {
+    Mirror mirror;
+    const auto spec = arrayOf(20);
+    EXPECT_TRUE(store(mirror, storage::keys::job(spec.id), record(spec, Final::open), 1));
+    std::vector<bool> bits(20);
+    bits[9] = bits[17] = true;
+    EXPECT_TRUE(store(mirror, storage::keys::doneChunk(spec.id, 1), storage::encodeBits(bits, 8, 8), 2));
+    EXPECT_TRUE(store(mirror, storage::keys::doneChunk(spec.id, 2), storage::encodeBits(bits, 16, 8), 3));
+    const auto* job = mirror.find(spec.id);
+    EXPECT_EQ(job->doneCount, 2u);
+    EXPECT_TRUE(job->isDone(9) && job->isDone(17) && !job->isDone(8));
+    EXPECT_EQ(job->chunkVersion(1), 2u);
+}
+
+TEST(Mirror, MalformedValuesChangeNothing) {
+    Mirror mirror;
+    const auto spec = arrayOf(3);
+    EXPECT_FALSE(
+        store(mirror, storage::keys::job("wk-2"), record(spec, Final::open), 1));  // under another's key
+    EXPECT_FALSE(store(mirror, storage::keys::kToken, protocol::Packer().value(7).take(), 1));
+    EXPECT_EQ(mirror.find("wk-2"), nullptr);
+    EXPECT_EQ(mirror.tokenVersion, 0u);
+}
+
+TEST(Tenure, CountsFromTheSendingOfTheRenewal) {
+    coordination::Tenure tenure;
+    const Time start{1000s};
+    EXPECT_FALSE(tenure.valid(start));
+    tenure.begin(start, 8000ms);
+    EXPECT_TRUE(tenure.valid(start + 7800ms));
+    EXPECT_FALSE(tenure.valid(start + 7900ms));  // before the state service's 8 s are over
+    tenure.renewed(start + 5s);
+    EXPECT_TRUE(tenure.valid(start + 12s));
+    tenure.renewed(start + 2s);  // an answer that was overtaken shortens nothing
+    EXPECT_TRUE(tenure.valid(start + 12s));
+    tenure.end();
+    EXPECT_FALSE(tenure.valid(start));
+}
+
+TEST(Readiness, EachLossCostsMore) {
+    coordination::Readiness readiness;
+    Time now{1000s};
+    readiness.update(true, now);
+    EXPECT_TRUE(readiness.ready());  // the first time at once
+    const auto lostFor = [&] {
+        readiness.update(false, now);
+        EXPECT_FALSE(readiness.ready());
+        const auto from = now;
+        do readiness.update(true, now += 500ms);
+        while (!readiness.ready());
+        return now - from;
+    };
+    const auto first = lostFor(), second = lostFor(), third = lostFor();
+    EXPECT_GE(first, 3s);
+    EXPECT_GT(second, first);
+    EXPECT_GT(third, second);
+}
+
+TEST(Machine, CacheKeepsTheLatestImagesWithinItsSize) {
+    Machine m;
+    m.useImage("a", 10, 25);
+    m.useImage("b", 10, 25);
+    m.useImage("a", 10, 25);
+    m.useImage("c", 10, 25);
+    EXPECT_TRUE(m.hasImage("a") && m.hasImage("c") && !m.hasImage("b"));
+}
