A candidate no longer deposes the node that won while its lease was being made

The take-over's conditions were taken from the mirror after the lease was made, when they named the winner's own key. A leader now also stops when it sees the token rise.

--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -32,6 +32,10 @@
 
 void Election::tick(Time now) {
     if (leading_) {
+        if (mirror_.token != token_) {
+            spdlog::error("token {} has been raised to {}", token_, mirror_.token);
+            return lose();
+        }
         if (now >= nextRenewal_ && !renewing_) renew(now);
         return;
     }
@@ -62,6 +66,9 @@
 }
 
 void Election::takeOver(std::uint64_t lease, Time sent) {
+    // Another node may have won while the lease was being made. Its key is known by now, and a transaction
+    // conditional on that very key would take the leadership from a leader whose lease goes on.
+    if (mirror_.leader && mirror_.leader->node != settings_.name) return fail(lease);
     const auto round = round_;
     const auto token = mirror_.token + 1;
     const std::vector<protocol::KeyCondition> conditions{
@@ -89,6 +96,7 @@
         trying_ = false;
         vacant_ = false;
         leading_ = true;
+        token_ = token;
         renewing_ = false;
         nextRenewal_ = Clock::now();
         spdlog::info("leading with token {}", token);
--- a/src/coordination/election.h
+++ b/src/coordination/election.h
@@ -66,7 +66,7 @@
     transport::Duration life_;
     std::mt19937 random_;
     Tenure tenure_;
-    std::uint64_t lease_ = 0;
+    std::uint64_t lease_ = 0, token_ = 0;
     std::uint64_t round_ = 0;  // answers to requests of earlier rounds are ignored
     bool trying_ = false, leading_ = false, renewing_ = false, vacant_ = false;
     transport::Time notBefore_{}, nextRenewal_{};
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -1,5 +1,7 @@
 #include "coordination/leader.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 namespace burlpoint::coordination {
@@ -267,6 +269,8 @@
 void Leader::gone(Machine& machine, const Placement& placement, ExitReason why) {
     Job& job = *placement.job;
     orderStale_ = true;
+    spdlog::debug("gone {}/{} attempt {} from {}, state {}, reason {}", job.spec.id, placement.task,
+                  placement.attempt, machine.id, static_cast<int>(placement.state), static_cast<int>(why));
     if (machine.places.empty()) machine.busyUntil = now_;
     switch (why) {
         case ExitReason::done:
@@ -440,6 +444,7 @@
             lapsed.push_back(machine.get());
     }
     for (auto* machine : lapsed) {
+        spdlog::info("the lease of {} is over", machine->id);
         settle(*machine);
         machine->reports = false;
     }
@@ -457,7 +462,10 @@
         }
         const bool answered = now_ - machine->probedAt < giveUp;
         const bool holds = unheard || !machine->places.empty();
-        if (few && holds && !answered && silence > giveUp) machine->releasing = true;
+        if (few && holds && !answered && silence > giveUp && !machine->releasing) {
+            spdlog::info("{} is silent and is given up", id);
+            machine->releasing = true;
+        }
     }
     // Nobody reports here any more: more likely this node's network than all machines at once.
     if (reporting == 0 && silent >= 2 && now_ - lastReport_ > patience + 4s && now_ - began_ > patience + 6s)
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -1,4 +1,6 @@
 // Degraded-first placement: DESIGN's rule on each report, and what the rules and the deployments add to it.
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -242,6 +244,8 @@
     if (job.spec.kind == Kind::gang) job.run->gangAttempt = attempt;
     if (machine.reservedFor == &job) machine.reservedFor = nullptr;
     machine.busyUntil = now_;
+    spdlog::debug("start {}/{} attempt {} on {} after report {}.{}", job.spec.id, *task, attempt, machine.id,
+                  machine.session, machine.sequence);
     orders.push_back({Op::start, {job.spec.id, *task, attempt}, Seconds(0)});
     orderStale_ |= job.run->waiting == 0;
     return true;
--- a/tests/frontdesk_test.cpp
+++ b/tests/frontdesk_test.cpp
@@ -214,3 +214,33 @@
                                   failed),
               0u);
 }
+
+// A node that set out to lead while nobody did must not depose the one that was quicker.
+TEST_F(FrontDeskTest, ACandidateDoesNotDeposeAQuickerOne) {
+    Desk a(io, stub);
+    a.until([&] { return a.sync.synced(); });
+    stub.holdLeases = true;
+    while (stub.store.leases.empty()) a.election.tick(Clock::now()), io.run_one_for(5ms);
+    std::vector<std::string> failed;
+    stub.store.transact({}, {{storage::keys::kLeader, storage::encodeLeader({"two", 1}), 0},
+                             {storage::keys::kToken, storage::encodeToken(1), 0}}, failed);
+    stub.wake();
+    a.until([&] { return a.mirror.leader.has_value(); });
+    stub.release();
+    for (int i = 0; i < 200; ++i) a.election.tick(Clock::now()), io.run_one_for(5ms);
+    EXPECT_EQ(a.token, 0u);
+    EXPECT_EQ(storage::decodeToken(protocol::unpackBody(stub.store.values.at(storage::keys::kToken).data).get()), 1u);
+}
+
+// Should the token rise in any way, a leader stops even though its own lease goes on.
+TEST_F(FrontDeskTest, ALeaderStopsWhenTheTokenRises) {
+    Desk a(io, stub);
+    while (!a.token) a.election.tick(Clock::now()), io.run_one_for(5ms);
+    std::vector<std::string> failed;
+    stub.store.transact({}, {{storage::keys::kLeader, storage::encodeLeader({"two", 9}), 0},
+                             {storage::keys::kToken, storage::encodeToken(9), 0}}, failed);
+    stub.wake();
+    a.until([&] { return a.mirror.token == 9; });
+    a.election.tick(Clock::now());
+    EXPECT_EQ(a.token, 0u);
+}
--- a/tests/state_stub.h
+++ b/tests/state_stub.h
@@ -77,8 +77,14 @@
     Store store;
     bool outage = false;         // answers 503
     bool swallowWrites = false;  // carries transactions out and answers none of them
+    bool holdLeases = false;      // makes leases and does not answer until release()
     unsigned pageEntries = 1000;
 
+    void release() {
+        holdLeases = false;
+        for (auto& made : std::exchange(held_, {})) made();
+    }
+
     /// Lets open watches see what has changed.
     void wake() {
         for (auto& check : std::exchange(watches_, {})) check();
@@ -112,7 +118,12 @@
         if (r.path == "/watch") return watch(r.query, answer);
         if (r.path == "/holds") {
             store.leases[++nextLease_] = true;
-            return answer(200, Packer().map(1).field("mooring", nextLease_).take());
+            const auto made = [answer, lease = nextLease_] {
+                answer(200, Packer().map(1).field("mooring", lease).take());
+            };
+            if (!holdLeases) return made();
+            held_.push_back(made);
+            return;
         }
         if (r.path.starts_with("/holds/")) {
             const auto lease = number(r.path.substr(7, r.path.find('/', 7) - 7));
@@ -195,7 +206,7 @@
     }
 
     transport::Server server_;
-    std::vector<std::function<void()>> watches_;
+    std::vector<std::function<void()>> watches_, held_;
     std::uint64_t nextLease_ = 0;
 };
 
