--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -637,6 +637,22 @@
         if (machine->reports && machine->roster != RosterState::stored) keepRoster(*machine);
 }
 
+/// The whole picture, for a debug log.
+void Leader::dump() const {
+    for (const auto& [id, m] : fleet_.machines())
+        spdlog::debug("machine {} {} {} spot {} reports {} roster {} tasks {} cpus {} gpus {} memory {} images {}{}{}",
+                      id, m->type, m->zone, m->spot, m->reports, static_cast<int>(m->roster), m->places.size(),
+                      m->used.cpus, m->used.gpus, m->used.memoryGb, m->images.size(),
+                      m->draining || m->releasing || m->failed || m->recallAt ? ", leaving" : "",
+                      m->reservedFor && m->reservedUntil > now_ ? ", reserved" : "");
+    for (const auto* job : order_)
+        spdlog::debug("job {} {} rank {} waits: {} of {} tasks, {} possible, for {:.1f} s", job->spec.id,
+                      job->spec.jobClass, rankOf(*job), job->run->waiting, job->spec.tasks, job->run->liveTotal,
+                      Seconds(now_ - job->run->waitingSince).count());
+    for (const auto& [shape, refusal] : refusals_)
+        if (refusal.until > now_) spdlog::debug("refused: {} {} spot {}", shape.type, shape.zone, shape.spot);
+}
+
 // --- time -------------------------------------------------------------------------------------------------
 
 void Leader::on(Tick&) {
@@ -644,11 +660,18 @@
     refreshOrder();
     refreshPacing();
     planGangs();
+    if (policy_.preempt && now_ >= nextPreempt_) {
+        nextPreempt_ = now_ + 250ms;
+        preempt();
+    }
     if (now_ >= nextPlan_) {
         nextPlan_ = now_ + 1s;
-        if (policy_.preempt) preempt();
         provision();
     }
+    if (now_ >= nextDump_ && spdlog::should_log(spdlog::level::debug)) {
+        nextDump_ = now_ + 10s;
+        dump();
+    }
 }
 
 }  // namespace burlpoint::coordination
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -173,6 +173,7 @@
     void watchSilence();
     void keepRoster(Machine& machine);
     void maybeWrite();
+    void dump() const;
     bool endsWithOneWrite(const Job& job) const;
 
     // placement.cpp
@@ -181,6 +182,8 @@
     Resources roomOn(const Machine& machine, const Job& job) const;
     bool allows(const Job& job, const std::string& type, const std::string& zone, bool spot) const;
     bool mayStart(const Job& job, const Machine& machine) const;
+    bool sparesAccelerators(const Job& job, const Machine& machine) const;
+    void noteAccelerators(const Job& job);
     bool withinTeamLimit(const Job& job, std::uint32_t tasks) const;
     bool zoneAllows(const Job& job, const std::string& zone) const;
     bool blockedByUnheard(const Job& job) const;
@@ -240,6 +243,7 @@
     std::vector<Job*> open_;
     bool orderStale_ = true;
     Time nextOrder_{}, nextPacing_{};
+    std::map<std::string, std::pair<Resources, Priority>> acceleratorNeeds_;
     std::map<std::string, Time> zoneFetch_;    // the last fetch started per zone
     std::map<std::string, double> imageWork_;  // processor seconds waiting per image and cached processor
     double meanCachedSeconds_ = 0;
@@ -247,7 +251,7 @@
     std::uint32_t fetchesSeen_ = 0;
 
     // machines
-    Time nextSilence_{}, nextPlan_{}, nextList_{}, nextTypes_{}, lastReport_{};
+    Time nextSilence_{}, nextPreempt_{}, nextPlan_{}, nextDump_{}, nextList_{}, nextTypes_{}, lastReport_{};
     bool listing_ = false, listed_ = false;
     storage::RateBudget cloudBudget_;
     std::deque<PendingRental> rentalsPending_;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -96,6 +96,7 @@
     if (job.final != Final::open || run.waiting == 0 || run.notBefore > now_) return false;
     if (!allows(job, machine.type, machine.zone, machine.spot) || !zoneAllows(job, machine.zone))
         return false;
+    if (!sparesAccelerators(job, machine)) return false;
     const auto failed = run.errorMachines.find(machine.id);
     if (failed != run.errorMachines.end() && now_ - failed->second < kErrorMemory &&
         run.errorMachines.size() < 3)
@@ -103,6 +104,40 @@
     return true;
 }
 
+/// Machines with accelerators are few and slow to come by. Work that needs none may use them, but only so far
+/// that a job that does need them can still have the room: at once, or by stopping lower work.
+bool Leader::sparesAccelerators(const Job& job, const Machine& machine) const {
+    const auto* type = typeOf(machine.type);
+    if (!type || type->gpus <= 0 || job.spec.gpus > 0) return true;
+    const auto found = acceleratorNeeds_.find(machine.type);
+    if (found == acceleratorNeeds_.end()) return job.spec.priority < Priority::high;
+    const auto& [need, priority] = found->second;
+    if (job.spec.priority < priority && job.spec.kind != Kind::service) return true;
+    auto room = bookkeeping::sizeOf(*type) - bookkeeping::needOf(job.spec);
+    for (const auto& [key, p] : machine.places) {
+        const auto& spec = p.job->spec;
+        if (spec.gpus <= 0 && (spec.priority >= priority || spec.kind == Kind::service))
+            room -= bookkeeping::needOf(spec);
+    }
+    return room.covers(need);
+}
+
+/// The most that jobs with accelerators have asked of each machine type, and the lowest of their priorities.
+void Leader::noteAccelerators(const Job& job) {
+    if (job.spec.gpus <= 0) return;
+    const auto need = bookkeeping::needOf(job.spec);
+    for (const auto& [name, type] : types_) {
+        if (!bookkeeping::sizeOf(type).covers(need)) continue;
+        if (job.spec.types && std::find(job.spec.types->begin(), job.spec.types->end(), name) == job.spec.types->end())
+            continue;
+        auto [at, fresh] = acceleratorNeeds_.try_emplace(name, need, job.spec.priority);
+        auto& [most, priority] = at->second;
+        most = {std::max(most.cpus, need.cpus), std::max(most.gpus, need.gpus),
+                std::max(most.memoryGb, need.memoryGb)};
+        priority = std::min(priority, job.spec.priority);
+    }
+}
+
 /// Production first, then what teams are guaranteed, then by priority.
 int Leader::rankOf(const Job& job) const {
     const auto found = ranks_.find(&job);
@@ -129,6 +164,7 @@
         const bool production = job->spec.priority == Priority::production;
         ranks_[job] = production ? 10 : guaranteed ? 5 : static_cast<int>(job->spec.priority);
         if (!job->run->admitted) admit(*job);
+        noteAccelerators(*job);
         if (job->run->waiting > 0) order_.push_back(job);
     }
     std::stable_sort(order_.begin(), order_.end(),
@@ -354,8 +390,8 @@
         if (job->spec.priority <= Priority::normal && rankOf(*job) < 5) continue;
         if (job->final != Final::open || run.waiting == 0 || run.notBefore > now_) continue;
         if (job->spec.kind == Kind::gang && job->spec.tasks > 1) continue;
-        const auto patience =
-            job->spec.priority == Priority::production ? settings_.report * 0.8 : settings_.report * 1.5;
+        const bool hurried = job->spec.priority == Priority::production || job->spec.gpus > 0;
+        const auto patience = hurried ? Seconds(0.2) : settings_.report * 1.5;
         if (Seconds(now_ - run.waitingSince) < patience) continue;
         if (blockedByUnheard(*job) || !withinTeamLimit(*job, 1)) continue;
         if (preemptFor(*job)) ++made;
@@ -397,6 +433,7 @@
                 (rankOf(job) == 5 && spec.team != job.spec.team && beyond && rankOf(*p.job) < 5);
             if (!yields || spec.kind == Kind::service) continue;
             double lost = p.state == PlaceState::running ? Seconds(now_ - p.runningSince).count() : 0;
+            if (spec.gpus > 0 && job.spec.gpus <= 0) lost += 1000;  // hard to place anew
             if (spec.checkpoint > Seconds(0)) lost = std::min(lost, spec.save.count() + 5);
             victims.push_back({&p, lost * std::max(spec.cpus, 0.1) + 1});
         }
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -104,7 +104,8 @@
             if (bin.reservedFor && bin.reservedFor != job) return;
             const auto fits = std::min({bin.room.times(need), waiting, zoneRoom(bin.zone)});
             if (fits == 0) return;
-            bin.used = true;
+            // Work without accelerators fills machines that have them, and is no reason to keep one.
+            bin.used |= spec.gpus > 0 || types_.at(bin.type).gpus <= 0;
             zones[bin.zone] += fits;
             waiting -= fits;
             bin.room -= {need.cpus * fits, need.gpus * fits, need.memoryGb * fits};
@@ -113,6 +114,12 @@
             if (waiting == 0) break;
             fill(bin);
         }
+        const bool plain = std::any_of(types_.begin(), types_.end(), [&](const auto& entry) {
+            const auto& type = entry.second;
+            return type.gpus <= 0 && bookkeeping::sizeOf(type).covers(need) &&
+                   (!spec.types ||
+                    std::find(spec.types->begin(), spec.types->end(), type.name) != spec.types->end());
+        });
         while (waiting > 0) {
             // The cheapest machine for what is left; unused room counts against large ones.
             const Shape* best = nullptr;
@@ -121,6 +128,7 @@
             for (const auto& [name, type] : types_) {
                 const auto size = bookkeeping::sizeOf(type);
                 if (!size.covers(need)) continue;
+                if (type.gpus > 0 && spec.gpus <= 0 && plain) continue;
                 for (const auto& zone : type.zones) {
                     for (const bool spot : {false, true}) {
                         if (!allows(*job, name, zone, spot)) continue;
@@ -222,7 +230,9 @@
         const bool lost = !m->reports && now_ > m->leaseUntil + 10s;
         const bool sick = m->errorJobs.size() >= 2;
         const bool leaving = m->draining || sick;
-        const bool idle = now_ - m->busyUntil > ticks(policy_.idleKeep) &&
+        // What takes long to boot is kept longer: its next job would wait for all of that.
+        const auto keep = std::max(policy_.idleKeep, type ? type->boot * policy_.bootKeep : Seconds(0));
+        const bool idle = now_ - m->busyUntil > ticks(keep) &&
                           known > ticks(policy_.minimumKeep) && !needed.contains(id) &&
                           m->reservedUntil <= now_;
         if (lost || leaving || idle) machines.push_back(id);
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -194,6 +194,7 @@
     const std::map<std::string_view, std::function<void(const pugi::xml_node&)>> readers{
         {"leadership-s", [&](const auto& n) { policy.leadership = Seconds(number(n, 1, 600)); }},
         {"idle-keep-s", [&](const auto& n) { policy.idleKeep = Seconds(number(n, 0, kDay)); }},
+        {"boot-keep", [&](const auto& n) { policy.bootKeep = number(n, 0, 1000); }},
         {"minimum-keep-s", [&](const auto& n) { policy.minimumKeep = Seconds(number(n, 0, kDay)); }},
         {"backlog-horizon-s", [&](const auto& n) { policy.backlogHorizon = Seconds(number(n, 1, kDay)); }},
         {"headroom", [&](const auto& n) { policy.headroom = number(n, 0, 10); }},
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -56,6 +56,7 @@
 struct Policy {
     Seconds leadership{0};       // 0: derived from the workers' lease
     Seconds idleKeep{20};        // how long a machine without tasks is kept
+    double bootKeep = 1.5;       // and at least this many of its type's boot times
     Seconds minimumKeep{55};     // the cloud charges a minute at least
     Seconds backlogHorizon{45};  // a backlog of short tasks should be gone after this
     double headroom = 0.0;       // share of the production tasks kept free for the next ones
