A leader refused by the state service alone hands over through its peers

Ruled out: capacity. Now such a leader stops, tells its peers which token it gave up, and they may take its key; a silent leader is not named; the tenure is 0.75 of the workers' lease.

--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -26,7 +26,7 @@
     // silence during an outage of the state service, added to that lease, spans the outage.
     const auto wished = policy.leadership.count() > 0
                             ? policy.leadership
-                            : std::clamp(settings.lease * 0.6, protocol::Seconds(2), protocol::Seconds(8));
+                            : std::clamp(settings.lease * 0.75, protocol::Seconds(2), protocol::Seconds(8));
     life_ = std::chrono::duration_cast<Duration>(wished);
 }
 
@@ -41,7 +41,7 @@
     }
     if (trying_ || !sync_.synced()) return;
     const bool own = mirror_.leader && mirror_.leader->node == settings_.name;
-    if (mirror_.leader && !own) {
+    if (mirror_.leader && !own && !abdicated(*mirror_.leader)) {
         vacant_ = false;
         return;
     }
@@ -68,7 +68,7 @@
 void Election::takeOver(std::uint64_t lease, Time sent) {
     // Another node may have won while the lease was being made. Its key is known by now, and a transaction
     // conditional on that very key would take the leadership from a leader whose lease goes on.
-    if (mirror_.leader && mirror_.leader->node != settings_.name) return fail(lease);
+    if (mirror_.leader && mirror_.leader->node != settings_.name && !abdicated(*mirror_.leader)) return fail(lease);
     const auto round = round_;
     const auto token = mirror_.token + 1;
     const std::vector<protocol::KeyCondition> conditions{
@@ -141,6 +141,7 @@
 
 void Election::lose() {
     tenure_.end();
+    givenUp_ = token_;
     leading_ = false;
     vacant_ = false;
     ++round_;
--- a/src/coordination/election.h
+++ b/src/coordination/election.h
@@ -48,6 +48,10 @@
     /// May this node act as leader at this moment?
     bool valid(transport::Time now) const { return leading_ && tenure_.valid(now); }
     bool leading() const { return leading_; }
+    /// A leader that the state service refuses has told its peers that it stopped: its key may be taken over.
+    void noteAbdication(std::uint64_t token) { abdicated_ = std::max(abdicated_, token); }
+    /// The token that this node led with last and gave up, 0: none.
+    std::uint64_t givenUp() const { return givenUp_; }
 
   private:
     void attempt(transport::Time now);
@@ -56,6 +60,7 @@
     void renew(transport::Time now);
     void fail(std::uint64_t lease);
     void lose();
+    bool abdicated(const storage::LeaderRecord& leader) const { return leader.token <= abdicated_; }
 
     const protocol::Settings& settings_;
     storage::StateClient& state_;
@@ -66,7 +71,7 @@
     transport::Duration life_;
     std::mt19937 random_;
     Tenure tenure_;
-    std::uint64_t lease_ = 0, token_ = 0;
+    std::uint64_t lease_ = 0, token_ = 0, abdicated_ = 0, givenUp_ = 0;
     std::uint64_t round_ = 0;  // answers to requests of earlier rounds are ignored
     bool trying_ = false, leading_ = false, renewing_ = false, vacant_ = false;
     transport::Time notBefore_{}, nextRenewal_{};
--- a/src/coordination/frontdesk.cpp
+++ b/src/coordination/frontdesk.cpp
@@ -51,11 +51,6 @@
     return r;
 }
 
-std::uint64_t timeOfDayMs() {
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
-}
-
 }  // namespace
 
 std::optional<std::string> neverRuns(const JobSpec& spec, const protocol::Settings& settings,
@@ -202,7 +197,7 @@
 void FrontDesk::store(Waiting waiting) {
     ++storing_;
     const auto key = keys::job(waiting.spec.id);
-    const storage::JobRecord record{waiting.spec, Final::open, timeOfDayMs(), 0,
+    const storage::JobRecord record{waiting.spec, Final::open, transport::timeOfDayMs(), 0,
                                     storage::chunkTasks(settings_.valueKb)};
     state_.transact({{key, 0}}, {{key, storage::encodeJob(record), 0}}, kStoreTimeout,
                     [this, waiting = std::move(waiting)](const TxnResult& result) {
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -46,12 +46,14 @@
     return ticks(settings.lease * 1.002 + Seconds(0.3));
 }
 
-Leader::Leader(const Settings& settings, const Policy& policy, Mirror& mirror, std::uint64_t token, Time now)
+Leader::Leader(const Settings& settings, const Policy& policy, Mirror& mirror, std::uint64_t token, Time now,
+               std::uint64_t dayMs)
     : settings_(settings),
       policy_(policy),
       mirror_(mirror),
       token_(token),
       began_(now),
+      beganMs_(dayMs),
       now_(now),
       random_(token),
       writeBudget_(settings.stateWriteRps * 0.6, now),
@@ -97,6 +99,8 @@
 
 void Leader::adoptJob(Job& job, bool inherited) {
     job.beginRun(inherited, now_);
+    const std::chrono::milliseconds age(static_cast<std::int64_t>(beganMs_) - static_cast<std::int64_t>(job.acceptedMs));
+    job.run->acceptedAt = std::min(now_, began_ - age);
     // An earlier leader may have stored the last bits and not the end of the job.
     if (job.doneCount == job.spec.tasks) unstored_.insert(&job);
     open_.push_back(&job);
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -108,7 +108,9 @@
 /// and the time. It does no I/O. The mirror must be fresh when it is made.
 class Leader {
   public:
-    Leader(const Settings& settings, const Policy& policy, Mirror& mirror, std::uint64_t token, Time now);
+    /// `dayMs` is the time of day at `now`, for the ages of jobs accepted earlier.
+    Leader(const Settings& settings, const Policy& policy, Mirror& mirror, std::uint64_t token, Time now,
+           std::uint64_t dayMs);
     ~Leader();
     Leader(const Leader&) = delete;
     Leader& operator=(const Leader&) = delete;
@@ -200,6 +202,7 @@
     void planGangs();
     bool planGang(Job& job, const std::string* zone);
     void preempt();
+    Seconds patienceOf(const Job& job) const;
     bool preemptFor(Job& job);
 
     // provisioning.cpp
@@ -214,6 +217,7 @@
     Mirror& mirror_;
     const std::uint64_t token_;
     const Time began_;
+    const std::uint64_t beganMs_;
     Time now_;
     std::vector<Action> actions_;
     std::mt19937_64 random_;
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -25,6 +25,7 @@
 constexpr auto kCloudTimeout = 6000ms;
 constexpr auto kWriteTimeout = 1500ms;
 constexpr auto kPeerTimeout = 900ms;
+constexpr auto kPeerSilence = 2500ms;
 constexpr auto kAlone = 2500ms;  // without an answer of the state service that others get
 constexpr unsigned kPageMachines = 500;
 
@@ -115,6 +116,12 @@
         nextHeartbeat_ = now + 800ms;
         sync_.fresh([](bool) {});
     }
+    // Refused by the state service alone, this node cannot lead for long: better that a peer does it at once.
+    if (leader_ && refusedAlone(now)) {
+        spdlog::info("the state service answers others and not this node: resigning");
+        election_.resign(now, true);
+        nextPeers_ = now;
+    }
     readiness_.update(able(now), now);
     talkToPeers(now);
     if (now >= nextClean_) {
@@ -152,8 +159,13 @@
     }
     if (!election_.valid(Clock::now()) || !leader_) {
         std::string elsewhere;
-        if (!election_.leading() && mirror_.leader && mirror_.leader->node != settings_.name)
-            elsewhere = mirror_.leader->node;
+        // A leader not heard of for a while may be gone; naming it would send the worker into a time-out.
+        const auto now = Clock::now();
+        const auto heard = [&](const std::string& node) {
+            const auto view = peers_.find(node);
+            return view != peers_.end() && now - view->second.heardAt < kPeerSilence;
+        };
+        if (!election_.leading() && mirror_.leader && heard(mirror_.leader->node)) elsewhere = mirror_.leader->node;
         return call.reply(respond(421, protocol::encodeElsewhere(elsewhere)));
     }
     ReportArrived command;
@@ -173,6 +185,7 @@
 protocol::PeerStatus Node::ownStatus(Time now) const {
     protocol::PeerStatus status;
     status.node = settings_.name;
+    status.givenUp = election_.givenUp();
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - state_.lastAnswer());
     status.stateAgeMs = static_cast<std::uint64_t>(std::max<std::int64_t>(0, age.count()));
     if (leader_ && election_.valid(now)) {
@@ -222,14 +235,19 @@
     view.stateAnsweredAt =
         now - std::chrono::milliseconds(std::min<std::uint64_t>(status.stateAgeMs, 1u << 30));
     view.token = status.token;
+    election_.noteAbdication(status.givenUp);
     if (!status.running.empty() && status.token >= mirror_.token) desk_.setRunning(status.running);
 }
 
 bool Node::able(Time now) const {
-    if (!sync_.synced() || mirror_.types.empty()) return false;
-    if (now - state_.lastAnswer() < kAlone) return true;
-    // When nobody is answered it is an outage that all nodes share; going unready would help nobody.
-    return std::none_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    return sync_.synced() && !mirror_.types.empty() && !refusedAlone(now);
+}
+
+/// The state service answers peers and not this node. When nobody is answered it is an outage that all nodes
+/// share, and stepping aside would help nobody.
+bool Node::refusedAlone(Time now) const {
+    if (now - state_.lastAnswer() < kAlone) return false;
+    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
         return now - entry.second.heardAt < 2500ms && now - entry.second.stateAnsweredAt < 2000ms;
     });
 }
@@ -238,7 +256,8 @@
 
 void Node::won(std::uint64_t token) {
     ++leaderRound_;
-    leader_ = std::make_unique<Leader>(settings_, policy_, mirror_, token, Clock::now());
+    leader_ = std::make_unique<Leader>(settings_, policy_, mirror_, token, Clock::now(),
+                                       transport::timeOfDayMs());
     lead(Tick{});
 }
 
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -62,6 +62,7 @@
     void talkToPeers(transport::Time now);
     void notePeer(const protocol::PeerStatus& status, transport::Time now);
     bool able(transport::Time now) const;
+    bool refusedAlone(transport::Time now) const;
     protocol::PeerStatus ownStatus(transport::Time now) const;
 
     asio::io_context& io_;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -167,8 +167,16 @@
         noteAccelerators(*job);
         if (job->run->waiting > 0) order_.push_back(job);
     }
-    std::stable_sort(order_.begin(), order_.end(),
-                     [this](const Job* a, const Job* b) { return rankOf(*a) > rankOf(*b); });
+    // Within a rank by arrival; only what can no longer meet its deadline gives way to what still can.
+    std::set<const Job*> late;
+    for (const auto* job : order_) {
+        if (!job->spec.deadline) continue;
+        const Seconds left = *job->spec.deadline - Seconds(now_ - job->run->acceptedAt);
+        if (left < job->spec.estimate * 0.8) late.insert(job);
+    }
+    std::stable_sort(order_.begin(), order_.end(), [&](const Job* a, const Job* b) {
+        return std::pair(-rankOf(*a), late.contains(a)) < std::pair(-rankOf(*b), late.contains(b));
+    });
 }
 
 /// Md: the job's tasks times the share of up machines that lack its image as it is admitted.
@@ -381,6 +389,16 @@
 
 // --- preemption -------------------------------------------------------------------------------------------
 
+/// How long a job may wait for room to come free by itself: a small part of what its users expect.
+Seconds Leader::patienceOf(const Job& job) const {
+    Seconds patience = settings_.report * 1.5;
+    if (job.spec.priority == Priority::production || job.spec.gpus > 0) patience = Seconds(0.2);
+    for (const auto& objective : settings_.objectives)
+        if (objective.kind == "wait" && objective.jobClass == job.spec.jobClass)
+            patience = std::min(patience, objective.within * 0.1);
+    return patience;
+}
+
 void Leader::preempt() {
     constexpr int kMostAtOnce = 6;
     int made = 0;
@@ -390,9 +408,7 @@
         if (job->spec.priority <= Priority::normal && rankOf(*job) < 5) continue;
         if (job->final != Final::open || run.waiting == 0 || run.notBefore > now_) continue;
         if (job->spec.kind == Kind::gang && job->spec.tasks > 1) continue;
-        const bool hurried = job->spec.priority == Priority::production || job->spec.gpus > 0;
-        const auto patience = hurried ? Seconds(0.2) : settings_.report * 1.5;
-        if (Seconds(now_ - run.waitingSince) < patience) continue;
+        if (Seconds(now_ - run.waitingSince) < patienceOf(*job)) continue;
         if (blockedByUnheard(*job) || !withinTeamLimit(*job, 1)) continue;
         if (preemptFor(*job)) ++made;
     }
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -305,6 +305,7 @@
     PeerStatus s;
     s.node = f.text("node");
     s.token = f.integer("token");
+    s.givenUp = f.integerOr("given_up", 0);
     s.stateAgeMs = f.integer("state_age_ms");
     f.each("running", [&](const msgpack::object& element) {
         const Fields r(element);
@@ -316,7 +317,7 @@
 
 std::string encodePeerStatus(const PeerStatus& s) {
     Packer p;
-    p.map(4).field("node", s.node).field("token", s.token).field("state_age_ms", s.stateAgeMs);
+    p.map(5).field("node", s.node).field("token", s.token).field("given_up", s.givenUp).field("state_age_ms", s.stateAgeMs);
     p.key("running").list(s.running.size());
     for (const auto& [job, count] : s.running) p.map(2).field("job", job).field("count", count);
     return p.take();
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -103,6 +103,11 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
+inline std::uint64_t timeOfDayMs() {
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+}
+
 /// "10.0.0.1:8080" as an endpoint; throws std::invalid_argument when it is none.
 asio::ip::tcp::endpoint parseEndpoint(const std::string& text);
 
--- a/tests/frontdesk_test.cpp
+++ b/tests/frontdesk_test.cpp
@@ -244,3 +244,21 @@
     a.election.tick(Clock::now());
     EXPECT_EQ(a.token, 0u);
 }
+
+// A leader that the state service refuses cannot end its lease. Its peers need not wait for that.
+TEST_F(FrontDeskTest, APeerTakesOverFromALeaderThatGaveUp) {
+    Desk a(io, stub), b(io, stub, "two");
+    while (!a.token) a.election.tick(Clock::now()), io.run_one_for(5ms);
+    b.until([&] { return b.mirror.leader.has_value(); });
+    for (int i = 0; i < 100; ++i) b.election.tick(Clock::now()), io.run_one_for(2ms);
+    EXPECT_EQ(b.token, 0u);  // no reason yet
+    b.election.noteAbdication(a.token - 1);  // of an earlier leadership
+    for (int i = 0; i < 100; ++i) b.election.tick(Clock::now()), io.run_one_for(2ms);
+    EXPECT_EQ(b.token, 0u);
+    const auto token = a.token;
+    a.election.resign(Clock::now(), true);
+    EXPECT_EQ(a.election.givenUp(), token);
+    b.election.noteAbdication(token);
+    while (!b.token) b.election.tick(Clock::now()), io.run_one_for(5ms);
+    EXPECT_GT(b.token, token);
+}
--- a/tests/world.h
+++ b/tests/world.h
@@ -220,7 +220,7 @@
         std::vector<std::string> failed;
         store.transact({}, {{storage::keys::kToken, storage::encodeToken(tenant->token), 0}}, failed);
         readStore(*tenant);
-        tenant->leader = std::make_unique<Leader>(settings, policy, tenant->mirror, tenant->token, now_);
+        tenant->leader = std::make_unique<Leader>(settings, policy, tenant->mirror, tenant->token, now_, 0);
         tenant_ = std::move(tenant);
     }
     void readStore(Tenant& tenant) {
