--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -185,6 +185,7 @@
     bool allows(const Job& job, const std::string& type, const std::string& zone, bool spot) const;
     bool mayStart(const Job& job, const Machine& machine) const;
     bool sparesAccelerators(const Job& job, const Machine& machine) const;
+    bool fitsPlain(const Job& job) const;
     void noteAccelerators(const Job& job);
     bool withinTeamLimit(const Job& job, std::uint32_t tasks) const;
     bool zoneAllows(const Job& job, const std::string& zone) const;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t kMostStarts = 250;
 constexpr auto kErrorMemory = 90s;  // how long a task's failure on a machine keeps its job away from it
 constexpr std::size_t kSickJobs = 2;
+constexpr auto kPlainOnly = 12s;  // how long a replica waits for a machine without accelerators
 
 }  // namespace
 
@@ -109,6 +110,8 @@
 bool Leader::sparesAccelerators(const Job& job, const Machine& machine) const {
     const auto* type = typeOf(machine.type);
     if (!type || type->gpus <= 0 || job.spec.gpus > 0) return true;
+    // A replica stays for as long as its service does, and would hold the dear machine for all that time.
+    if (job.spec.kind == Kind::service && fitsPlain(job) && now_ - job.run->waitingSince < kPlainOnly) return false;
     const auto found = acceleratorNeeds_.find(machine.type);
     if (found == acceleratorNeeds_.end()) return job.spec.priority < Priority::high;
     const auto& [need, priority] = found->second;
@@ -122,6 +125,16 @@
     return room.covers(need);
 }
 
+/// Some type without accelerators would do.
+bool Leader::fitsPlain(const Job& job) const {
+    return std::any_of(types_.begin(), types_.end(), [&](const auto& entry) {
+        const auto& type = entry.second;
+        return type.gpus <= 0 && bookkeeping::sizeOf(type).covers(bookkeeping::needOf(job.spec)) &&
+               (!job.spec.types || std::find(job.spec.types->begin(), job.spec.types->end(), type.name) !=
+                                       job.spec.types->end());
+    });
+}
+
 /// The most that jobs with accelerators have asked of each machine type, and the lowest of their priorities.
 void Leader::noteAccelerators(const Job& job) {
     if (job.spec.gpus <= 0) return;
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -114,12 +114,7 @@
             if (waiting == 0) break;
             fill(bin);
         }
-        const bool plain = std::any_of(types_.begin(), types_.end(), [&](const auto& entry) {
-            const auto& type = entry.second;
-            return type.gpus <= 0 && bookkeeping::sizeOf(type).covers(need) &&
-                   (!spec.types ||
-                    std::find(spec.types->begin(), spec.types->end(), type.name) != spec.types->end());
-        });
+        const bool plain = fitsPlain(*job);
         while (waiting > 0) {
             // The cheapest machine for what is left; unused room counts against large ones.
             const Shape* best = nullptr;
