--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -180,16 +180,21 @@
         noteAccelerators(*job);
         if (job->run->waiting > 0) order_.push_back(job);
     }
-    // Within a rank by arrival; only what can no longer meet its deadline gives way to what still can.
-    std::set<const Job*> late;
+    // Within a rank by arrival. Where deadlines count, what is soonest through goes first, so that as many jobs
+    // as possible meet theirs, and what can no longer meet its own goes last.
+    constexpr double last = 1e18;
+    std::map<const Job*, double> work;
     for (const auto* job : order_) {
         if (!job->spec.deadline) continue;
         const Seconds left = *job->spec.deadline - Seconds(now_ - job->run->acceptedAt);
-        if (left < job->spec.estimate * 0.8) late.insert(job);
+        const auto& spec = job->spec;
+        work[job] = left < spec.estimate * 0.8 ? last : job->run->waiting * spec.cpus * spec.estimate.count();
     }
-    std::stable_sort(order_.begin(), order_.end(), [&](const Job* a, const Job* b) {
-        return std::pair(-rankOf(*a), late.contains(a)) < std::pair(-rankOf(*b), late.contains(b));
-    });
+    const auto key = [&](const Job* job) {
+        const auto found = work.find(job);
+        return std::pair(-rankOf(*job), found == work.end() ? last / 2 : found->second);
+    };
+    std::stable_sort(order_.begin(), order_.end(), [&](const Job* a, const Job* b) { return key(a) < key(b); });
 }
 
 /// Md: the job's tasks times the share of up machines that lack its image as it is admitted.
