--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -101,6 +101,8 @@
     job.beginRun(inherited, now_);
     const std::chrono::milliseconds age(static_cast<std::int64_t>(beganMs_) - static_cast<std::int64_t>(job.acceptedMs));
     job.run->acceptedAt = std::min(now_, began_ - age);
+    spdlog::debug("job {} {} of {} tasks, accepted {:.3f} s ago", job.spec.id, job.spec.jobClass, job.spec.tasks,
+                  Seconds(now_ - job.run->acceptedAt).count());
     // An earlier leader may have stored the last bits and not the end of the job.
     if (job.doneCount == job.spec.tasks) unstored_.insert(&job);
     open_.push_back(&job);
@@ -240,6 +242,9 @@
             meanFetch_ = fetchesSeen_ == 0 ? took : meanFetch_ + (took - meanFetch_) * 0.1;
             ++fetchesSeen_;
         }
+        if (placement->state != state)
+            spdlog::debug("{}/{} on {} turns from {} to {}", job->spec.id, key.task, machine.id,
+                          static_cast<int>(placement->state), static_cast<int>(state));
         fleet_.setState(*placement, state, now_);
     }
     placement->seen = true;
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -197,6 +197,8 @@
     bool startOne(Machine& machine, Job& job, std::vector<Order>& orders);
     bool paceAllows(const Job& job, const Machine& machine);
     std::uint32_t cachedRoomElsewhere(const Job& job, const Machine& machine, std::uint32_t enough) const;
+    bool yields(const Placement& placement, const Job& job) const;
+    bool waitsForImage(const Job& job) const;
     void refreshPacing();
     double cachedSeconds(const Machine& machine) const;
     void noteFetch(Machine& machine, Job& job);
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -287,6 +287,40 @@
     return room;
 }
 
+/// The work on a machine that has to yield to the job.
+bool Leader::yields(const Placement& placement, const Job& job) const {
+    const auto& spec = placement.job->spec;
+    if (placement.job == &job || spec.kind == Kind::service || (spec.kind == Kind::gang && spec.tasks > 1)) return false;
+    if (spec.priority < job.spec.priority) return true;
+    // Any other team's borrowed work yields to a guarantee.
+    const auto* team = settings_.team(spec.team);
+    return rankOf(job) == 5 && spec.team != job.spec.team && team &&
+           fleet_.teamUse(spec.team).cpus > team->cpus && rankOf(*placement.job) < 5;
+}
+
+/// Would fetching its image make the job miss what its users expect, while a machine that has it could take it?
+bool Leader::waitsForImage(const Job& job) const {
+    const Seconds waited = now_ - job.run->waitingSince;
+    const Seconds fetch(fetchesSeen_ ? meanFetch_ : policy_.fetchStart.count());
+    const bool tight = std::any_of(
+        settings_.objectives.begin(), settings_.objectives.end(), [&](const auto& objective) {
+            return objective.kind == "wait" && objective.jobClass == job.spec.jobClass &&
+                   objective.within < fetch + settings_.report && waited < objective.within;
+        });
+    if (!tight || !policy_.preempt) return false;
+    const auto need = bookkeeping::needOf(job.spec);
+    return std::any_of(fleet_.machines().begin(), fleet_.machines().end(), [&](const auto& entry) {
+        const auto& m = *entry.second;
+        if (!m.hasImage(job.spec.image) || !usable(m) || !mayStart(job, m)) return false;
+        auto room = roomOn(m, job);
+        for (const auto& [key, p] : m.places) {
+            if (room.covers(need)) break;
+            if (p.stopping || yields(p, job)) room += bookkeeping::needOf(p.job->spec);
+        }
+        return room.covers(need);
+    });
+}
+
 void Leader::noteFetch(Machine& machine, Job& job) {
     ++job.run->paced;
     zoneFetch_[machine.zone] = now_;
@@ -336,6 +370,8 @@
             if (machine.hasImage(job.spec.image)) {
                 while (startOne(machine, job, orders)) {
                 }
+            } else if (waitsForImage(job)) {
+                continue;
             } else if (!fetchPlaced && !machine.isFetching(job.spec.image) && paceAllows(job, machine) &&
                        cachedRoomElsewhere(job, machine, job.run->waiting) < job.run->waiting &&
                        startOne(machine, job, orders)) {
@@ -348,6 +384,7 @@
             Job& job = **at;
             if (job.run->waiting == 0 || machine.hasImage(job.spec.image) || !mayStart(job, machine))
                 continue;
+            if (waitsForImage(job)) continue;
             const auto waiting = job.run->waiting;
             const auto elsewhere = cachedRoomElsewhere(job, machine, waiting);
             bool fetching = machine.isFetching(job.spec.image);
@@ -438,8 +475,9 @@
     Machine* best = nullptr;
     std::vector<Placement*> bestVictims;
     double bestLoss = 0;
+    const bool onlyCached = waitsForImage(job);
     for (auto& [id, m] : fleet_.machines()) {
-        if (!usable(*m) || !mayStart(job, *m)) continue;
+        if (!usable(*m) || !mayStart(job, *m) || (onlyCached && !m->hasImage(job.spec.image))) continue;
         if (m->reservedFor && m->reservedUntil > now_) {
             if (m->reservedFor == &job) return false;  // room is being made already
             continue;
@@ -457,15 +495,7 @@
                 room += bookkeeping::needOf(spec);
                 continue;
             }
-            if (p.job == &job || (spec.kind == Kind::gang && spec.tasks > 1)) continue;
-            const auto* team = settings_.team(spec.team);
-            const auto use = fleet_.teamUse(spec.team);
-            const bool beyond = team && use.cpus > team->cpus;
-            // Lower priority always yields; any other team's borrowed work yields to a guarantee.
-            const bool yields =
-                spec.priority < job.spec.priority ||
-                (rankOf(job) == 5 && spec.team != job.spec.team && beyond && rankOf(*p.job) < 5);
-            if (!yields || spec.kind == Kind::service) continue;
+            if (!yields(p, job)) continue;
             double lost = p.state == PlaceState::running ? Seconds(now_ - p.runningSince).count() : 0;
             if (spec.gpus > 0 && job.spec.gpus <= 0) lost += 1000;  // hard to place anew
             if (spec.checkpoint > Seconds(0)) lost = std::min(lost, spec.save.count() + 5);
