--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -38,7 +38,7 @@
 
     std::uint64_t gangAttempt = 0;  // the attempt under way, 0: none
     Time notBefore{};               // back-off after failures
-    Time acceptedAt{};                  // by this node's clock, as far as clocks agree
+    Time acceptedAt{};              // by this node's clock, as far as clocks agree
     Time waitingSince{};
     Time nextBits{};                            // when its finished tasks are stored next
     std::map<std::string, Time> errorMachines;  // where a task of it failed since its last success
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -68,7 +68,8 @@
 void Election::takeOver(std::uint64_t lease, Time sent) {
     // Another node may have won while the lease was being made. Its key is known by now, and a transaction
     // conditional on that very key would take the leadership from a leader whose lease goes on.
-    if (mirror_.leader && mirror_.leader->node != settings_.name && !abdicated(*mirror_.leader)) return fail(lease);
+    if (mirror_.leader && mirror_.leader->node != settings_.name && !abdicated(*mirror_.leader))
+        return fail(lease);
     const auto round = round_;
     const auto token = mirror_.token + 1;
     const std::vector<protocol::KeyCondition> conditions{
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -99,10 +99,11 @@
 
 void Leader::adoptJob(Job& job, bool inherited) {
     job.beginRun(inherited, now_);
-    const std::chrono::milliseconds age(static_cast<std::int64_t>(beganMs_) - static_cast<std::int64_t>(job.acceptedMs));
+    const std::chrono::milliseconds age(static_cast<std::int64_t>(beganMs_) -
+                                        static_cast<std::int64_t>(job.acceptedMs));
     job.run->acceptedAt = std::min(now_, began_ - age);
-    spdlog::debug("job {} {} of {} tasks, accepted {:.3f} s ago", job.spec.id, job.spec.jobClass, job.spec.tasks,
-                  Seconds(now_ - job.run->acceptedAt).count());
+    spdlog::debug("job {} {} of {} tasks, accepted {:.3f} s ago", job.spec.id, job.spec.jobClass,
+                  job.spec.tasks, Seconds(now_ - job.run->acceptedAt).count());
     // An earlier leader may have stored the last bits and not the end of the job.
     if (job.doneCount == job.spec.tasks) unstored_.insert(&job);
     open_.push_back(&job);
@@ -649,15 +650,16 @@
 /// The whole picture, for a debug log.
 void Leader::dump() const {
     for (const auto& [id, m] : fleet_.machines())
-        spdlog::debug("machine {} {} {} spot {} reports {} roster {} tasks {} cpus {} gpus {} memory {} images {}{}{}",
-                      id, m->type, m->zone, m->spot, m->reports, static_cast<int>(m->roster), m->places.size(),
-                      m->used.cpus, m->used.gpus, m->used.memoryGb, m->images.size(),
-                      m->draining || m->releasing || m->failed || m->recallAt ? ", leaving" : "",
-                      m->reservedFor && m->reservedUntil > now_ ? ", reserved" : "");
+        spdlog::debug(
+            "machine {} {} {} spot {} reports {} roster {} tasks {} cpus {} gpus {} memory {} images {}{}{}",
+            id, m->type, m->zone, m->spot, m->reports, static_cast<int>(m->roster), m->places.size(),
+            m->used.cpus, m->used.gpus, m->used.memoryGb, m->images.size(),
+            m->draining || m->releasing || m->failed || m->recallAt ? ", leaving" : "",
+            m->reservedFor && m->reservedUntil > now_ ? ", reserved" : "");
     for (const auto* job : order_)
         spdlog::debug("job {} {} rank {} waits: {} of {} tasks, {} possible, for {:.1f} s", job->spec.id,
-                      job->spec.jobClass, rankOf(*job), job->run->waiting, job->spec.tasks, job->run->liveTotal,
-                      Seconds(now_ - job->run->waitingSince).count());
+                      job->spec.jobClass, rankOf(*job), job->run->waiting, job->spec.tasks,
+                      job->run->liveTotal, Seconds(now_ - job->run->waitingSince).count());
     for (const auto& [shape, refusal] : refusals_)
         if (refusal.until > now_) spdlog::debug("refused: {} {} spot {}", shape.type, shape.zone, shape.spot);
 }
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -165,7 +165,8 @@
             const auto view = peers_.find(node);
             return view != peers_.end() && now - view->second.heardAt < kPeerSilence;
         };
-        if (!election_.leading() && mirror_.leader && heard(mirror_.leader->node)) elsewhere = mirror_.leader->node;
+        if (!election_.leading() && mirror_.leader && heard(mirror_.leader->node))
+            elsewhere = mirror_.leader->node;
         return call.reply(respond(421, protocol::encodeElsewhere(elsewhere)));
     }
     ReportArrived command;
@@ -239,9 +240,7 @@
     if (!status.running.empty() && status.token >= mirror_.token) desk_.setRunning(status.running);
 }
 
-bool Node::able(Time now) const {
-    return sync_.synced() && !mirror_.types.empty() && !refusedAlone(now);
-}
+bool Node::able(Time now) const { return sync_.synced() && !mirror_.types.empty() && !refusedAlone(now); }
 
 /// The state service answers peers and not this node. When nobody is answered it is an outage that all nodes
 /// share, and stepping aside would help nobody.
@@ -256,8 +255,8 @@
 
 void Node::won(std::uint64_t token) {
     ++leaderRound_;
-    leader_ = std::make_unique<Leader>(settings_, policy_, mirror_, token, Clock::now(),
-                                       transport::timeOfDayMs());
+    leader_ =
+        std::make_unique<Leader>(settings_, policy_, mirror_, token, Clock::now(), transport::timeOfDayMs());
     lead(Tick{});
 }
 
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -111,7 +111,8 @@
     const auto* type = typeOf(machine.type);
     if (!type || type->gpus <= 0 || job.spec.gpus > 0) return true;
     // A replica stays for as long as its service does, and would hold the dear machine for all that time.
-    if (job.spec.kind == Kind::service && fitsPlain(job) && now_ - job.run->waitingSince < kPlainOnly) return false;
+    if (job.spec.kind == Kind::service && fitsPlain(job) && now_ - job.run->waitingSince < kPlainOnly)
+        return false;
     const auto found = acceleratorNeeds_.find(machine.type);
     if (found == acceleratorNeeds_.end()) return job.spec.priority < Priority::high;
     const auto& [need, priority] = found->second;
@@ -141,7 +142,8 @@
     const auto need = bookkeeping::needOf(job.spec);
     for (const auto& [name, type] : types_) {
         if (!bookkeeping::sizeOf(type).covers(need)) continue;
-        if (job.spec.types && std::find(job.spec.types->begin(), job.spec.types->end(), name) == job.spec.types->end())
+        if (job.spec.types &&
+            std::find(job.spec.types->begin(), job.spec.types->end(), name) == job.spec.types->end())
             continue;
         auto [at, fresh] = acceleratorNeeds_.try_emplace(name, need, job.spec.priority);
         auto& [most, priority] = at->second;
@@ -180,8 +182,8 @@
         noteAccelerators(*job);
         if (job->run->waiting > 0) order_.push_back(job);
     }
-    // Within a rank by arrival. Where deadlines count, what is soonest through goes first, so that as many jobs
-    // as possible meet theirs, and what can no longer meet its own goes last.
+    // Within a rank by arrival. Where deadlines count, what is soonest through goes first, so that as many
+    // jobs as possible meet theirs, and what can no longer meet its own goes last.
     constexpr double last = 1e18;
     std::map<const Job*, double> work;
     for (const auto* job : order_) {
@@ -194,7 +196,8 @@
         const auto found = work.find(job);
         return std::pair(-rankOf(*job), found == work.end() ? last / 2 : found->second);
     };
-    std::stable_sort(order_.begin(), order_.end(), [&](const Job* a, const Job* b) { return key(a) < key(b); });
+    std::stable_sort(order_.begin(), order_.end(),
+                     [&](const Job* a, const Job* b) { return key(a) < key(b); });
 }
 
 /// Md: the job's tasks times the share of up machines that lack its image as it is admitted.
@@ -290,7 +293,8 @@
 /// The work on a machine that has to yield to the job.
 bool Leader::yields(const Placement& placement, const Job& job) const {
     const auto& spec = placement.job->spec;
-    if (placement.job == &job || spec.kind == Kind::service || (spec.kind == Kind::gang && spec.tasks > 1)) return false;
+    if (placement.job == &job || spec.kind == Kind::service || (spec.kind == Kind::gang && spec.tasks > 1))
+        return false;
     if (spec.priority < job.spec.priority) return true;
     // Any other team's borrowed work yields to a guarantee.
     const auto* team = settings_.team(spec.team);
@@ -298,12 +302,13 @@
            fleet_.teamUse(spec.team).cpus > team->cpus && rankOf(*placement.job) < 5;
 }
 
-/// Would fetching its image make the job miss what its users expect, while a machine that has it could take it?
+/// Would fetching its image make the job miss what its users expect, while a machine that has it could take
+/// it?
 bool Leader::waitsForImage(const Job& job) const {
     const Seconds waited = now_ - job.run->waitingSince;
     const Seconds fetch(fetchesSeen_ ? meanFetch_ : policy_.fetchStart.count());
-    const bool tight = std::any_of(
-        settings_.objectives.begin(), settings_.objectives.end(), [&](const auto& objective) {
+    const bool tight =
+        std::any_of(settings_.objectives.begin(), settings_.objectives.end(), [&](const auto& objective) {
             return objective.kind == "wait" && objective.jobClass == job.spec.jobClass &&
                    objective.within < fetch + settings_.report && waited < objective.within;
         });
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -227,9 +227,8 @@
         const bool leaving = m->draining || sick;
         // What takes long to boot is kept longer: its next job would wait for all of that.
         const auto keep = std::max(policy_.idleKeep, type ? type->boot * policy_.bootKeep : Seconds(0));
-        const bool idle = now_ - m->busyUntil > ticks(keep) &&
-                          known > ticks(policy_.minimumKeep) && !needed.contains(id) &&
-                          m->reservedUntil <= now_;
+        const bool idle = now_ - m->busyUntil > ticks(keep) && known > ticks(policy_.minimumKeep) &&
+                          !needed.contains(id) && m->reservedUntil <= now_;
         if (lost || leaving || idle) machines.push_back(id);
     }
     if (machines.empty() || releasing_ || now_ < nextRelease_ || !cloudBudget_.take(1, 0, now_)) return;
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -317,7 +317,11 @@
 
 std::string encodePeerStatus(const PeerStatus& s) {
     Packer p;
-    p.map(5).field("node", s.node).field("token", s.token).field("given_up", s.givenUp).field("state_age_ms", s.stateAgeMs);
+    p.map(5)
+        .field("node", s.node)
+        .field("token", s.token)
+        .field("given_up", s.givenUp)
+        .field("state_age_ms", s.stateAgeMs);
     p.key("running").list(s.running.size());
     for (const auto& [job, count] : s.running) p.map(2).field("job", job).field("count", count);
     return p.take();
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -105,7 +105,7 @@
 struct PeerStatus {
     std::string node;
     std::uint64_t token = 0;       // of the sender's leadership, 0 for a follower
-    std::uint64_t givenUp = 0;    // a token that the sender led with and will not act under again
+    std::uint64_t givenUp = 0;     // a token that the sender led with and will not act under again
     std::uint64_t stateAgeMs = 0;  // since the state service last answered the sender
     std::vector<std::pair<std::string, std::uint32_t>> running;  // a leader's counts per job
     bool operator==(const PeerStatus&) const = default;
--- a/tests/frontdesk_test.cpp
+++ b/tests/frontdesk_test.cpp
@@ -222,14 +222,18 @@
     stub.holdLeases = true;
     while (stub.store.leases.empty()) a.election.tick(Clock::now()), io.run_one_for(5ms);
     std::vector<std::string> failed;
-    stub.store.transact({}, {{storage::keys::kLeader, storage::encodeLeader({"two", 1}), 0},
-                             {storage::keys::kToken, storage::encodeToken(1), 0}}, failed);
+    stub.store.transact({},
+                        {{storage::keys::kLeader, storage::encodeLeader({"two", 1}), 0},
+                         {storage::keys::kToken, storage::encodeToken(1), 0}},
+                        failed);
     stub.wake();
     a.until([&] { return a.mirror.leader.has_value(); });
     stub.release();
     for (int i = 0; i < 200; ++i) a.election.tick(Clock::now()), io.run_one_for(5ms);
     EXPECT_EQ(a.token, 0u);
-    EXPECT_EQ(storage::decodeToken(protocol::unpackBody(stub.store.values.at(storage::keys::kToken).data).get()), 1u);
+    EXPECT_EQ(
+        storage::decodeToken(protocol::unpackBody(stub.store.values.at(storage::keys::kToken).data).get()),
+        1u);
 }
 
 // Should the token rise in any way, a leader stops even though its own lease goes on.
@@ -237,8 +241,10 @@
     Desk a(io, stub);
     while (!a.token) a.election.tick(Clock::now()), io.run_one_for(5ms);
     std::vector<std::string> failed;
-    stub.store.transact({}, {{storage::keys::kLeader, storage::encodeLeader({"two", 9}), 0},
-                             {storage::keys::kToken, storage::encodeToken(9), 0}}, failed);
+    stub.store.transact({},
+                        {{storage::keys::kLeader, storage::encodeLeader({"two", 9}), 0},
+                         {storage::keys::kToken, storage::encodeToken(9), 0}},
+                        failed);
     stub.wake();
     a.until([&] { return a.mirror.token == 9; });
     a.election.tick(Clock::now());
@@ -251,7 +257,7 @@
     while (!a.token) a.election.tick(Clock::now()), io.run_one_for(5ms);
     b.until([&] { return b.mirror.leader.has_value(); });
     for (int i = 0; i < 100; ++i) b.election.tick(Clock::now()), io.run_one_for(2ms);
-    EXPECT_EQ(b.token, 0u);  // no reason yet
+    EXPECT_EQ(b.token, 0u);                  // no reason yet
     b.election.noteAbdication(a.token - 1);  // of an earlier leadership
     for (int i = 0; i < 100; ++i) b.election.tick(Clock::now()), io.run_one_for(2ms);
     EXPECT_EQ(b.token, 0u);
--- a/tests/state_stub.h
+++ b/tests/state_stub.h
@@ -77,7 +77,7 @@
     Store store;
     bool outage = false;         // answers 503
     bool swallowWrites = false;  // carries transactions out and answers none of them
-    bool holdLeases = false;      // makes leases and does not answer until release()
+    bool holdLeases = false;     // makes leases and does not answer until release()
     unsigned pageEntries = 1000;
 
     void release() {
