--- a/src/bookkeeping/fleet.h
+++ b/src/bookkeeping/fleet.h
@@ -102,6 +102,7 @@
     Time quietUntil{};  // no new starts after a refusal
     const Job* reservedFor = nullptr;
     Time reservedUntil{};
+    bool holding = false;  // only what comes free by itself is kept; nothing was stopped for it
     std::set<std::string> errorJobs;  // jobs that failed on it since a task last worked
 
     bool hasImage(const std::string& image) const;
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -202,6 +202,7 @@
     void refreshPacing();
     double cachedSeconds(const Machine& machine) const;
     void noteFetch(Machine& machine, Job& job);
+    void holdRoom(Machine& machine, const Job& job);
     void planGangs();
     bool planGang(Job& job, const std::string* zone);
     void preempt();
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -384,6 +384,7 @@
                 noteFetch(machine, job);
             }
         }
+        for (auto at = first; at != last; ++at) holdRoom(machine, **at);
         // What room is left takes any waiting task, unless machines that have its image report soon.
         for (auto at = first; at != last; ++at) {
             Job& job = **at;
@@ -402,6 +403,30 @@
     }
 }
 
+/// Room that comes free a little at a time would go to small low tasks for ever. One machine per waiting task
+/// of a high job keeps it, which mostly spares stopping anything.
+void Leader::holdRoom(Machine& machine, const Job& job) {
+    const auto& run = *job.run;
+    if (rankOf(job) < static_cast<int>(Priority::high) || run.waiting == 0) return;
+    if (machine.reservedFor && machine.reservedUntil > now_) return;
+    if (job.spec.kind == Kind::gang && job.spec.tasks > 1) return;
+    if (!mayStart(job, machine) || blockedByUnheard(job) || !withinTeamLimit(job, 1)) return;
+    const auto* type = typeOf(machine.type);
+    const auto need = bookkeeping::needOf(job.spec);
+    auto most = bookkeeping::sizeOf(*type);
+    for (const auto& [key, p] : machine.places)
+        if (!yields(p, job)) most -= bookkeeping::needOf(p.job->spec);
+    if (!most.covers(need) || roomOn(machine, job).covers(need)) return;
+    const auto held =
+        std::count_if(fleet_.machines().begin(), fleet_.machines().end(), [&](const auto& entry) {
+            return entry.second->reservedFor == &job && entry.second->reservedUntil > now_;
+        });
+    if (held >= run.waiting) return;
+    machine.reservedFor = &job;
+    machine.reservedUntil = now_ + std::chrono::duration_cast<Clock::duration>(settings_.report * 3);
+    machine.holding = true;
+}
+
 // --- gangs of several tasks: whole or not at all ----------------------------------------------------------
 
 void Leader::planGangs() {
@@ -452,10 +477,14 @@
 /// How long a job may wait for room to come free by itself: a small part of what its users expect.
 Seconds Leader::patienceOf(const Job& job) const {
     Seconds patience = settings_.report * 1.5;
-    if (job.spec.priority == Priority::production || job.spec.gpus > 0) patience = Seconds(0.2);
+    // Neither replicas' room nor whole machines come free by waiting.
+    const bool hurried = job.spec.priority == Priority::production || job.spec.gpus > 0;
+    if (hurried) patience = Seconds(0.2);
     for (const auto& objective : settings_.objectives)
         if (objective.kind == "wait" && objective.jobClass == job.spec.jobClass)
-            patience = std::min(patience, objective.within * 0.1);
+            patience = hurried || objective.within < settings_.report * 3
+                           ? std::min(patience, objective.within * 0.1)
+                           : objective.within * 0.35;
     return patience;
 }
 
@@ -483,7 +512,7 @@
     const bool onlyCached = waitsForImage(job);
     for (auto& [id, m] : fleet_.machines()) {
         if (!usable(*m) || !mayStart(job, *m) || (onlyCached && !m->hasImage(job.spec.image))) continue;
-        if (m->reservedFor && m->reservedUntil > now_) {
+        if (m->reservedFor && m->reservedUntil > now_ && !m->holding) {
             if (m->reservedFor == &job) return false;  // room is being made already
             continue;
         }
@@ -508,6 +537,7 @@
         }
         if (room.covers(need)) {
             m->reservedFor = &job;
+            m->holding = false;
             m->reservedUntil = now_ + std::chrono::duration_cast<Clock::duration>(settings_.report * 4);
             return false;
         }
@@ -529,6 +559,7 @@
     if (!best) return false;
     for (auto* victim : bestVictims) stop(*best, *victim, victim->job->spec.save);
     best->reservedFor = &job;
+    best->holding = false;
     best->reservedUntil =
         now_ + std::chrono::duration_cast<Clock::duration>(settings_.report * 4 + job.spec.save);
     return true;
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -197,6 +197,30 @@
     EXPECT_EQ(b.report("m1", running), Names{"wk-2/0"});
 }
 
+// Seen on a simulated day: a quarter of all starts were stopped again for jobs that could have waited a
+// little.
+TEST(Leader, FreedRoomIsKeptForAHighJobBeforeAnythingIsStopped) {
+    Bench b;
+    b.settings.objectives = {{"wait", "high", protocol::Seconds(20), 0.9}};
+    b.roster("m1");
+    b.lead();
+    b.job(make("wk-1", 20, 1));
+    auto names = b.report("m1");
+    ASSERT_EQ(names.size(), 8u);
+    std::vector<TaskReport> running;
+    for (const auto& name : names) running.push_back(b.task(name, TaskState::running));
+    auto high = make("wk-2", 1, 2);
+    high.jobClass = "high";
+    high.priority = protocol::Priority::high;
+    b.job(high);
+    EXPECT_EQ(b.report("m1", running), Names{});
+    for (const auto& action : b.tick()) EXPECT_FALSE(std::holds_alternative<SendOrders>(action));
+    running.pop_back();
+    EXPECT_EQ(b.report("m1", running), Names{});  // one processor free, and not refilled
+    running.pop_back();
+    EXPECT_EQ(b.report("m1", running), Names{"wk-2/0"});
+}
+
 TEST(Leader, WhereDeadlinesCountTheShortestGoesFirstAndTheLateLast) {
     Bench b;
     b.roster("m1");
