--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -459,7 +459,8 @@
         machine->reports = false;
     }
     const bool few = silent <= std::max<std::size_t>(2, (reporting + silent) / 4);
-    const auto giveUp = std::max<Clock::duration>(ticks(settings_.lease * 0.4), patience + 1500ms);
+    // A worker whose report fails waits 4 s, and another second before it tries the next node.
+    const auto giveUp = std::max(ticks(settings_.lease * 0.4), ticks(settings_.report * 1.25 + Seconds(5.5)));
     for (auto& [id, machine] : fleet_.machines()) {
         const bool unheard = !machine->settled;
         if (!unheard && !machine->reports) continue;
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -26,7 +26,10 @@
 constexpr auto kWriteTimeout = 1500ms;
 constexpr auto kPeerTimeout = 900ms;
 constexpr auto kPeerSilence = 2500ms;
-constexpr auto kAlone = 2500ms;  // without an answer of the state service that others get
+constexpr auto kBackSoon = 9s;          // a worker back within this did not get through to the leader
+constexpr auto kRelayFor = 30s;         // then it is sent to the leader again, to see
+constexpr auto kRelayTimeout = 2500ms;  // the worker waits for 4 s
+constexpr auto kAlone = 2500ms;         // without an answer of the state service that others get
 constexpr unsigned kPageMachines = 500;
 
 Response respond(int status, std::string body = {}) {
@@ -127,6 +130,9 @@
     if (now >= nextClean_) {
         nextClean_ = now + 5s;
         http_.closeIdle(20s);
+        std::erase_if(redirects_, [&](const auto& entry) {
+            return now - std::max(entry.second.at, entry.second.relayUntil) > 60s;
+        });
     }
     ticker_.expires_after(kTick);
     ticker_.async_wait([this](auto error) {
@@ -157,18 +163,7 @@
         r.allow = "POST";
         return call.reply(r);
     }
-    if (!election_.valid(Clock::now()) || !leader_) {
-        std::string elsewhere;
-        // A leader not heard of for a while may be gone; naming it would send the worker into a time-out.
-        const auto now = Clock::now();
-        const auto heard = [&](const std::string& node) {
-            const auto view = peers_.find(node);
-            return view != peers_.end() && now - view->second.heardAt < kPeerSilence;
-        };
-        if (!election_.leading() && mirror_.leader && heard(mirror_.leader->node))
-            elsewhere = mirror_.leader->node;
-        return call.reply(respond(421, protocol::encodeElsewhere(elsewhere)));
-    }
+    if (!election_.valid(Clock::now()) || !leader_) return redirect(call);
     ReportArrived command;
     try {
         command.report = protocol::decodeReport(call.request.body);
@@ -181,6 +176,48 @@
     lead(std::move(command));
 }
 
+/// A follower's answer to a report: the leader's name, or what the leader answers through this node.
+void Node::redirect(Call& call) {
+    const auto now = Clock::now();
+    // A leader not heard of for a while may be gone; naming it would send the worker into a time-out.
+    const auto* leader =
+        call.fromPeer || election_.leading() || !mirror_.leader ? nullptr : &mirror_.leader->node;
+    const auto view = leader ? peers_.find(*leader) : peers_.end();
+    if (view == peers_.end() || now - view->second.heardAt >= kPeerSilence)
+        return call.reply(respond(421, protocol::encodeElsewhere("")));
+    Report report;
+    try {
+        report = protocol::decodeReport(call.request.body);
+    } catch (const Malformed& error) {
+        return call.reply(respond(400, protocol::errorReply(error.what())));
+    }
+    auto& redirect = redirects_[report.machine];
+    if (now - redirect.at >= kBackSoon && now >= redirect.relayUntil) redirect = {};
+    redirect.at = now;
+    if (now >= redirect.relayUntil) {
+        // The first report is passed on, as the worker's lease may be short by now. With the second the worker
+        // is sent to the leader. Back from there, a cut lies between the two, and not between them and this node.
+        switch (redirect.contacts++) {
+            case 0:
+                break;
+            case 1:
+                return call.reply(respond(421, protocol::encodeElsewhere(*leader)));
+            default:
+                spdlog::info("passing the reports of {} on to {}", report.machine, *leader);
+                redirect.relayUntil = now + kRelayFor;
+                redirect.contacts = 1;
+        }
+    }
+    const auto peer = std::find_if(settings_.peers.begin(), settings_.peers.end(),
+                                   [&](const auto& p) { return p.name == *leader; });
+    if (peer == settings_.peers.end()) return call.reply(respond(421, protocol::encodeElsewhere("")));
+    http_.request(peer->address, "POST", paths::kRelay, call.request.body, kRelayTimeout,
+                  [reply = std::move(call.reply)](Outcome outcome) {
+                      if (outcome.status == 200) return reply(respond(200, std::move(outcome.body)));
+                      reply(respond(421, protocol::encodeElsewhere("")));
+                  });
+}
+
 // --- peers ------------------------------------------------------------------------------------------------
 
 protocol::PeerStatus Node::ownStatus(Time now) const {
@@ -214,6 +251,7 @@
 
 void Node::servePeer(Call& call) {
     if (call.request.oversize) return call.reply(respond(413));
+    if (call.request.path == paths::kRelay) return serveReport(call);
     if (call.request.path != paths::kPeer) return call.reply(respond(404));
     if (call.request.method != "POST") return call.reply(respond(405));
     try {
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -43,6 +43,7 @@
     void drain();
     void serve(Call& call);
     void serveReport(Call& call);
+    void redirect(Call& call);
     void servePeer(Call& call);
     void lead(Command command);
     void perform(Action& action);
@@ -88,6 +89,11 @@
         std::uint64_t token = 0;
     };
     std::unordered_map<std::string, PeerView> peers_;
+    struct Redirect {
+        transport::Time at{}, relayUntil{};
+        int contacts = 0;
+    };
+    std::unordered_map<std::string, Redirect> redirects_;  // per machine that reported to this follower
     Readiness readiness_;
     asio::steady_timer ticker_;
     transport::Time nextPeers_{}, nextHeartbeat_{}, nextClean_{};
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -150,6 +150,7 @@
 inline constexpr char kRentals[] = "/rentals";
 inline constexpr char kRelease[] = "/rentals/release";
 inline constexpr char kPeer[] = "/peer";
+inline constexpr char kRelay[] = "/relay";
 std::string rentedPage(const std::string& after, unsigned most);
 }  // namespace paths
 
