--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -47,6 +47,24 @@
 
 }  // namespace
 
+bool Detour::over(Time now) const { return now >= until_ && now - at_ >= kBackSoon; }
+
+bool Detour::passOn(Time now) {
+    if (over(now)) *this = {};
+    at_ = now;
+    if (now < until_) return true;
+    switch (contacts_++) {
+        case 0:
+            return true;
+        case 1:
+            return false;
+        default:
+            until_ = now + kRelayFor;
+            contacts_ = 1;
+            return true;
+    }
+}
+
 void Readiness::update(bool able, Time now) {
     if (!able) {
         if (ready_) {
@@ -130,9 +148,7 @@
     if (now >= nextClean_) {
         nextClean_ = now + 5s;
         http_.closeIdle(20s);
-        std::erase_if(redirects_, [&](const auto& entry) {
-            return now - std::max(entry.second.at, entry.second.relayUntil) > 60s;
-        });
+        std::erase_if(detours_, [&](const auto& entry) { return entry.second.over(now); });
     }
     ticker_.expires_after(kTick);
     ticker_.async_wait([this](auto error) {
@@ -191,23 +207,8 @@
     } catch (const Malformed& error) {
         return call.reply(respond(400, protocol::errorReply(error.what())));
     }
-    auto& redirect = redirects_[report.machine];
-    if (now - redirect.at >= kBackSoon && now >= redirect.relayUntil) redirect = {};
-    redirect.at = now;
-    if (now >= redirect.relayUntil) {
-        // The first report is passed on, as the worker's lease may be short by now. With the second the worker
-        // is sent to the leader. Back from there, a cut lies between the two, and not between them and this node.
-        switch (redirect.contacts++) {
-            case 0:
-                break;
-            case 1:
-                return call.reply(respond(421, protocol::encodeElsewhere(*leader)));
-            default:
-                spdlog::info("passing the reports of {} on to {}", report.machine, *leader);
-                redirect.relayUntil = now + kRelayFor;
-                redirect.contacts = 1;
-        }
-    }
+    if (!detours_[report.machine].passOn(now))
+        return call.reply(respond(421, protocol::encodeElsewhere(*leader)));
     const auto peer = std::find_if(settings_.peers.begin(), settings_.peers.end(),
                                    [&](const auto& p) { return p.name == *leader; });
     if (peer == settings_.peers.end()) return call.reply(respond(421, protocol::encodeElsewhere("")));
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -26,6 +26,21 @@
     std::chrono::seconds penalty_{3};
 };
 
+/// Whether a follower passes a worker's report on to the leader or sends the worker there. The first report
+/// is passed on, as the worker's lease may be short by now; with the second the worker is sent to the leader.
+/// If it is back soon, a cut lies between the two and not between them and this node, which then stands in
+/// for a while.
+class Detour {
+  public:
+    bool passOn(transport::Time now);
+    /// Nothing of it matters any more.
+    bool over(transport::Time now) const;
+
+  private:
+    transport::Time at_{}, until_{};
+    int contacts_ = 0;
+};
+
 /// One controller process: owns all state and works through a queue of commands, in batches, on one thread.
 class Node {
   public:
@@ -89,11 +104,7 @@
         std::uint64_t token = 0;
     };
     std::unordered_map<std::string, PeerView> peers_;
-    struct Redirect {
-        transport::Time at{}, relayUntil{};
-        int contacts = 0;
-    };
-    std::unordered_map<std::string, Redirect> redirects_;  // per machine that reported to this follower
+    std::unordered_map<std::string, Detour> detours_;  // per machine that reported to this follower
     Readiness readiness_;
     asio::steady_timer ticker_;
     transport::Time nextPeers_{}, nextHeartbeat_{}, nextClean_{};
