--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -55,7 +55,6 @@
       began_(now),
       beganMs_(dayMs),
       now_(now),
-      random_(token),
       writeBudget_(settings.stateWriteRps * 0.6, now),
       lastReport_(now),
       cloudBudget_(settings.cloudRps * 0.8, now) {
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <random>
 #include <set>
 #include <string>
 #include <variant>
@@ -224,7 +223,6 @@
     const std::uint64_t beganMs_;
     Time now_;
     std::vector<Action> actions_;
-    std::mt19937_64 random_;
 
     Fleet fleet_;
     std::map<std::string, MachineType> types_;
@@ -260,7 +258,7 @@
 
     // machines
     Time nextSilence_{}, nextPreempt_{}, nextPlan_{}, nextDump_{}, nextList_{}, nextTypes_{}, lastReport_{};
-    bool listing_ = false, listed_ = false;
+    bool listing_ = false;
     storage::RateBudget cloudBudget_;
     std::deque<PendingRental> rentalsPending_;
     std::map<Shape, Refusal> refusals_;
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -274,7 +274,6 @@
     view.heardAt = now;
     view.stateAnsweredAt =
         now - std::chrono::milliseconds(std::min<std::uint64_t>(status.stateAgeMs, 1u << 30));
-    view.token = status.token;
     election_.noteAbdication(status.givenUp);
     if (!status.running.empty() && status.token >= mirror_.token) desk_.setRunning(status.running);
 }
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -101,7 +101,6 @@
     struct PeerView {
         transport::Time heardAt{};
         transport::Time stateAnsweredAt{};
-        std::uint64_t token = 0;
     };
     std::unordered_map<std::string, PeerView> peers_;
     std::unordered_map<std::string, Detour> detours_;  // per machine that reported to this follower
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -197,7 +197,6 @@
         {"boot-keep", [&](const auto& n) { policy.bootKeep = number(n, 0, 1000); }},
         {"minimum-keep-s", [&](const auto& n) { policy.minimumKeep = Seconds(number(n, 0, kDay)); }},
         {"backlog-horizon-s", [&](const auto& n) { policy.backlogHorizon = Seconds(number(n, 1, kDay)); }},
-        {"headroom", [&](const auto& n) { policy.headroom = number(n, 0, 10); }},
         {"fetch-start-s", [&](const auto& n) { policy.fetchStart = Seconds(number(n, 0, 600)); }},
         {"preempt", [&](const auto& n) { policy.preempt = number(n, 0, 1) != 0; }},
     };
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -59,7 +59,6 @@
     double bootKeep = 1.5;       // and at least this many of its type's boot times
     Seconds minimumKeep{55};     // the cloud charges a minute at least
     Seconds backlogHorizon{45};  // a backlog of short tasks should be gone after this
-    double headroom = 0.0;       // share of the production tasks kept free for the next ones
     Seconds fetchStart{5};       // fetch time assumed before one was seen
     bool preempt = true;
 };
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -104,8 +104,8 @@
     EXPECT_EQ(parsePolicy("<burlpoint/>").idleKeep, Policy{}.idleKeep);
     EXPECT_EQ(parsePolicy("<burlpoint><idle-keep-s>7.5</idle-keep-s></burlpoint>").idleKeep, Seconds(7.5));
     EXPECT_TRUE(names(policyComplaint("<burlpoint><idle-keep>1</idle-keep></burlpoint>"), "<idle-keep>"));
-    EXPECT_TRUE(names(policyComplaint("<burlpoint><headroom>much</headroom></burlpoint>"), "<headroom>"));
-    EXPECT_TRUE(names(policyComplaint("<burlpoint><headroom>-1</headroom></burlpoint>"), "<headroom>"));
+    EXPECT_TRUE(names(policyComplaint("<burlpoint><boot-keep>much</boot-keep></burlpoint>"), "<boot-keep>"));
+    EXPECT_TRUE(names(policyComplaint("<burlpoint><boot-keep>-1</boot-keep></burlpoint>"), "<boot-keep>"));
     EXPECT_TRUE(
         names(policyComplaint("<burlpoint><preempt>1</preempt><preempt>0</preempt></burlpoint>"), "twice"));
     EXPECT_TRUE(names(policyComplaint("<other/>"), "<other>"));
