--- a/src/bookkeeping/fleet.cpp
+++ b/src/bookkeeping/fleet.cpp
@@ -26,20 +26,6 @@
     });
 }
 
-void Machine::useImage(const std::string& image, double gb, double cacheGb) {
-    if (!images.empty() && images.front().first == image) return;
-    std::erase_if(images, [&](const auto& i) { return i.first == image; });
-    images.insert(images.begin(), {image, gb});
-    double total = 0;
-    for (std::size_t i = 0; i < images.size(); ++i) {
-        total += images[i].second;
-        if (total > cacheGb) {
-            images.resize(std::max<std::size_t>(i, 1));
-            return;
-        }
-    }
-}
-
 Machine* Fleet::find(const std::string& id) {
     const auto found = machines_.find(id);
     return found == machines_.end() ? nullptr : found->second.get();
@@ -56,16 +42,110 @@
     return *slot;
 }
 
-void Fleet::erase(const std::string& id) { machines_.erase(id); }
+void Fleet::erase(const std::string& id) {
+    const auto found = machines_.find(id);
+    if (found == machines_.end()) return;
+    auto& machine = *found->second;
+    setRoster(machine, RosterState::absent);
+    reserve(machine, nullptr);
+    for (const auto& [image, gb] : machine.images) std::erase(byImage_[image], &machine);
+    machines_.erase(found);
+}
+
+void Fleet::setSettled(Machine& machine, bool settled) {
+    machine.settled = settled;
+    count(machine);
+}
+
+void Fleet::setRoster(Machine& machine, RosterState roster) {
+    machine.roster = roster;
+    count(machine);
+}
+
+void Fleet::count(Machine& machine) {
+    const bool counts = machine.roster == RosterState::stored && !machine.settled;
+    if (counts == machine.counted) return;
+    machine.counted = counts;
+    const Shape shape{machine.type, machine.zone, machine.spot};
+    if (counts)
+        ++unsettled_[shape];
+    else if (const auto found = unsettled_.find(shape); --found->second == 0)
+        unsettled_.erase(found);
+}
+
+void Fleet::useImage(Machine& machine, const std::string& image, double gb, double cacheGb) {
+    auto& images = machine.images;
+    if (!images.empty() && images.front().first == image) return;
+    if (std::erase_if(images, [&](const auto& i) { return i.first == image; }) == 0)
+        byImage_[image].push_back(&machine);
+    images.insert(images.begin(), {image, gb});
+    double total = 0;
+    for (std::size_t i = 0; i < images.size(); ++i) {
+        total += images[i].second;
+        if (total <= cacheGb || i == 0) continue;
+        for (auto at = images.begin() + static_cast<std::ptrdiff_t>(i); at != images.end(); ++at)
+            std::erase(byImage_[at->first], &machine);
+        images.resize(i);
+        return;
+    }
+}
+
+const std::vector<Machine*>& Fleet::withImage(const std::string& image) const {
+    static const std::vector<Machine*> none;
+    const auto found = byImage_.find(image);
+    return found == byImage_.end() ? none : found->second;
+}
+
+void Fleet::reserve(Machine& machine, const Job* job, Time until, bool holding, std::uint32_t tasks) {
+    if (machine.reservedFor && machine.reservedFor != job)
+        if (const auto found = reserved_.find(machine.reservedFor); found != reserved_.end()) {
+            found->second.erase(&machine);
+            if (found->second.empty()) reserved_.erase(found);
+        }
+    machine.reservedFor = job;
+    machine.reservedUntil = until;
+    machine.holding = holding;
+    machine.reserved = tasks;
+    if (job) reserved_[job].insert(&machine);
+}
+
+std::size_t Fleet::reservations(const Job& job, Time now) const {
+    const auto found = reserved_.find(&job);
+    if (found == reserved_.end()) return 0;
+    return static_cast<std::size_t>(std::count_if(found->second.begin(), found->second.end(),
+                                                  [&](const auto* m) { return m->isReserved(now); }));
+}
+
+void Fleet::account(Machine& machine, const Job& job, bool added) {
+    const auto& spec = job.spec;
+    const auto need = needOf(spec);
+    const auto change = [&](Resources& total) {
+        if (added)
+            total += need;
+        else
+            total -= need;
+    };
+    const bool service = spec.kind == protocol::Kind::service;
+    const auto priority = static_cast<std::size_t>(spec.priority);
+    change(machine.used);
+    change(teamUse_[spec.team]);
+    if (spec.gpus <= 0) change(machine.plainUse[service ? 4 : priority]);
+    if (!service && (spec.kind != protocol::Kind::gang || spec.tasks == 1))
+        change(machine.stoppable[priority]);
+    if (!added && machine.places.empty()) {  // no residue of rounding
+        machine.used = {};
+        machine.plainUse = {};
+        machine.stoppable = {};
+    }
+}
 
 Placement& Fleet::place(Machine& machine, Job& job, std::uint32_t task, std::uint64_t attempt,
                         PlaceState state, Time now) {
     Placement placement{&job, task, attempt, state, 0, now, now, false, Seconds(0), true};
     const auto [at, fresh] = machine.places.emplace(AttemptKey{&job, task, attempt}, placement);
     if (!fresh) return at->second;
-    machine.used += needOf(job.spec);
-    teamUse_[job.spec.team] += needOf(job.spec);
-    job.addLive(task, machine.zone);
+    account(machine, job, true);
+    job.addLive(task, machine.id, machine.zone);
     if (state == PlaceState::running) ++job.run->running;
     return at->second;
 }
@@ -75,11 +155,9 @@
     auto& placement = at->second;
     Job& job = *placement.job;
     if (placement.state == PlaceState::running) --job.run->running;
-    machine.used -= needOf(job.spec);
-    teamUse_[job.spec.team] -= needOf(job.spec);
-    job.dropLive(placement.task, machine.zone);
+    job.dropLive(placement.task, machine.id, machine.zone);
     const auto next = machine.places.erase(at);
-    if (machine.places.empty()) machine.used = {};  // no residue of rounding
+    account(machine, job, false);
     return next;
 }
 
@@ -110,10 +188,11 @@
 std::vector<std::pair<Machine*, Placement*>> Fleet::placesOf(const Job& job) {
     std::vector<std::pair<Machine*, Placement*>> out;
     if (!job.run || job.run->liveTotal == 0) return out;
-    for (auto& [id, machine] : machines_) {
+    for (const auto& [id, tasks] : job.run->machines) {
+        auto* machine = find(id);
         auto at = machine->places.lower_bound(AttemptKey{&job, 0, 0});
         for (; at != machine->places.end() && at->first.job == &job; ++at)
-            out.emplace_back(machine.get(), &at->second);
+            out.emplace_back(machine, &at->second);
     }
     return out;
 }
--- a/src/bookkeeping/fleet.h
+++ b/src/bookkeeping/fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -75,21 +76,28 @@
 struct Machine {
     std::string id, address, type, zone;
     bool spot = false;
+    const MachineType* kind = nullptr;  // its type's description, once that is known
 
     std::uint64_t session = 0, sequence = 0;  // of the newest message
+    Time newestAt{};                          // when that came
     std::uint64_t reportSequence = 0;         // of the newest report in that session
     /// It showed our token: nothing that an earlier leader sent can start any more, and its list is whole.
     bool heard = false;
     /// Nothing of earlier leaders can be on it, as it was heard or its lease ran out.
-    bool settled = false;
+    bool settled = false;   // changed by Fleet::setSettled
+    bool counted = false;   // among Fleet::unsettled
     bool reports = false;  // a report of it was answered and its lease is not over
     Time lastReport{};
     Time leaseUntil = Time::max();  // the worker has forgotten its tasks by then
     std::optional<Time> recallAt;   // the cloud takes it away
 
-    RosterState roster = RosterState::absent;
+    RosterState roster = RosterState::absent;  // changed by Fleet::setRoster
     std::map<AttemptKey, Placement> places;
     Resources used;
+    /// What tasks without accelerators use, by priority; the last is replicas of any priority.
+    std::array<Resources, 5> plainUse;
+    /// What could be stopped for higher work, by priority: neither replicas nor tasks of larger gangs.
+    std::array<Resources, 4> stoppable;
 
     std::vector<std::pair<std::string, double>> images;  // inferred cache, most recently used first
     bool draining = false;                               // takes no more tasks
@@ -100,17 +108,26 @@
     Time probedAt{};                                     // when a probe was last answered
     bool probing = false;
     Time quietUntil{};  // no new starts after a refusal
-    const Job* reservedFor = nullptr;
+    const Job* reservedFor = nullptr;  // changed by Fleet::reserve
     Time reservedUntil{};
-    bool holding = false;  // only what comes free by itself is kept; nothing was stopped for it
+    bool holding = false;       // only what comes free by itself is kept; nothing was stopped for it
+    std::uint32_t reserved = 1;  // tasks that the room is kept for
     std::set<std::string> errorJobs;  // jobs that failed on it since a task last worked
 
     bool hasImage(const std::string& image) const;
     bool isFetching(const std::string& image) const;
-    void useImage(const std::string& image, double gb, double cacheGb);
+    bool isReserved(Time now) const { return reservedFor && reservedUntil > now; }
 };
 
-/// All machines, what may be on them and what the teams use through that.
+/// Type, zone and kind of a machine.
+struct Shape {
+    std::string type, zone;
+    bool spot = false;
+    auto operator<=>(const Shape&) const = default;
+};
+
+/// All machines, what may be on them and what the teams use through that. Whatever a report's handling asks
+/// for is kept as an index or a running total, so that its cost does not grow with the number of machines.
 class Fleet {
   public:
     std::map<std::string, std::unique_ptr<Machine>>& machines() { return machines_; }
@@ -132,9 +149,30 @@
     /// Machines possibly holding a task of the job.
     std::vector<std::pair<Machine*, Placement*>> placesOf(const Job& job);
 
+    void setSettled(Machine& machine, bool settled);
+    void setRoster(Machine& machine, RosterState roster);
+    /// Rostered machines, by shape, that an earlier leader's tasks may be on.
+    const std::map<Shape, std::uint32_t>& unsettled() const { return unsettled_; }
+
+    /// The machine used the image: it is the latest in its cache, and the oldest over `cacheGb` are gone.
+    void useImage(Machine& machine, const std::string& image, double gb, double cacheGb);
+    const std::vector<Machine*>& withImage(const std::string& image) const;
+
+    /// Keeps room on the machine for `tasks` of the job; null: no longer.
+    void reserve(Machine& machine, const Job* job, Time until = {}, bool holding = false,
+                 std::uint32_t tasks = 1);
+    /// Machines whose room is kept for the job.
+    std::size_t reservations(const Job& job, Time now) const;
+
   private:
+    void count(Machine& machine);
+    void account(Machine& machine, const Job& job, bool added);
+
     std::map<std::string, std::unique_ptr<Machine>> machines_;
     std::unordered_map<std::string, Resources> teamUse_;
+    std::map<Shape, std::uint32_t> unsettled_;
+    std::unordered_map<std::string, std::vector<Machine*>> byImage_;
+    std::unordered_map<const Job*, std::set<Machine*>> reserved_;
 };
 
 }  // namespace burlpoint::bookkeeping
--- a/src/bookkeeping/jobs.cpp
+++ b/src/bookkeeping/jobs.cpp
@@ -30,17 +30,19 @@
     return true;
 }
 
-void Job::addLive(std::uint32_t task, const std::string& zone) {
+void Job::addLive(std::uint32_t task, const std::string& machine, const std::string& zone) {
     if (isWaiting(task)) --run->waiting;
     ++run->live[task];
     ++run->liveTotal;
     ++run->zones[zone];
+    ++run->machines[machine];
 }
 
-void Job::dropLive(std::uint32_t task, const std::string& zone) {
+void Job::dropLive(std::uint32_t task, const std::string& machine, const std::string& zone) {
     --run->live[task];
     --run->liveTotal;
     if (const auto found = run->zones.find(zone); --found->second == 0) run->zones.erase(found);
+    if (const auto found = run->machines.find(machine); --found->second == 0) run->machines.erase(found);
     if (isWaiting(task)) {
         ++run->waiting;
         run->hint = std::min(run->hint, task);
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -2,11 +2,13 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "protocol/settings.h"
 #include "storage/records.h"
 #include "transport/http.h"
 
@@ -20,6 +22,8 @@
 
 /// What a leader knows of a job beyond the stored facts.
 struct Run {
+    /// Some task of the job is or was on a machine.
+    bool began() const { return launched > 0 || liveTotal > 0; }
     explicit Run(std::uint32_t tasks) : live(tasks, 0) {}
 
     std::vector<std::uint8_t> live;              // machines that each task is possibly on
@@ -28,8 +32,12 @@
     std::uint32_t running = 0;                   // tasks seen running
     std::set<std::uint32_t> unstored;            // tasks seen done whose bit is not stored yet
     std::uint32_t hint = 0;                      // no task before this one is waiting
-    std::map<std::string, std::uint32_t> zones;  // possible tasks per zone
-    bool inherited = false;                      // accepted before this leader began
+    std::map<std::string, std::uint32_t> zones;     // possible tasks per zone
+    std::map<std::string, std::uint32_t> machines;  // and per machine
+    bool inherited = false;                         // accepted before this leader began
+    int rank = 0;                                   // of the leader's order, the higher the sooner
+    bool guaranteed = false;                        // within its team's guarantee
+    bool overdue = false;                           // has been passed over for too long
 
     // Pacing by the design: launched (m), paced fetches (md) and their expected number (Md).
     std::uint32_t launched = 0, paced = 0;
@@ -37,12 +45,21 @@
     bool admitted = false;
 
     std::uint64_t gangAttempt = 0;  // the attempt under way, 0: none
+    std::set<std::string> machinesLeft;  // that a task of this attempt has gone from
+    const protocol::Team* team = nullptr;
+    std::optional<Seconds> tightWait;  // the shortest wait aim of its class
+    double place = 0;                  // within its rank, the lower the sooner
     Time notBefore{};               // back-off after failures
     Time acceptedAt{};              // by this node's clock, as far as clocks agree
     Time waitingSince{};
     Time nextBits{};                            // when its finished tasks are stored next
     std::map<std::string, Time> errorMachines;  // where a task of it failed since its last success
     bool succeeded = false;                     // a task of it has worked somewhere
+
+    // What the other machines offer, looked up now and then and not for each report.
+    std::uint32_t cachedRoom = 0;  // waiting tasks that machines with the image have room for
+    bool imageWait = false;        // it should wait for such a machine
+    Time cachedRoomUntil{}, imageWaitUntil{};
 };
 
 /// A job as stored, and while this node leads, its run.
@@ -76,8 +93,8 @@
     void setChunkVersion(std::size_t chunk, std::uint64_t version);
     /// The task was seen done; its bit is still to be stored. False if that was known.
     bool finish(std::uint32_t task);
-    void addLive(std::uint32_t task, const std::string& zone);
-    void dropLive(std::uint32_t task, const std::string& zone);
+    void addLive(std::uint32_t task, const std::string& machine, const std::string& zone);
+    void dropLive(std::uint32_t task, const std::string& machine, const std::string& zone);
     /// The first waiting task, or none.
     std::optional<std::uint32_t> firstWaiting();
     /// Starts a run: nothing is on a machine so far.
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -64,12 +64,9 @@
         if (job->final == Final::open) adoptJob(*job, true);
     }
     for (const auto& [id, stored] : mirror.roster) {
-        auto& machine = fleet_.add(id, now);
+        auto& machine = identify(id, stored.record.type, stored.record.zone, stored.record.spot);
         machine.address = stored.record.address;
-        machine.type = stored.record.type;
-        machine.zone = stored.record.zone;
-        machine.spot = stored.record.spot;
-        machine.roster = RosterState::stored;
+        fleet_.setRoster(machine, RosterState::stored);
         // Whatever earlier leaders answered, they answered before now.
         machine.leaseUntil = now + leaseBound(settings);
         machine.lastReport = now;
@@ -98,6 +95,10 @@
 
 void Leader::adoptJob(Job& job, bool inherited) {
     job.beginRun(inherited, now_);
+    job.run->team = settings_.team(job.spec.team);
+    for (const auto& objective : settings_.objectives)
+        if (objective.kind == "wait" && objective.jobClass == job.spec.jobClass)
+            job.run->tightWait = std::min(job.run->tightWait.value_or(objective.within), objective.within);
     const std::chrono::milliseconds age(static_cast<std::int64_t>(beganMs_) -
                                         static_cast<std::int64_t>(job.acceptedMs));
     job.run->acceptedAt = std::min(now_, began_ - age);
@@ -109,6 +110,20 @@
     orderStale_ = true;
 }
 
+/// The machine's record; a new one is not in the roster, so no earlier leader gave the machine a task.
+Machine& Leader::identify(const std::string& id, const std::string& type, const std::string& zone,
+                          bool spot) {
+    const bool known = fleet_.find(id) != nullptr;
+    auto& machine = fleet_.add(id, now_);
+    if (known) return machine;
+    machine.type = type;
+    machine.zone = zone;
+    machine.spot = spot;
+    machine.kind = typeOf(type);
+    machine.settled = !mirror_.roster.contains(id);
+    return machine;
+}
+
 // --- workers ----------------------------------------------------------------------------------------------
 
 void Leader::on(ReportArrived& command) {
@@ -125,14 +140,7 @@
         return;
     }
     lastReport_ = now_;
-    const bool known = fleet_.find(report.machine) != nullptr;
-    auto& machine = fleet_.add(report.machine, now_);
-    if (!known) {
-        machine.type = report.type;
-        machine.zone = report.zone;
-        machine.spot = report.spot;
-        machine.settled = true;  // not in the roster, so no earlier leader gave it a task
-    }
+    auto& machine = identify(report.machine, report.type, report.zone, report.spot);
     machine.lastReport = now_;
     machine.leaseUntil = now_ + leaseBound(settings_);
     machine.reports = true;
@@ -189,7 +197,7 @@
     if (!report.notice) machine.recallAt.reset();
     if (report.token == token_ && !machine.heard) {
         machine.heard = true;
-        machine.settled = true;
+        fleet_.setSettled(machine, true);
         orderStale_ = true;
     }
     if (!machine.heard) return;
@@ -230,7 +238,7 @@
     const auto state = placeState(task.state);
     Placement* placement = nullptr;
     if (at == machine.places.end()) {
-        if (!job->run) job->beginRun(true, now_);
+        if (!job->run) adoptJob(*job, true);
         placement = &fleet_.place(machine, *job, key.task, key.attempt, state, now_);
         if (job->spec.kind == Kind::gang)
             job->run->gangAttempt = std::max(job->run->gangAttempt, key.attempt);
@@ -249,8 +257,8 @@
     }
     placement->seen = true;
     if (state != PlaceState::fetching) {
-        const auto* type = typeOf(machine.type);
-        machine.useImage(job->spec.image, job->spec.imageGb, type ? type->cacheGb : 0);
+        const auto* type = machine.kind;
+        fleet_.useImage(machine, job->spec.image, job->spec.imageGb, type ? type->cacheGb : 0);
     }
     if (job->final != Final::open || job->isFinished(key.task)) {
         // Cancelled, or done elsewhere under an earlier leader. Gang tasks end with their gang.
@@ -307,8 +315,13 @@
     if (job.final != Final::open) return;
     if (job.run->waiting > 0) job.run->waitingSince = now_;
     if (job.spec.kind == Kind::gang) {
-        // Without one of its tasks this attempt comes to nothing; the next waits until all have left.
-        if (!job.isFinished(placement.task)) stopJob(job, job.spec.save);
+        // Without one of its tasks this attempt comes to nothing, unless it had not begun and another can
+        // stand in. The next attempt waits until all have left.
+        job.run->machinesLeft.insert(machine.id);
+        const bool standIn =
+            (why == ExitReason::none || why == ExitReason::noRoom || why == ExitReason::busy) &&
+            mayComplete(job);
+        if (!job.isFinished(placement.task) && !standIn) stopJob(job, job.spec.save);
         if (job.run->liveTotal == 0) job.run->gangAttempt = 0;
     }
 }
@@ -401,7 +414,7 @@
 
 /// Proof that nothing sent so far is on the machine.
 void Leader::settle(Machine& machine) {
-    machine.settled = true;
+    fleet_.setSettled(machine, true);
     orderStale_ = true;
     fleet_.removeAll(machine,
                      [&](const Placement& placement) { gone(machine, placement, ExitReason::none); });
@@ -424,16 +437,16 @@
     // only once it is written anew: with its new version that deletion fails.
     rosterDrop_.erase(machine.id);
     if (rosterDeleted_.contains(machine.id)) {
-        machine.roster = RosterState::absent;
+        fleet_.setRoster(machine, RosterState::absent);
         rosterAdd_.insert(machine.id);
         return;
     }
     if (stored != mirror_.roster.end() && stored->second.record == record) {
-        machine.roster = RosterState::stored;
+        fleet_.setRoster(machine, RosterState::stored);
         rosterAdd_.erase(machine.id);
         return;
     }
-    machine.roster = stored == mirror_.roster.end() ? RosterState::absent : RosterState::stored;
+    fleet_.setRoster(machine, stored == mirror_.roster.end() ? RosterState::absent : RosterState::stored);
     rosterAdd_.insert(machine.id);
 }
 
@@ -518,7 +531,7 @@
         if (!room()) break;
         auto* machine = fleet_.find(id);
         const auto stored = mirror_.roster.find(id);
-        if (machine->roster == RosterState::absent) machine->roster = RosterState::writing;
+        if (machine->roster == RosterState::absent) fleet_.setRoster(*machine, RosterState::writing);
         put(keys::machine(id),
             storage::encodeMachine({machine->address, machine->type, machine->zone, machine->spot}),
             stored == mirror_.roster.end() ? 0 : stored->second.version);
@@ -579,8 +592,9 @@
     const bool applied = result.status == TxnStatus::applied;
     for (const auto& id : rosterWrites_) {
         auto* machine = fleet_.find(id);
-        if (machine && applied) machine->roster = RosterState::stored;
-        if (machine && machine->roster == RosterState::writing) machine->roster = RosterState::absent;
+        if (machine && applied) fleet_.setRoster(*machine, RosterState::stored);
+        if (machine && machine->roster == RosterState::writing)
+            fleet_.setRoster(*machine, RosterState::absent);
         if (!applied) continue;
         rosterAdd_.erase(id);
         rosterDeleted_.erase(id);
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -21,6 +22,7 @@
 using bookkeeping::Placement;
 using bookkeeping::PlaceState;
 using bookkeeping::Resources;
+using bookkeeping::Shape;
 using protocol::MachineType;
 using protocol::Order;
 using protocol::Policy;
@@ -136,10 +138,11 @@
         Time since{}, nextTry{};
         bool asked = false;
     };
-    struct Shape {  // type, zone and kind of a machine
-        std::string type, zone;
-        bool spot = false;
-        auto operator<=>(const Shape&) const = default;
+    struct Sacrifice {  // what would stop on a machine to make room
+        Machine* machine = nullptr;
+        std::vector<Placement*> victims;
+        double loss = 0;
+        std::uint32_t tasks = 1;
     };
     struct Refusal {
         Time until{};
@@ -158,6 +161,7 @@
     void on(TypesListed& command);
     void on(Tick& command);
 
+    Machine& identify(const std::string& id, const std::string& type, const std::string& zone, bool spot);
     void merge(Machine& machine, const Report& report, bool isReport);
     void mergeTask(Machine& machine, const protocol::TaskReport& task);
     void finished(Job& job, std::uint32_t task);
@@ -184,7 +188,8 @@
     bool allows(const Job& job, const std::string& type, const std::string& zone, bool spot) const;
     bool mayStart(const Job& job, const Machine& machine) const;
     bool sparesAccelerators(const Job& job, const Machine& machine) const;
-    bool fitsPlain(const Job& job) const;
+    bool plainToBeHad(const Job& job) const;
+    bool shortOf(const std::string& type) const;
     void noteAccelerators(const Job& job);
     bool withinTeamLimit(const Job& job, std::uint32_t tasks) const;
     bool zoneAllows(const Job& job, const std::string& zone) const;
@@ -195,21 +200,28 @@
     void schedule(Machine& machine, std::vector<Order>& orders);
     bool startOne(Machine& machine, Job& job, std::vector<Order>& orders);
     bool paceAllows(const Job& job, const Machine& machine);
-    std::uint32_t cachedRoomElsewhere(const Job& job, const Machine& machine, std::uint32_t enough) const;
+    std::uint32_t cachedRoom(Job& job);
     bool yields(const Placement& placement, const Job& job) const;
-    bool waitsForImage(const Job& job) const;
+    bool waitsForImage(Job& job);
+    Resources mostRoom(const Machine& machine, const Job& job) const;
     void refreshPacing();
     double cachedSeconds(const Machine& machine) const;
     void noteFetch(Machine& machine, Job& job);
     void holdRoom(Machine& machine, const Job& job);
     void planGangs();
+    bool mayComplete(const Job& job);
     bool planGang(Job& job, const std::string* zone);
     void preempt();
     Seconds patienceOf(const Job& job) const;
-    bool preemptFor(Job& job);
+    std::optional<Sacrifice> sacrificeFor(Machine& machine, const Job& job, std::uint32_t tasks);
+    void carryOut(const Sacrifice& sacrifice, Job& job, Clock::duration until);
+    int preemptFor(Job& job);
+    int gather(Job& job);
 
     // provisioning.cpp
     void provision();
+    bool mayRent(const Job& job, const std::string& zone) const;
+    bool worthIt(const Job& job, const MachineType& type, bool spot) const;
     void requestRentals(const std::map<Shape, std::uint32_t>& wanted);
     void releaseIdle(const std::set<std::string>& needed);
     bool refused(const Shape& shape) const;
@@ -245,14 +257,19 @@
 
     // placement
     std::vector<Job*> order_;  // waiting jobs in the order they are walked
-    std::map<const Job*, int> ranks_;
+    double leastCpus_ = 0;      // that any of them needs
     std::vector<Job*> open_;
     bool orderStale_ = true;
-    Time nextOrder_{}, nextPacing_{};
+    Time nextOrder_{}, nextPacing_{}, nextGangs_{};
     std::map<std::string, std::pair<Resources, Priority>> acceleratorNeeds_;
     std::map<std::string, Time> zoneFetch_;    // the last fetch started per zone
     std::map<std::string, double> imageWork_;  // processor seconds waiting per image and cached processor
     double meanCachedSeconds_ = 0;
+    std::size_t machinesUp_ = 0;
+    std::set<std::string> liveZones_;
+    std::map<std::string, std::pair<const Job*, Time>> gathering_;  // per zone, and until when
+    std::size_t preemptFrom_ = 0, turn_ = 0;
+    std::uint64_t visited_ = 0;  // machines looked at on behalf of jobs; tests count them
     double meanFetch_ = 0;
     std::uint32_t fetchesSeen_ = 0;
 
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -2,7 +2,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <cmath>
+#include <limits>
 
 #include "coordination/leader.h"
 
@@ -19,7 +19,9 @@
 constexpr std::size_t kMostStarts = 250;
 constexpr auto kErrorMemory = 90s;  // how long a task's failure on a machine keeps its job away from it
 constexpr std::size_t kSickJobs = 2;
-constexpr auto kPlainOnly = 12s;  // how long a replica waits for a machine without accelerators
+constexpr auto kPlainOnly = 12s;   // how long a replica waits for a machine without accelerators
+constexpr auto kLookAgain = 250ms;  // how long a look at the other machines serves a job
+constexpr int kProductionRank = 10, kOverdueRank = 6, kGuaranteedRank = 5;
 
 }  // namespace
 
@@ -31,8 +33,7 @@
 bool Leader::usable(const Machine& m) const {
     // A machine without a stored roster entry would be unknown to the next leader, tasks and all.
     return m.heard && m.reports && m.roster == RosterState::stored && !m.draining && !m.releasing &&
-           !m.failed && !m.recallAt && m.quietUntil <= now_ && m.errorJobs.size() < kSickJobs &&
-           typeOf(m.type);
+           !m.failed && !m.recallAt && m.quietUntil <= now_ && m.errorJobs.size() < kSickJobs && m.kind;
 }
 
 bool Leader::allows(const Job& job, const std::string& type, const std::string& zone, bool spot) const {
@@ -45,22 +46,21 @@
 /// Could an attempt that an earlier leader started be on a machine not heard from yet?
 bool Leader::blockedByUnheard(const Job& job) const {
     if (!job.run->inherited) return false;
-    return std::any_of(fleet_.machines().begin(), fleet_.machines().end(), [&](const auto& entry) {
-        const auto& m = *entry.second;
-        return m.roster == RosterState::stored && !m.settled && allows(job, m.type, m.zone, m.spot);
+    const auto& shapes = fleet_.unsettled();
+    return std::any_of(shapes.begin(), shapes.end(), [&](const auto& entry) {
+        return allows(job, entry.first.type, entry.first.zone, entry.first.spot);
     });
 }
 
 bool Leader::withinTeamLimit(const Job& job, std::uint32_t tasks) const {
-    const auto* team = settings_.team(job.spec.team);
+    const auto* team = job.run->team;
     if (!team) return false;
     if (team->cpusMax <= 0 && team->gpusMax <= 0) return true;
     auto use = fleet_.teamUse(team->name);
     // Until a machine has been heard, it may be full of this team's tasks.
-    for (const auto& [id, m] : fleet_.machines()) {
-        if (m->settled || m->roster != RosterState::stored) continue;
-        if (const auto* type = typeOf(m->type)) use += bookkeeping::sizeOf(*type);
-    }
+    for (const auto& [shape, count] : fleet_.unsettled())
+        if (const auto* type = typeOf(shape.type))
+            use += {type->cpus * count, type->gpus * count, type->memoryGb * count};
     constexpr double slack = 1e-6;
     const auto fits = [&](double used, double need, double most) {
         return most <= 0 || used + need * tasks <= most + slack;
@@ -80,13 +80,15 @@
 }
 
 Resources Leader::roomOn(const Machine& machine, const Job& job) const {
-    const auto* type = typeOf(machine.type);
-    if (!type) return {};
-    auto room = bookkeeping::sizeOf(*type) - machine.used;
-    if (machine.reservedFor && machine.reservedFor != &job && machine.reservedUntil > now_) {
+    if (!machine.kind) return {};
+    auto room = bookkeeping::sizeOf(*machine.kind) - machine.used;
+    if (machine.reservedFor != &job && machine.isReserved(now_)) {
         const auto* holder = machine.reservedFor;
-        if (holder->run && holder->run->waiting > 0 && rankOf(*holder) >= rankOf(job))
-            room -= bookkeeping::needOf(holder->spec);
+        if (holder->run && holder->run->waiting > 0 && rankOf(*holder) >= rankOf(job)) {
+            const auto need = bookkeeping::needOf(holder->spec);
+            room -= {need.cpus * machine.reserved, need.gpus * machine.reserved,
+                     need.memoryGb * machine.reserved};
+        }
     }
     return room;
 }
@@ -108,32 +110,39 @@
 /// Machines with accelerators are few and slow to come by. Work that needs none may use them, but only so far
 /// that a job that does need them can still have the room: at once, or by stopping lower work.
 bool Leader::sparesAccelerators(const Job& job, const Machine& machine) const {
-    const auto* type = typeOf(machine.type);
+    const auto* type = machine.kind;
     if (!type || type->gpus <= 0 || job.spec.gpus > 0) return true;
+    const bool service = job.spec.kind == Kind::service;
     // A replica stays for as long as its service does, and would hold the dear machine for all that time.
-    if (job.spec.kind == Kind::service && fitsPlain(job) && now_ - job.run->waitingSince < kPlainOnly)
-        return false;
+    if (service && now_ - job.run->waitingSince < kPlainOnly && plainToBeHad(job)) return false;
     const auto found = acceleratorNeeds_.find(machine.type);
-    if (found == acceleratorNeeds_.end()) return job.spec.priority < Priority::high;
+    if (found == acceleratorNeeds_.end()) return job.spec.priority < Priority::high || service;
     const auto& [need, priority] = found->second;
-    if (job.spec.priority < priority && job.spec.kind != Kind::service) return true;
-    auto room = bookkeeping::sizeOf(*type) - bookkeeping::needOf(job.spec);
-    for (const auto& [key, p] : machine.places) {
-        const auto& spec = p.job->spec;
-        if (spec.gpus <= 0 && (spec.priority >= priority || spec.kind == Kind::service))
-            room -= bookkeeping::needOf(spec);
-    }
-    return room.covers(need);
+    if (job.spec.priority < priority && !service) return true;
+    auto room = bookkeeping::sizeOf(*type) - bookkeeping::needOf(job.spec) - machine.plainUse[4];
+    for (auto p = static_cast<std::size_t>(priority); p < 4; ++p) room -= machine.plainUse[p];
+    if (room.covers(need)) return true;
+    // As long as the cloud has more of them, none is short, and replicas have nowhere else to go.
+    return service && !plainToBeHad(job) && machine.used.gpus <= 0 && !shortOf(machine.type);
 }
 
-/// Some type without accelerators would do.
-bool Leader::fitsPlain(const Job& job) const {
-    return std::any_of(types_.begin(), types_.end(), [&](const auto& entry) {
-        const auto& type = entry.second;
-        return type.gpus <= 0 && bookkeeping::sizeOf(type).covers(bookkeeping::needOf(job.spec)) &&
-               (!job.spec.types || std::find(job.spec.types->begin(), job.spec.types->end(), type.name) !=
-                                       job.spec.types->end());
-    });
+/// The cloud has lately refused machines of this type, in every zone.
+bool Leader::shortOf(const std::string& type) const {
+    const auto* known = typeOf(type);
+    return known && std::all_of(known->zones.begin(), known->zones.end(), [&](const auto& zone) {
+               return refused({type, zone, false});
+           });
+}
+
+/// Some machine without accelerators that the job may use can still be rented.
+bool Leader::plainToBeHad(const Job& job) const {
+    for (const auto& [name, type] : types_) {
+        if (type.gpus > 0 || !bookkeeping::sizeOf(type).covers(bookkeeping::needOf(job.spec))) continue;
+        for (const auto& zone : type.zones)
+            for (const bool spot : {false, true})
+                if (allows(job, name, zone, spot) && !refused({name, zone, spot})) return true;
+    }
+    return false;
 }
 
 /// The most that jobs with accelerators have asked of each machine type, and the lowest of their priorities.
@@ -154,10 +163,7 @@
 }
 
 /// Production first, then what teams are guaranteed, then by priority.
-int Leader::rankOf(const Job& job) const {
-    const auto found = ranks_.find(&job);
-    return found == ranks_.end() ? 0 : found->second;
-}
+int Leader::rankOf(const Job& job) const { return job.run ? job.run->rank : 0; }
 
 void Leader::refreshOrder() {
     if (!orderStale_ || now_ < nextOrder_) return;
@@ -165,80 +171,88 @@
     nextOrder_ = now_ + 100ms;
     std::sort(open_.begin(), open_.end(),
               [](const Job* a, const Job* b) { return a->accepted < b->accepted; });
-    ranks_.clear();
     order_.clear();
-    std::map<std::string, Resources> teams;
+    leastCpus_ = std::numeric_limits<double>::max();
+    std::unordered_map<std::string_view, Resources> teams;
+    constexpr double last = 1e18;
     for (auto* job : open_) {
-        auto& demand = teams[job->spec.team];
-        const auto unfinished = job->spec.tasks - job->doneCount;
-        demand += {job->spec.cpus * unfinished, job->spec.gpus * unfinished, 0};
-        const auto* team = settings_.team(job->spec.team);
+        auto& run = *job->run;
+        const auto& spec = job->spec;
+        auto& demand = teams[spec.team];
+        const auto unfinished = spec.tasks - job->doneCount;
+        demand += {spec.cpus * unfinished, spec.gpus * unfinished, 0};
+        const auto* team = run.team;
         // "A value of 0 means none": with no guarantee of accelerators, work that needs them has none.
-        const bool guaranteed = team && (team->cpus > 0 || team->gpus > 0) &&
-                                demand.cpus <= team->cpus + 1e-6 && demand.gpus <= team->gpus + 1e-6;
-        const bool production = job->spec.priority == Priority::production;
-        ranks_[job] = production ? 10 : guaranteed ? 5 : static_cast<int>(job->spec.priority);
-        if (!job->run->admitted) admit(*job);
+        run.guaranteed = team && (team->cpus > 0 || team->gpus > 0) &&
+                         demand.cpus <= team->cpus + 1e-6 && demand.gpus <= team->gpus + 1e-6;
+        const bool production = spec.priority == Priority::production;
+        run.rank = production       ? kProductionRank
+                   : run.guaranteed ? kGuaranteedRank
+                                    : static_cast<int>(spec.priority);
+        if (!run.admitted) admit(*job);
         noteAccelerators(*job);
-        if (job->run->waiting > 0) order_.push_back(job);
-    }
-    // Within a rank by arrival. Where deadlines count, what is soonest through goes first, so that as many
-    // jobs as possible meet theirs, and what can no longer meet its own goes last.
-    constexpr double last = 1e18;
-    std::map<const Job*, double> work;
-    for (const auto* job : order_) {
-        if (!job->spec.deadline) continue;
-        const Seconds left = *job->spec.deadline - Seconds(now_ - job->run->acceptedAt);
-        const auto& spec = job->spec;
-        work[job] = left < spec.estimate * 0.8 ? last : job->run->waiting * spec.cpus * spec.estimate.count();
+        if (run.waiting == 0) continue;
+        order_.push_back(job);
+        leastCpus_ = std::min(leastCpus_, spec.cpus);
+        // Within a rank by arrival. Where deadlines count, what is soonest through goes first, so that as many
+        // jobs as possible meet theirs, and what can no longer meet its own goes last.
+        run.place = last / 2;
+        const Seconds age = now_ - run.acceptedAt;
+        if (spec.deadline)
+            run.place = *spec.deadline - age < spec.estimate * 0.8
+                            ? last
+                            : run.waiting * spec.cpus * spec.estimate.count();
+        // But nothing is passed over for ever: what has waited for long goes first, by arrival.
+        run.overdue = age > policy_.longestPassedOver;
+        if (run.overdue) {
+            run.place = -1;
+            if (!run.began() && job->doneCount == 0) run.rank = std::max(run.rank, kOverdueRank);
+        }
     }
-    const auto key = [&](const Job* job) {
-        const auto found = work.find(job);
-        return std::pair(-rankOf(*job), found == work.end() ? last / 2 : found->second);
-    };
-    std::stable_sort(order_.begin(), order_.end(),
-                     [&](const Job* a, const Job* b) { return key(a) < key(b); });
+    std::stable_sort(order_.begin(), order_.end(), [](const Job* a, const Job* b) {
+        return std::pair(-a->run->rank, a->run->place) < std::pair(-b->run->rank, b->run->place);
+    });
 }
 
 /// Md: the job's tasks times the share of up machines that lack its image as it is admitted.
 void Leader::admit(Job& job) {
-    std::size_t up = 0, lacking = 0;
-    for (const auto& [id, m] : fleet_.machines()) {
-        if (!m->reports || !m->heard) continue;
-        ++up;
-        if (!m->hasImage(job.spec.image)) ++lacking;
-    }
-    if (up == 0) return;
+    if (machinesUp_ == 0) return;
+    const auto& having = fleet_.withImage(job.spec.image);
+    const auto has = std::count_if(having.begin(), having.end(),
+                                   [](const auto* m) { return m->reports && m->heard; });
+    const double lacking = 1 - std::min(1.0, static_cast<double>(has) / static_cast<double>(machinesUp_));
     job.run->admitted = true;
-    job.run->pacedTotal = job.spec.tasks * static_cast<double>(lacking) / static_cast<double>(up);
+    job.run->pacedTotal = job.spec.tasks * lacking;
 }
 
 // ts and E[ts]: the cached-task time of a machine is the work waiting for images that it has, each image's
 // work shared by the processors of all machines that have it.
 void Leader::refreshPacing() {
     if (now_ < nextPacing_) return;
-    nextPacing_ = now_ + 250ms;
+    nextPacing_ = now_ + 500ms;
     imageWork_.clear();
     for (const auto* job : order_) {
         const double estimate = std::max(job->spec.estimate.count(), 0.0);
         imageWork_[job->spec.image] += job->run->waiting * job->spec.cpus * estimate;
     }
-    std::map<std::string, double> processors;
-    std::size_t up = 0;
-    for (const auto& [id, m] : fleet_.machines()) {
-        const auto* type = typeOf(m->type);
-        if (!m->reports || !type) continue;
-        ++up;
-        for (const auto& [image, gb] : m->images) processors[image] += type->cpus;
-    }
     for (auto& [image, work] : imageWork_) {
-        const auto found = processors.find(image);
-        work = found == processors.end() || found->second <= 0 ? 0 : work / found->second;
+        double processors = 0;
+        for (const auto* m : fleet_.withImage(image))
+            if (m->reports && m->kind) processors += m->kind->cpus;
+        work = processors > 0 ? work / processors : 0;
     }
+    machinesUp_ = 0;
+    liveZones_.clear();
     double sum = 0;
-    for (const auto& [id, m] : fleet_.machines())
-        if (m->reports) sum += cachedSeconds(*m);
-    meanCachedSeconds_ = up ? sum / static_cast<double>(up) : 0;
+    for (const auto& [id, m] : fleet_.machines()) {
+        if (!m->reports || !m->heard) continue;
+        ++machinesUp_;
+        sum += cachedSeconds(*m);
+        // Only zones that report count: one that is cut off would raise the mean for all others.
+        if (now_ - m->lastReport < std::chrono::duration_cast<Clock::duration>(settings_.report * 3))
+            liveZones_.insert(m->zone);
+    }
+    meanCachedSeconds_ = machinesUp_ ? sum / static_cast<double>(machinesUp_) : 0;
 }
 
 double Leader::cachedSeconds(const Machine& machine) const {
@@ -258,15 +272,9 @@
     if (cachedSeconds(machine) > meanCachedSeconds_ + 1e-9) return false;
     const auto own = zoneFetch_.find(machine.zone);
     if (own == zoneFetch_.end()) return true;
-    // Only zones that report count: one that is cut off would raise the mean for all others.
-    std::set<std::string> zones;
-    for (const auto& [id, m] : fleet_.machines())
-        if (m->reports &&
-            now_ - m->lastReport < std::chrono::duration_cast<Clock::duration>(settings_.report * 3))
-            zones.insert(m->zone);
     double sum = 0;
     std::size_t count = 0;
-    for (const auto& zone : zones) {
+    for (const auto& zone : liveZones_) {
         const auto last = zoneFetch_.find(zone);
         if (last == zoneFetch_.end()) continue;
         sum += Seconds(now_ - last->second).count();
@@ -277,17 +285,22 @@
     return Seconds(now_ - own->second).count() >= std::min(mean, threshold);
 }
 
-std::uint32_t Leader::cachedRoomElsewhere(const Job& job, const Machine& machine,
-                                          std::uint32_t enough) const {
-    std::uint32_t room = 0;
+/// How many of the job's waiting tasks fit on machines that have its image and report soon.
+std::uint32_t Leader::cachedRoom(Job& job) {
+    auto& run = *job.run;
+    if (now_ < run.cachedRoomUntil) return run.cachedRoom;
+    run.cachedRoomUntil = now_ + kLookAgain;
+    run.cachedRoom = 0;
     const auto soon = std::chrono::duration_cast<Clock::duration>(settings_.report * 1.5);
-    for (const auto& [id, m] : fleet_.machines()) {
-        if (m.get() == &machine || !m->hasImage(job.spec.image) || !usable(*m)) continue;
-        if (now_ - m->lastReport > soon || !mayStart(job, *m)) continue;
-        room += roomOn(*m, job).times(bookkeeping::needOf(job.spec));
-        if (room >= enough) break;
+    const auto need = bookkeeping::needOf(job.spec);
+    for (const auto* m : fleet_.withImage(job.spec.image)) {
+        ++visited_;
+        if (!m->kind || m->kind->cpus - m->used.cpus < need.cpus - 1e-6) continue;
+        if (!usable(*m) || now_ - m->lastReport > soon || !mayStart(job, *m)) continue;
+        run.cachedRoom += roomOn(*m, job).times(need);
+        if (run.cachedRoom >= run.waiting) break;
     }
-    return room;
+    return run.cachedRoom;
 }
 
 /// The work on a machine that has to yield to the job.
@@ -298,32 +311,37 @@
     if (spec.priority < job.spec.priority) return true;
     // Any other team's borrowed work yields to a guarantee.
     const auto* team = settings_.team(spec.team);
-    return rankOf(job) == 5 && spec.team != job.spec.team && team &&
-           fleet_.teamUse(spec.team).cpus > team->cpus && rankOf(*placement.job) < 5;
+    return job.run->guaranteed && job.spec.priority < Priority::production && spec.team != job.spec.team && team &&
+           fleet_.teamUse(spec.team).cpus > team->cpus && !placement.job->run->guaranteed;
 }
 
 /// Would fetching its image make the job miss what its users expect, while a machine that has it could take
 /// it?
-bool Leader::waitsForImage(const Job& job) const {
-    const Seconds waited = now_ - job.run->waitingSince;
+bool Leader::waitsForImage(Job& job) {
+    auto& run = *job.run;
+    if (!run.tightWait || !policy_.preempt) return false;
     const Seconds fetch(fetchesSeen_ ? meanFetch_ : policy_.fetchStart.count());
-    const bool tight =
-        std::any_of(settings_.objectives.begin(), settings_.objectives.end(), [&](const auto& objective) {
-            return objective.kind == "wait" && objective.jobClass == job.spec.jobClass &&
-                   objective.within < fetch + settings_.report && waited < objective.within;
-        });
-    if (!tight || !policy_.preempt) return false;
+    const Seconds waited = now_ - run.waitingSince;
+    if (*run.tightWait >= fetch + settings_.report || waited >= *run.tightWait) return false;
+    if (now_ < run.imageWaitUntil) return run.imageWait;
+    run.imageWaitUntil = now_ + kLookAgain;
     const auto need = bookkeeping::needOf(job.spec);
-    return std::any_of(fleet_.machines().begin(), fleet_.machines().end(), [&](const auto& entry) {
-        const auto& m = *entry.second;
-        if (!m.hasImage(job.spec.image) || !usable(m) || !mayStart(job, m)) return false;
-        auto room = roomOn(m, job);
-        for (const auto& [key, p] : m.places) {
-            if (room.covers(need)) break;
-            if (p.stopping || yields(p, job)) room += bookkeeping::needOf(p.job->spec);
-        }
-        return room.covers(need);
+    const auto& machines = fleet_.withImage(job.spec.image);
+    run.imageWait = std::any_of(machines.begin(), machines.end(), [&](const Machine* m) {
+        ++visited_;
+        return usable(*m) && mayStart(job, *m) && mostRoom(*m, job).covers(need);
     });
+    return run.imageWait;
+}
+
+/// The room that the job could have on a machine if everything that might yield to it did.
+Resources Leader::mostRoom(const Machine& machine, const Job& job) const {
+    auto room = roomOn(machine, job);
+    // A guarantee may be given back by work of any priority.
+    const auto below =
+        job.run->guaranteed ? machine.stoppable.size() : static_cast<std::size_t>(job.spec.priority);
+    for (std::size_t p = 0; p < below; ++p) room += machine.stoppable[p];
+    return room;
 }
 
 void Leader::noteFetch(Machine& machine, Job& job) {
@@ -343,7 +361,7 @@
     placement.sentSequence = machine.sequence;
     ++job.run->launched;
     if (job.spec.kind == Kind::gang) job.run->gangAttempt = attempt;
-    if (machine.reservedFor == &job) machine.reservedFor = nullptr;
+    if (machine.reservedFor == &job) fleet_.reserve(machine, nullptr);
     machine.busyUntil = now_;
     spdlog::debug("start {}/{} attempt {} on {} after report {}.{}", job.spec.id, *task, attempt, machine.id,
                   machine.session, machine.sequence);
@@ -363,13 +381,15 @@
         ++p.job->run->launched;
         orders.push_back({Op::start, {p.job->spec.id, p.task, p.attempt}, Seconds(0)});
     }
+    const bool full =
+        !machine.kind || machine.kind->cpus - machine.used.cpus < leastCpus_ - 1e-6;
     bool fetchPlaced = false;
     // One rank after the other, so that a low job's cached tasks do not take the room of a high one's fetch.
     for (auto first = order_.begin(); first != order_.end();) {
         const int rank = rankOf(**first);
         const auto last =
             std::find_if(first, order_.end(), [&](const Job* job) { return rankOf(*job) != rank; });
-        for (auto at = first; at != last; ++at) {
+        for (auto at = first; at != last && !full; ++at) {
             Job& job = **at;
             if (job.run->waiting == 0 || !mayStart(job, machine)) continue;
             if (machine.hasImage(job.spec.image)) {
@@ -378,21 +398,21 @@
             } else if (waitsForImage(job)) {
                 continue;
             } else if (!fetchPlaced && !machine.isFetching(job.spec.image) && paceAllows(job, machine) &&
-                       cachedRoomElsewhere(job, machine, job.run->waiting) < job.run->waiting &&
-                       startOne(machine, job, orders)) {
+                       cachedRoom(job) < job.run->waiting && startOne(machine, job, orders)) {
                 fetchPlaced = true;
                 noteFetch(machine, job);
             }
         }
-        for (auto at = first; at != last; ++at) holdRoom(machine, **at);
+        if (rank >= static_cast<int>(Priority::high))
+            for (auto at = first; at != last; ++at) holdRoom(machine, **at);
         // What room is left takes any waiting task, unless machines that have its image report soon.
-        for (auto at = first; at != last; ++at) {
+        for (auto at = first; at != last && !full; ++at) {
             Job& job = **at;
             if (job.run->waiting == 0 || machine.hasImage(job.spec.image) || !mayStart(job, machine))
                 continue;
             if (waitsForImage(job)) continue;
             const auto waiting = job.run->waiting;
-            const auto elsewhere = cachedRoomElsewhere(job, machine, waiting);
+            const auto elsewhere = cachedRoom(job);
             bool fetching = machine.isFetching(job.spec.image);
             for (std::uint32_t n = elsewhere; n < waiting && startOne(machine, job, orders); ++n) {
                 if (!fetching) noteFetch(machine, job);
@@ -407,67 +427,96 @@
 /// of a high job keeps it, which mostly spares stopping anything.
 void Leader::holdRoom(Machine& machine, const Job& job) {
     const auto& run = *job.run;
-    if (rankOf(job) < static_cast<int>(Priority::high) || run.waiting == 0) return;
-    if (machine.reservedFor && machine.reservedUntil > now_) return;
+    if (run.waiting == 0 || machine.isReserved(now_)) return;
     if (job.spec.kind == Kind::gang && job.spec.tasks > 1) return;
     if (!mayStart(job, machine) || blockedByUnheard(job) || !withinTeamLimit(job, 1)) return;
-    const auto* type = typeOf(machine.type);
     const auto need = bookkeeping::needOf(job.spec);
-    auto most = bookkeeping::sizeOf(*type);
-    for (const auto& [key, p] : machine.places)
-        if (!yields(p, job)) most -= bookkeeping::needOf(p.job->spec);
-    if (!most.covers(need) || roomOn(machine, job).covers(need)) return;
-    const auto held =
-        std::count_if(fleet_.machines().begin(), fleet_.machines().end(), [&](const auto& entry) {
-            return entry.second->reservedFor == &job && entry.second->reservedUntil > now_;
-        });
-    if (held >= run.waiting) return;
-    machine.reservedFor = &job;
-    machine.reservedUntil = now_ + std::chrono::duration_cast<Clock::duration>(settings_.report * 3);
-    machine.holding = true;
+    if (!mostRoom(machine, job).covers(need) || roomOn(machine, job).covers(need)) return;
+    if (fleet_.reservations(job, now_) >= run.waiting) return;
+    fleet_.reserve(machine, &job,
+                   now_ + std::chrono::duration_cast<Clock::duration>(settings_.report * 3), true);
 }
 
 // --- gangs of several tasks: whole or not at all ----------------------------------------------------------
 
 void Leader::planGangs() {
+    if (now_ < nextGangs_) return;
+    nextGangs_ = now_ + 200ms;
     for (auto* job : std::vector<Job*>(order_)) {
         const auto& run = *job->run;
         if (job->spec.kind != Kind::gang || job->spec.tasks < 2 || job->final != Final::open) continue;
-        if (run.liveTotal > 0 || run.waiting < job->spec.tasks || run.notBefore > now_) continue;
-        if (blockedByUnheard(*job) || !withinTeamLimit(*job, job->spec.tasks)) continue;
+        if (run.waiting == 0 || run.notBefore > now_ || !mayComplete(*job)) continue;
+        if (blockedByUnheard(*job) || !withinTeamLimit(*job, run.waiting)) continue;
         if (!job->spec.oneZone) {
             planGang(*job, nullptr);
             continue;
         }
         for (const auto& zone : settings_.zones)
-            if (planGang(*job, &zone)) break;
+            if (zoneAllows(*job, zone) && planGang(*job, &zone)) break;
     }
 }
 
-bool Leader::planGang(Job& job, const std::string* zone) {
-    std::vector<Machine*> machines;
-    for (auto& [id, m] : fleet_.machines())
-        if (usable(*m) && (!zone || m->zone == *zone) && mayStart(job, *m)) machines.push_back(m.get());
-    std::stable_sort(machines.begin(), machines.end(), [&](const Machine* a, const Machine* b) {
-        return a->hasImage(job.spec.image) > b->hasImage(job.spec.image);
+/// A gang begins as a whole. One that lost a task before it began takes a replacement under the same attempt
+/// number, as the others go on waiting for it; a new leader completes a gang that the old one half started.
+bool Leader::mayComplete(const Job& job) {
+    if (job.run->liveTotal == 0) return true;
+    if (job.run->liveTotal + job.run->waiting != job.spec.tasks || job.run->running > 0) return false;
+    const auto places = fleet_.placesOf(job);
+    return std::all_of(places.begin(), places.end(), [&](const auto& at) {
+        const auto& p = *at.second;
+        return !p.stopping && p.attempt == job.run->gangAttempt && p.state <= PlaceState::waiting &&
+               (p.state != PlaceState::waiting || Seconds(now_ - p.since) < settings_.gangWait * 0.3);
     });
+}
+
+bool Leader::planGang(Job& job, const std::string* zone) {
     const auto need = bookkeeping::needOf(job.spec);
+    const auto wanted = job.run->waiting;
+    struct Option {
+        Machine* machine;
+        std::uint32_t room;
+        int merit;
+    };
+    std::vector<Option> options;
+    std::uint32_t total = 0;
+    for (auto& [id, m] : fleet_.machines()) {
+        if ((zone && m->zone != *zone) || !m->kind || m->kind->gpus - m->used.gpus < need.gpus - 1e-6 ||
+            m->kind->cpus - m->used.cpus < need.cpus - 1e-6)
+            continue;
+        if (!usable(*m) || !mayStart(job, *m)) continue;
+        if (job.run->liveTotal > 0 && job.run->machinesLeft.contains(id)) continue;
+        const auto room = roomOn(*m, job).times(need);
+        if (room == 0) continue;
+        total += room;
+        options.push_back({m.get(), room, (m->reservedFor == &job ? 2 : 0) + m->hasImage(job.spec.image)});
+    }
+    if (total < wanted) return false;
+    std::stable_sort(options.begin(), options.end(),
+                     [](const Option& a, const Option& b) { return a.merit > b.merit; });
     std::vector<Machine*> chosen;
     std::map<std::string, std::uint32_t> perZone;
     const auto zoneMost = job.spec.spread ? (job.spec.tasks + 1) / 2 : job.spec.tasks;
-    for (auto* m : machines) {
-        auto& here = perZone[m->zone];
-        const auto left = static_cast<std::uint32_t>(job.spec.tasks - chosen.size());
-        const auto count = std::min({roomOn(*m, job).times(need), zoneMost - here, left});
+    for (const auto& option : options) {
+        auto& here = perZone.try_emplace(option.machine->zone, 0).first->second;
+        const auto found = job.run->zones.find(option.machine->zone);
+        const auto there = here + (found == job.run->zones.end() ? 0 : found->second);
+        const auto left = static_cast<std::uint32_t>(wanted - chosen.size());
+        const auto count = std::min({option.room, zoneMost - std::min(zoneMost, there), left});
         here += count;
-        chosen.insert(chosen.end(), count, m);
-        if (chosen.size() == job.spec.tasks) break;
+        chosen.insert(chosen.end(), count, option.machine);
+    }
+    if (chosen.size() < wanted) return false;
+    const bool fresh = job.run->liveTotal == 0;
+    if (fresh) {
+        job.run->gangAttempt = (token_ << 32) + ++attempts_;
+        job.run->machinesLeft.clear();
+    }
+    std::uint32_t task = 0;
+    for (auto* machine : chosen) {
+        while (!job.isWaiting(task)) ++task;
+        fleet_.place(*machine, job, task, job.run->gangAttempt, PlaceState::planned, now_);
+        if (machine->reservedFor == &job) fleet_.reserve(*machine, nullptr);
     }
-    if (chosen.size() < job.spec.tasks) return false;
-    const std::uint64_t attempt = (token_ << 32) + ++attempts_;
-    job.run->gangAttempt = attempt;
-    for (std::uint32_t task = 0; task < job.spec.tasks; ++task)
-        fleet_.place(*chosen[task], job, task, attempt, PlaceState::planned, now_);
     orderStale_ = true;
     return true;
 }
@@ -480,89 +529,187 @@
     // Neither replicas' room nor whole machines come free by waiting.
     const bool hurried = job.spec.priority == Priority::production || job.spec.gpus > 0;
     if (hurried) patience = Seconds(0.2);
-    for (const auto& objective : settings_.objectives)
-        if (objective.kind == "wait" && objective.jobClass == job.spec.jobClass)
-            patience = hurried || objective.within < settings_.report * 3
-                           ? std::min(patience, objective.within * 0.1)
-                           : objective.within * 0.35;
+    if (const auto& wait = job.run->tightWait)
+        patience = hurried || *wait < settings_.report * 3 ? std::min(patience, *wait * 0.1) : *wait * 0.35;
     return patience;
 }
 
+/// Room is made for a few jobs at a time, going on next time where the budget of machines to look at ended.
 void Leader::preempt() {
-    constexpr int kMostAtOnce = 6;
+    constexpr int kMostAtOnce = 12;
+    constexpr std::uint64_t kMostVisits = 3000;
+    const auto visitedBefore = visited_;
     int made = 0;
-    for (auto* job : std::vector<Job*>(order_)) {
-        if (made >= kMostAtOnce) return;
+    const auto jobs = order_;
+    if (preemptFrom_ >= jobs.size()) preemptFrom_ = 0;
+    const auto first = std::exchange(preemptFrom_, 0);
+    for (std::size_t at = first; at < jobs.size(); ++at) {
+        if (made >= kMostAtOnce || visited_ - visitedBefore > kMostVisits) {
+            preemptFrom_ = at;
+            return;
+        }
+        auto* job = jobs[at];
         const auto& run = *job->run;
-        if (job->spec.priority <= Priority::normal && rankOf(*job) < 5) continue;
+        if (job->spec.priority <= Priority::normal && !run.guaranteed) continue;
         if (job->final != Final::open || run.waiting == 0 || run.notBefore > now_) continue;
-        if (job->spec.kind == Kind::gang && job->spec.tasks > 1) continue;
         if (Seconds(now_ - run.waitingSince) < patienceOf(*job)) continue;
-        if (blockedByUnheard(*job) || !withinTeamLimit(*job, 1)) continue;
-        if (preemptFor(*job)) ++made;
+        const bool gang = job->spec.kind == Kind::gang && job->spec.tasks > 1;
+        if (blockedByUnheard(*job) || !withinTeamLimit(*job, gang ? run.waiting : 1)) continue;
+        made += gang ? gather(*job) : preemptFor(*job);
     }
 }
 
-/// Frees room for one task of the job by stopping lower work where that loses least.
-bool Leader::preemptFor(Job& job) {
-    const auto need = bookkeeping::needOf(job.spec);
-    Machine* best = nullptr;
-    std::vector<Placement*> bestVictims;
-    double bestLoss = 0;
-    const bool onlyCached = waitsForImage(job);
-    for (auto& [id, m] : fleet_.machines()) {
-        if (!usable(*m) || !mayStart(job, *m) || (onlyCached && !m->hasImage(job.spec.image))) continue;
-        if (m->reservedFor && m->reservedUntil > now_ && !m->holding) {
-            if (m->reservedFor == &job) return false;  // room is being made already
+/// What would have to stop on the machine, losing least, for `tasks` tasks of the job; none: it can't be.
+std::optional<Leader::Sacrifice> Leader::sacrificeFor(Machine& machine, const Job& job, std::uint32_t tasks) {
+    visited_ += 10;
+    auto need = bookkeeping::needOf(job.spec);
+    need = {need.cpus * tasks, need.gpus * tasks, need.memoryGb * tasks};
+    Sacrifice sacrifice{&machine, {}, machine.hasImage(job.spec.image) ? 0.0 : 10.0, tasks};
+    auto room = roomOn(machine, job);
+    std::vector<std::pair<double, Placement*>> victims;
+    for (auto& [key, p] : machine.places) {
+        const auto& spec = p.job->spec;
+        if (p.stopping) {
+            room += bookkeeping::needOf(spec);
             continue;
         }
-        auto room = roomOn(*m, job);
-        if (room.covers(need)) return false;  // it will be placed with that machine's report
-        struct Victim {
-            Placement* placement;
-            double loss;
-        };
-        std::vector<Victim> victims;
-        for (auto& [key, p] : m->places) {
-            const auto& spec = p.job->spec;
-            if (p.stopping) {
-                room += bookkeeping::needOf(spec);
-                continue;
-            }
-            if (!yields(p, job)) continue;
-            double lost = p.state == PlaceState::running ? Seconds(now_ - p.runningSince).count() : 0;
-            if (spec.gpus > 0 && job.spec.gpus <= 0) lost += 1000;  // hard to place anew
-            if (spec.checkpoint > Seconds(0)) lost = std::min(lost, spec.save.count() + 5);
-            victims.push_back({&p, lost * std::max(spec.cpus, 0.1) + 1});
+        if (!yields(p, job)) continue;
+        double lost = p.state == PlaceState::running ? Seconds(now_ - p.runningSince).count() : 0;
+        if (spec.gpus > 0 && job.spec.gpus <= 0) lost += 1000;  // hard to place anew
+        if (spec.checkpoint > Seconds(0)) lost = std::min(lost, spec.save.count() + 5);
+        victims.emplace_back(lost * std::max(spec.cpus, 0.1) + 1, &p);
+    }
+    std::sort(victims.begin(), victims.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    for (const auto& [loss, victim] : victims) {
+        if (room.covers(need)) break;
+        room += bookkeeping::needOf(victim->job->spec);
+        sacrifice.loss += loss;
+        sacrifice.victims.push_back(victim);
+    }
+    return room.covers(need) ? std::optional(std::move(sacrifice)) : std::nullopt;
+}
+
+void Leader::carryOut(const Sacrifice& sacrifice, Job& job, Clock::duration until) {
+    auto& machine = *sacrifice.machine;
+    for (auto* victim : sacrifice.victims) stop(machine, *victim, victim->job->spec.save);
+    fleet_.reserve(machine, &job, now_ + until, false, sacrifice.tasks);
+}
+
+/// Frees room for tasks of the job by stopping lower work where that loses least.
+int Leader::preemptFor(Job& job) {
+    constexpr std::size_t kMostWeighed = 40, kMostAtOnce = 6;
+    const auto need = bookkeeping::needOf(job.spec);
+    const bool onlyCached = waitsForImage(job);
+    std::size_t wanted = job.run->waiting, coming = 0;
+    std::vector<Machine*> candidates;
+    std::map<std::string, std::uint32_t> zones = job.run->zones;
+    const auto weigh = [&](Machine& m) {
+        ++visited_;
+        if (!m.kind || !usable(m)) return;
+        const bool made = m.isReserved(now_) && !m.holding;
+        if (made && m.reservedFor != &job) return;
+        if (!mayStart(job, m)) return;
+        if (made) {
+            ++zones[m.zone];
+            ++coming;
+        } else if (const auto room = roomOn(m, job).times(need); room > 0) {
+            coming += room;  // it will be placed with that machine's report
+        } else if (mostRoom(m, job).covers(need)) {
+            candidates.push_back(&m);
         }
-        if (room.covers(need)) {
-            m->reservedFor = &job;
-            m->holding = false;
-            m->reservedUntil = now_ + std::chrono::duration_cast<Clock::duration>(settings_.report * 4);
-            return false;
+    };
+    if (onlyCached) {
+        for (auto* m : fleet_.withImage(job.spec.image)) weigh(*m);
+    } else {
+        for (const auto& [id, m] : fleet_.machines()) {
+            weigh(*m);
+            if (coming >= wanted) break;
         }
-        std::sort(victims.begin(), victims.end(),
-                  [](const Victim& a, const Victim& b) { return a.loss < b.loss; });
-        std::vector<Placement*> chosen;
-        double loss = m->hasImage(job.spec.image) ? 0 : 10;
-        for (const auto& victim : victims) {
-            if (room.covers(need)) break;
-            room += bookkeeping::needOf(victim.placement->job->spec);
-            loss += victim.loss;
-            chosen.push_back(victim.placement);
+    }
+    if (coming >= wanted) return 0;
+    wanted = std::min(wanted - coming, kMostAtOnce);
+    std::vector<Sacrifice> sacrifices;
+    const auto offset = candidates.empty() ? 0 : turn_++ % candidates.size();
+    for (std::size_t i = 0; i < std::min(candidates.size(), kMostWeighed); ++i)
+        if (auto found = sacrificeFor(*candidates[(offset + i) % candidates.size()], job, 1))
+            sacrifices.push_back(std::move(*found));
+    std::sort(sacrifices.begin(), sacrifices.end(),
+              [](const auto& a, const auto& b) { return a.loss < b.loss; });
+    const std::uint32_t zoneMost = job.spec.spread ? (job.spec.tasks + 1) / 2 : job.spec.tasks;
+    const auto until =
+        std::chrono::duration_cast<Clock::duration>(settings_.report * 4 + job.spec.save);
+    int made = 0;
+    for (const auto& sacrifice : sacrifices) {
+        if (wanted == 0) break;
+        if (job.spec.oneZone && !zones.empty() && !zones.contains(sacrifice.machine->zone)) continue;
+        if (zones[sacrifice.machine->zone] >= zoneMost) continue;
+        ++zones[sacrifice.machine->zone];
+        carryOut(sacrifice, job, until);
+        --wanted;
+        ++made;
+    }
+    return made;
+}
+
+/// Gathers room for a gang, whole or not at all: only where free room and what yields make up all of it, and
+/// one gang at a time in a zone, so that no two hold half of what each needs.
+int Leader::gather(Job& job) {
+    if (job.run->liveTotal > 0) return 0;
+    const auto need = bookkeeping::needOf(job.spec);
+    const auto until = std::chrono::duration_cast<Clock::duration>(settings_.report * 3 + job.spec.save);
+    struct Option {
+        Machine* machine;
+        std::uint32_t free, most;
+    };
+    std::vector<Option> best;
+    std::pair<std::uint32_t, std::uint32_t> bestMerit;
+    const auto zones = job.spec.oneZone ? settings_.zones : std::vector<std::string>{""};
+    for (const auto& zone : zones) {
+        auto& gathering = gathering_[zone];
+        if (gathering.first && gathering.first != &job && gathering.second > now_) continue;
+        std::vector<Option> options;
+        std::uint32_t free = 0, most = 0;
+        for (const auto& [id, m] : fleet_.machines()) {
+            ++visited_;
+            if ((!zone.empty() && m->zone != zone) || !m->kind || !usable(*m)) continue;
+            if (!bookkeeping::sizeOf(*m->kind).covers(need) || !mayStart(job, *m)) continue;
+            if (m->isReserved(now_) && !m->holding && m->reservedFor != &job) continue;
+            const auto now = roomOn(*m, job).times(need), later = mostRoom(*m, job).times(need);
+            if (later == 0) continue;
+            free += now;
+            most += later;
+            options.push_back({m.get(), now, later});
         }
-        if (!room.covers(need) || (best && loss >= bestLoss)) continue;
-        best = m.get();
-        bestVictims = std::move(chosen);
-        bestLoss = loss;
+        if (most < job.spec.tasks && !job.run->overdue) continue;
+        const auto merit = std::pair(std::min(most, job.spec.tasks), free);
+        if (!best.empty() && merit <= bestMerit) continue;
+        best = std::move(options);
+        bestMerit = merit;
+        if (gathering.first == &job && gathering.second > now_) break;  // it goes on where it began
     }
-    if (!best) return false;
-    for (auto* victim : bestVictims) stop(*best, *victim, victim->job->spec.save);
-    best->reservedFor = &job;
-    best->holding = false;
-    best->reservedUntil =
-        now_ + std::chrono::duration_cast<Clock::duration>(settings_.report * 4 + job.spec.save);
-    return true;
+    if (best.empty()) return 0;
+    std::stable_sort(best.begin(), best.end(), [&](const Option& a, const Option& b) {
+        const auto merit = [&](const Option& o) {
+            return (o.machine->reservedFor == &job ? 4 : 0) + (o.free > 0 ? 2 : 0) +
+                   (o.machine->hasImage(job.spec.image) ? 1 : 0);
+        };
+        return merit(a) > merit(b);
+    });
+    std::vector<Sacrifice> sacrifices;
+    std::uint32_t got = 0;
+    for (const auto& option : best) {
+        if (got >= job.spec.tasks) break;
+        const auto tasks = std::min(option.most, job.spec.tasks - got);
+        auto found = sacrificeFor(*option.machine, job, tasks);
+        if (!found) continue;
+        got += tasks;
+        sacrifices.push_back(std::move(*found));
+    }
+    // What has waited for too long keeps what comes free until there is enough.
+    if (got < job.spec.tasks && !job.run->overdue) return 0;
+    for (const auto& sacrifice : sacrifices) carryOut(sacrifice, job, until);
+    gathering_[job.spec.oneZone ? best.front().machine->zone : ""] = {&job, now_ + until};
+    return 1;
 }
 
 }  // namespace burlpoint::coordination
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::uint32_t kMostPerRequest = 50;
 constexpr std::size_t kMostPerRelease = 100;
+constexpr bool kKinds[] = {false, true};  // ordinary and spot
 
 Clock::duration ticks(Seconds s) { return std::chrono::duration_cast<Clock::duration>(s); }
 
@@ -33,6 +34,30 @@
     refusal.until = now_ + refusal.pause;
 }
 
+/// Could any more machines for the job be had in the zone?
+bool Leader::mayRent(const Job& job, const std::string& zone) const {
+    return std::any_of(types_.begin(), types_.end(), [&](const auto& entry) {
+        const auto& type = entry.second;
+        if (!bookkeeping::sizeOf(type).covers(bookkeeping::needOf(job.spec))) return false;
+        if (std::find(type.zones.begin(), type.zones.end(), zone) == type.zones.end()) return false;
+        return std::any_of(std::begin(kKinds), std::end(kKinds), [&](bool spot) {
+            return allows(job, type.name, zone, spot) && !refused({type.name, zone, spot});
+        });
+    });
+}
+
+/// Arrays that need no accelerators do not rent machines that have them, unless a processor costs there
+/// at most twice what it costs on an ordinary plain machine.
+bool Leader::worthIt(const Job& job, const MachineType& type, bool spot) const {
+    if (type.gpus <= 0 || job.spec.gpus > 0 || job.spec.kind != Kind::array) return true;
+    double plain = 0;
+    for (const auto& [name, other] : types_)
+        if (other.gpus <= 0 && other.cpus > 0 &&
+            bookkeeping::sizeOf(other).covers(bookkeeping::needOf(job.spec)))
+            plain = std::max(plain, other.price / other.cpus);
+    return plain <= 0 || (spot ? type.spotPrice : type.price) / type.cpus <= 2 * plain;
+}
+
 void Leader::provision() {
     // Virtual packing: what waits is put into the room that exists or is on its way; the rest needs machines.
     struct Bin {
@@ -46,12 +71,12 @@
     };
     std::vector<Bin> bins;
     for (auto& [id, m] : fleet_.machines()) {
-        const auto* type = typeOf(m->type);
+        const auto* type = m->kind;
         if (!type || m->draining || m->releasing || m->failed || m->recallAt || m->errorJobs.size() >= 2)
             continue;
         if (m->settled && !m->reports && m->session > 0) continue;  // lost
         Bin bin{m->type, m->zone, m->spot, bookkeeping::sizeOf(*type) - m->used, m.get()};
-        if (m->reservedUntil > now_) bin.reservedFor = m->reservedFor;
+        if (m->isReserved(now_)) bin.reservedFor = m->reservedFor;
         bins.push_back(std::move(bin));
     }
     for (const auto& rental : rentalsPending_) {
@@ -92,6 +117,22 @@
             waiting = static_cast<std::uint32_t>(std::ceil(waiting / rounds));
         }
         std::map<std::string, std::uint32_t> zones = job->run->zones;
+        if (spec.kind == Kind::gang && spec.oneZone && spec.tasks > 1 && zones.empty()) {
+            // The zone that has room for most of the gang already, of those where the rest may be rented.
+            std::map<std::string, std::uint32_t> rooms;
+            for (const auto& zone : settings_.zones) rooms[zone] = 0;
+            for (const auto& bin : bins)
+                if (bin.room.covers(need) && allows(*job, bin.type, bin.zone, bin.spot) &&
+                    (!bin.reservedFor || bin.reservedFor == job))
+                    rooms[bin.zone] += bin.room.times(need);
+            const std::string* chosen = nullptr;
+            for (const auto& [zone, room] : rooms) {
+                if (room < waiting && !mayRent(*job, zone)) continue;
+                if (!chosen || room > rooms[*chosen]) chosen = &zone;
+            }
+            if (!chosen) continue;
+            zones[*chosen] = 0;
+        }
         const std::uint32_t zoneMost = spec.spread ? (spec.tasks + 1) / 2 : spec.tasks;
         const auto zoneRoom = [&](const std::string& zone) {
             if (spec.oneZone && !zones.empty() && !zones.contains(zone)) return 0u;
@@ -100,7 +141,7 @@
             return here >= zoneMost ? 0u : zoneMost - here;
         };
         const auto fill = [&](Bin& bin) {
-            if (!allows(*job, bin.type, bin.zone, bin.spot)) return;
+            if (bin.room.cpus < need.cpus - 1e-6 || !allows(*job, bin.type, bin.zone, bin.spot)) return;
             if (bin.reservedFor && bin.reservedFor != job) return;
             const auto fits = std::min({bin.room.times(need), waiting, zoneRoom(bin.zone)});
             if (fits == 0) return;
@@ -114,7 +155,7 @@
             if (waiting == 0) break;
             fill(bin);
         }
-        const bool plain = fitsPlain(*job);
+        const bool plain = plainToBeHad(*job);
         while (waiting > 0) {
             // The cheapest machine for what is left; unused room counts against large ones.
             const Shape* best = nullptr;
@@ -125,7 +166,8 @@
                 if (!size.covers(need)) continue;
                 if (type.gpus > 0 && spec.gpus <= 0 && plain) continue;
                 for (const auto& zone : type.zones) {
-                    for (const bool spot : {false, true}) {
+                    for (const bool spot : kKinds) {
+                        if (!worthIt(*job, type, spot)) continue;
                         if (!allows(*job, name, zone, spot)) continue;
                         const Shape shape{name, zone, spot};
                         const auto count = std::min({size.times(need), waiting, zoneRoom(zone)});
@@ -144,7 +186,7 @@
                             bookkeeping::sizeOf(types_.at(bestShape.type)), nullptr, nullptr, true, false});
             const auto before = waiting;
             fill(bins.back());
-            if (waiting == before || bins.size() > 500) break;
+            if (waiting == before) break;
         }
     }
     std::set<std::string> needed;
@@ -164,11 +206,14 @@
 }
 
 void Leader::requestRentals(const std::map<Shape, std::uint32_t>& wanted) {
-    for (const auto& [shape, count] : wanted) {
-        protocol::RentalRequest request{"r-" + std::to_string(token_) + "-" + std::to_string(++rentals_),
-                                        shape.type, shape.zone, shape.spot, std::min(count, kMostPerRequest)};
-        rentalsPending_.push_back({std::move(request), now_, now_, false});
-    }
+    for (const auto& [shape, count] : wanted)
+        for (std::uint32_t left = count; left > 0;) {
+            const auto some = std::min(left, kMostPerRequest);
+            left -= some;
+            rentalsPending_.push_back({{"r-" + std::to_string(token_) + "-" + std::to_string(++rentals_),
+                                        shape.type, shape.zone, shape.spot, some},
+                                       now_, now_, false});
+        }
     for (auto& rental : rentalsPending_) {
         // One whose outcome is not known is repeated under its name: it rents nothing twice.
         if (rental.asked || now_ < rental.nextTry) continue;
@@ -194,13 +239,8 @@
     if (command.rented && command.machines.size() >= request.count) refusals_.erase(shape);
     for (const auto& id : command.machines) {
         if (deleted_.contains(id)) continue;
-        const bool known = fleet_.find(id) != nullptr;
-        auto& machine = fleet_.add(id, now_);
-        if (known) continue;
-        machine.type = request.type;
-        machine.zone = request.zone;
-        machine.spot = request.spot;
-        machine.settled = true;  // new: no earlier leader can have used it
+        if (fleet_.find(id)) continue;
+        identify(id, request.type, request.zone, request.spot);
         // In the roster before its worker's first report, so that that report can be answered with tasks.
         rosterAdd_.insert(id);
     }
@@ -258,13 +298,9 @@
         seen.insert(rented.id);
         if (deleted_.contains(rented.id)) continue;
         const bool known = fleet_.find(rented.id) != nullptr;
-        auto& machine = fleet_.add(rented.id, now_);
+        auto& machine = identify(rented.id, rented.type, rented.zone, rented.spot);
         if (!known) {
             // Rented by an earlier leader, or by a request that was carried out late.
-            machine.type = rented.type;
-            machine.zone = rented.zone;
-            machine.spot = rented.spot;
-            machine.settled = true;  // not in the roster, so it never had a task
             machine.knownSince = now_ - ticks(std::min(rented.age, Seconds(86'400)));
             machine.busyUntil = now_;
         }
@@ -294,6 +330,8 @@
         changed |= !(compared == known);
         known = std::move(type);
     }
+    for (const auto& [id, machine] : fleet_.machines())
+        if (!machine->kind) machine->kind = typeOf(machine->type);
     if (changed) typesUnstored_ = true;
     orderStale_ = true;
 }
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -198,6 +198,8 @@
         {"minimum-keep-s", [&](const auto& n) { policy.minimumKeep = Seconds(number(n, 0, kDay)); }},
         {"backlog-horizon-s", [&](const auto& n) { policy.backlogHorizon = Seconds(number(n, 1, kDay)); }},
         {"fetch-start-s", [&](const auto& n) { policy.fetchStart = Seconds(number(n, 0, 600)); }},
+        {"longest-passed-over-s",
+         [&](const auto& n) { policy.longestPassedOver = Seconds(number(n, 1, kDay)); }},
         {"preempt", [&](const auto& n) { policy.preempt = number(n, 0, 1) != 0; }},
     };
     std::set<std::string_view> seen;
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -60,6 +60,7 @@
     Seconds minimumKeep{55};     // the cloud charges a minute at least
     Seconds backlogHorizon{45};  // a backlog of short tasks should be gone after this
     Seconds fetchStart{5};       // fetch time assumed before one was seen
+    Seconds longestPassedOver{120};  // what has waited for longer goes ahead of its like
     bool preempt = true;
 };
 
--- a/tests/jobs_test.cpp
+++ b/tests/jobs_test.cpp
@@ -169,10 +169,10 @@
 }
 
 TEST(Machine, CacheKeepsTheLatestImagesWithinItsSize) {
-    Machine m;
-    m.useImage("a", 10, 25);
-    m.useImage("b", 10, 25);
-    m.useImage("a", 10, 25);
-    m.useImage("c", 10, 25);
+    Fleet fleet;
+    auto& m = fleet.add("m", Time{});
+    for (const char* image : {"a", "b", "a", "c"}) fleet.useImage(m, image, 10, 25);
     EXPECT_TRUE(m.hasImage("a") && m.hasImage("c") && !m.hasImage("b"));
+    EXPECT_EQ(fleet.withImage("a").size(), 1u);
+    EXPECT_TRUE(fleet.withImage("b").empty());
 }
