--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -23,6 +23,8 @@
 
 constexpr std::size_t kMostOrders = 300;  // keeps a response well below 64 KiB
 constexpr auto kBitsPause = 1s;           // a job's finished tasks gather for this long
+constexpr std::uint32_t kUnheeded = 2;    // answers that did not get through, in a row
+constexpr auto kPaused = 3s;              // without a tick this node did not lead in the meantime
 
 Clock::duration ticks(Seconds s) { return std::chrono::duration_cast<Clock::duration>(s); }
 
@@ -121,6 +123,9 @@
     machine.spot = spot;
     machine.kind = typeOf(type);
     machine.settled = !mirror_.roster.contains(id);
+    // Back in the cloud's list, say: what is not newer than its last message stays old.
+    if (const auto left = departed_.find(id); left != departed_.end())
+        std::tie(machine.session, machine.sequence) = left->second;
     return machine;
 }
 
@@ -134,25 +139,41 @@
         actions_.push_back(Resign{"a worker has seen a higher token"});
         return;
     }
-    if (deleted_.contains(report.machine)) {
-        // A report that was held back: the machine is gone for good.
+    const std::pair counters(report.session, report.sequence);
+    const auto left = departed_.find(report.machine);
+    if (!fleet_.find(report.machine) && left != departed_.end() && counters <= left->second) {
+        // A report that was held back, or a copy of one: the machine is gone.
         actions_.push_back(AnswerReport{command.request, false, {}});
         return;
     }
-    lastReport_ = now_;
     auto& machine = identify(report.machine, report.type, report.zone, report.spot);
-    machine.lastReport = now_;
-    machine.leaseUntil = now_ + leaseBound(settings_);
-    machine.reports = true;
-    // A report may arrive after a newer message of its worker; its tasks are then old news.
-    const bool newer =
-        std::pair(report.session, report.sequence) > std::pair(machine.session, machine.sequence);
-    if (!newer) {
-        actions_.push_back(AnswerReport{command.request, true, {}});
+    if (counters <= std::pair(machine.session, machine.sequence)) {
+        // A late copy, or overtaken by a direct answer: old news either way. It was sent before the newest
+        // message came, so an answer renews the lease from then at most.
+        if (machine.reports)
+            machine.leaseUntil = std::max(machine.leaseUntil, machine.newestAt + leaseBound(settings_));
+        actions_.push_back(AnswerReport{command.request, machine.reports, {}});
+        // Or its worker has begun to count anew: a direct answer tells.
+        if (++machine.overtaken >= 2) probe(machine);
         return;
     }
+    machine.overtaken = 0;
+    lastReport_ = now_;
+    machine.lastReport = now_;
+    if (!machine.settled && report.token < token_) {
+        // It has not taken our token, so no answer of ours to an earlier report has renewed its lease.
+        machine.leaseUntil = began_ + leaseBound(settings_);
+        if (machine.unheeded >= kUnheeded) {
+            merge(machine, report, true);
+            actions_.push_back(AnswerReport{command.request, false, {}});
+            return;
+        }
+        ++machine.unheeded;
+    }
+    machine.leaseUntil = std::max(machine.settled ? Time{} : machine.leaseUntil, now_ + leaseBound(settings_));
+    machine.reports = true;
     merge(machine, report, true);
-    keepRoster(machine);
+    if (machine.heard) keepRoster(machine);
     actions_.push_back(AnswerReport{command.request, true, compose(machine, report)});
     urgent_.erase(machine.id);  // the response has its stops
 }
@@ -168,16 +189,42 @@
         actions_.push_back(Resign{"a worker has seen a higher token"});
         return;
     }
+    if (std::pair(report.session, report.sequence) <= machine->probedCounters) {
+        // The answer was made after the probe was sent, so its worker has begun to count anew. Late copies of
+        // what it sent before could not be told from news: the machine is replaced.
+        spdlog::info("{} has begun to count anew and is given up", machine->id);
+        machine->releasing = true;
+        return;
+    }
     machine->probedAt = now_;
+    machine->deafSince.reset();
+    machine->unheeded = 0;
+    machine->overtaken = 0;
     const bool retry = !machine->heard && report.token < token_ && report.session != machine->session;
     if (std::pair(report.session, report.sequence) > std::pair(machine->session, machine->sequence))
         merge(*machine, report, false);
     // The probe named an old session and was turned down; with the right one the token gets through.
-    if (retry) actions_.push_back(SendOrders{machine->id, machine->address, machine->session, {}});
+    if (retry) probe(*machine);
+}
+
+/// A direct command without orders: it carries the token, and its answer is newer than all that came before.
+void Leader::probe(Machine& machine) {
+    if (machine.probing || machine.address.empty()) return;
+    machine.probing = true;
+    machine.probedCounters = {machine.session, machine.sequence};
+    actions_.push_back(SendOrders{machine.id, machine.address, machine.session, stopOrders(machine)});
+}
+
+/// What was sent to the machine has not arrived. After a few times it is taken for deaf until it answers.
+void Leader::noteUnheeded(Machine& machine) {
+    if (++machine.unheeded < kUnheeded || machine.deafSince) return;
+    spdlog::info("{} reports but hears nothing", machine.id);
+    machine.deafSince = now_;
 }
 
 void Leader::merge(Machine& machine, const Report& report, bool isReport) {
     if (report.session > machine.session && machine.heard) {
+        if (machine.reports && machine.session > 0) noteUnheeded(machine);
         // The worker killed and forgot all its tasks; planned ones never reached it.
         for (auto at = machine.places.begin(); at != machine.places.end();) {
             const Placement placement = at->second;
@@ -192,6 +239,7 @@
     }
     machine.session = report.session;
     machine.sequence = report.sequence;
+    machine.newestAt = now_;
     machine.address = report.address;
     if (report.notice && !machine.recallAt) machine.recallAt = now_ + ticks(*report.notice);
     if (!report.notice) machine.recallAt.reset();
@@ -204,6 +252,7 @@
 
     for (auto& [key, placement] : machine.places) placement.seen = placement.state == PlaceState::planned;
     for (const auto& task : report.tasks) mergeTask(machine, task);
+    bool unheeded = false;
     for (auto at = machine.places.begin(); at != machine.places.end();) {
         const Placement placement = at->second;
         // A start that left with a report's response may still be on its way when a direct command's reply
@@ -214,10 +263,12 @@
             ++at;
             continue;
         }
+        unheeded |= placement.state == PlaceState::sent;
         fleet_.remove(machine, at);
         gone(machine, placement, ExitReason::none);
         at = machine.places.upper_bound({placement.job, placement.task, placement.attempt});
     }
+    if (unheeded) noteUnheeded(machine);
     if (machine.recallAt) recall(machine);
     if (!machine.places.empty()) machine.busyUntil = now_;
 }
@@ -245,6 +296,10 @@
         orderStale_ = true;
     } else {
         placement = &at->second;
+        if (placement->state == PlaceState::sent) {
+            machine.unheeded = 0;
+            machine.deafSince.reset();
+        }
         if (placement->state == PlaceState::fetching && state != PlaceState::fetching) {
             const double took = Seconds(now_ - placement->since).count();
             meanFetch_ = fetchesSeen_ == 0 ? took : meanFetch_ + (took - meanFetch_) * 0.1;
@@ -422,6 +477,8 @@
 
 void Leader::forget(Machine& machine) {
     const auto id = machine.id;
+    auto& left = departed_[id];
+    left = std::max(left, {machine.session, machine.sequence});
     settle(machine);
     if (machine.roster != RosterState::absent) rosterDrop_.insert(id);
     rosterAdd_.erase(id);
@@ -460,7 +517,7 @@
     std::size_t reporting = 0, silent = 0;
     std::vector<Machine*> lapsed;
     for (auto& [id, machine] : fleet_.machines()) {
-        const bool quiet = now_ - machine->lastReport > patience;
+        const bool quiet = now_ - machine->lastReport > patience || machine->deafSince;
         if (!machine->settled || machine->reports) (quiet || !machine->settled ? silent : reporting) += 1;
         if (now_ > machine->leaseUntil && (!machine->settled || machine->reports || !machine->places.empty()))
             lapsed.push_back(machine.get());
@@ -476,15 +533,15 @@
     for (auto& [id, machine] : fleet_.machines()) {
         const bool unheard = !machine->settled;
         if (!unheard && !machine->reports) continue;
-        const auto silence = now_ - machine->lastReport;
-        if (!unheard && silence <= patience) continue;
+        // Reports prove nothing of a machine that has not taken the token or does not act on what it is sent.
+        const auto silence = now_ - (unheard              ? began_
+                                     : machine->deafSince ? *machine->deafSince
+                                                          : machine->lastReport);
+        if (!unheard && !machine->deafSince && silence <= patience) continue;
         // The probe carries the token, so a reachable worker reports anew and an unheard one is heard.
-        if (!machine->address.empty() && !machine->probing) {
-            machine->probing = true;
-            actions_.push_back(SendOrders{id, machine->address, machine->session, stopOrders(*machine)});
-        }
+        probe(*machine);
         const bool answered = now_ - machine->probedAt < giveUp;
-        const bool holds = unheard || !machine->places.empty();
+        const bool holds = unheard || machine->deafSince || !machine->places.empty();
         if (few && holds && !answered && silence > giveUp && !machine->releasing) {
             spdlog::info("{} is silent and is given up", id);
             machine->releasing = true;
@@ -681,6 +738,13 @@
 // --- time -------------------------------------------------------------------------------------------------
 
 void Leader::on(Tick&) {
+    if (lastTick_ != Time{} && now_ - lastTick_ > kPaused) {
+        // This node was not entitled to act for a while, or too slow: silence meanwhile was its own.
+        lastReport_ = now_;
+        for (auto& [id, machine] : fleet_.machines())
+            machine->lastReport = std::max(machine->lastReport, now_ - ticks(settings_.report));
+    }
+    lastTick_ = now_;
     watchSilence();
     refreshOrder();
     refreshPacing();
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -169,6 +169,8 @@
     void stop(Machine& machine, Placement& placement, Seconds grace);
     void stopJob(Job& job, Seconds grace);
     void settle(Machine& machine);
+    void probe(Machine& machine);
+    void noteUnheeded(Machine& machine);
     void forget(Machine& machine);
     void adoptJob(Job& job, bool inherited);
     std::vector<Order> compose(Machine& machine, const Report& report);
@@ -239,7 +241,8 @@
     Fleet fleet_;
     std::map<std::string, MachineType> types_;
     std::uint64_t attempts_ = 0, rentals_ = 0;
-    std::set<std::string> deleted_;  // machines whose deletion was completed
+    // Machines that are gone, with the newest counters seen: what is not newer is a late copy.
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> departed_;
     std::set<std::string> urgent_;   // machines to be sent their stops at once
 
     // the state service
@@ -274,6 +277,7 @@
     std::uint32_t fetchesSeen_ = 0;
 
     // machines
+    Time lastTick_{};
     Time nextSilence_{}, nextPreempt_{}, nextPlan_{}, nextDump_{}, nextList_{}, nextTypes_{}, lastReport_{};
     bool listing_ = false;
     storage::RateBudget cloudBudget_;
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -132,7 +132,7 @@
 void Node::tick() {
     const auto now = Clock::now();
     election_.tick(now);
-    if (leader_) lead(Tick{});
+    if (leader_ && election_.valid(now)) lead(Tick{});
     if (now >= nextHeartbeat_ && now - state_.lastAnswer() > 800ms) {
         nextHeartbeat_ = now + 800ms;
         sync_.fresh([](bool) {});
@@ -357,6 +357,12 @@
 }
 
 void Node::perform(Rent& action) {
+    // Renting and deleting are a leader's business as much as commands are.
+    if (!election_.valid(Clock::now())) {
+        RentalAnswered unknown;
+        unknown.name = action.request.name;
+        return enqueue(Command(std::move(unknown)));
+    }
     http_.request(settings_.cloud, "POST", paths::kRentals, protocol::encodeRental(action.request),
                   kCloudTimeout, [this, round = leaderRound_, name = action.request.name](Outcome outcome) {
                       if (round != leaderRound_) return;
@@ -377,6 +383,7 @@
 }
 
 void Node::perform(Release& action) {
+    if (!election_.valid(Clock::now())) return enqueue(Command(ReleaseAnswered{action.machines, false}));
     http_.request(settings_.cloud, "POST", paths::kRelease, protocol::encodeRelease(action.machines),
                   kCloudTimeout, [this, round = leaderRound_, machines = action.machines](Outcome outcome) {
                       if (round == leaderRound_) enqueue(Command(ReleaseAnswered{machines, outcome.ok()}));
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -33,7 +33,7 @@
 bool Leader::usable(const Machine& m) const {
     // A machine without a stored roster entry would be unknown to the next leader, tasks and all.
     return m.heard && m.reports && m.roster == RosterState::stored && !m.draining && !m.releasing &&
-           !m.failed && !m.recallAt && m.quietUntil <= now_ && m.errorJobs.size() < kSickJobs && m.kind;
+           !m.failed && !m.recallAt && !m.deafSince && m.quietUntil <= now_ && m.errorJobs.size() < kSickJobs && m.kind;
 }
 
 bool Leader::allows(const Job& job, const std::string& type, const std::string& zone, bool spot) const {
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -1,6 +1,7 @@
 // Renting machines for what waits and returning those that nobody needs.
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "coordination/leader.h"
 
@@ -17,6 +18,7 @@
 
 constexpr std::uint32_t kMostPerRequest = 50;
 constexpr std::size_t kMostPerRelease = 100;
+constexpr auto kDeleted = std::numeric_limits<std::uint64_t>::max();
 constexpr bool kKinds[] = {false, true};  // ordinary and spot
 
 Clock::duration ticks(Seconds s) { return std::chrono::duration_cast<Clock::duration>(s); }
@@ -72,7 +74,7 @@
     std::vector<Bin> bins;
     for (auto& [id, m] : fleet_.machines()) {
         const auto* type = m->kind;
-        if (!type || m->draining || m->releasing || m->failed || m->recallAt || m->errorJobs.size() >= 2)
+        if (!type || m->deafSince || m->draining || m->releasing || m->failed || m->recallAt || m->errorJobs.size() >= 2)
             continue;
         if (m->settled && !m->reports && m->session > 0) continue;  // lost
         Bin bin{m->type, m->zone, m->spot, bookkeeping::sizeOf(*type) - m->used, m.get()};
@@ -238,8 +240,7 @@
     if (!command.rented || command.machines.size() < request.count) refuse(shape);
     if (command.rented && command.machines.size() >= request.count) refusals_.erase(shape);
     for (const auto& id : command.machines) {
-        if (deleted_.contains(id)) continue;
-        if (fleet_.find(id)) continue;
+        if (departed_.contains(id) || fleet_.find(id)) continue;
         identify(id, request.type, request.zone, request.spot);
         // In the roster before its worker's first report, so that that report can be answered with tasks.
         rosterAdd_.insert(id);
@@ -285,8 +286,8 @@
         return;
     }
     for (const auto& id : command.machines) {
-        deleted_.insert(id);
         if (auto* machine = fleet_.find(id)) forget(*machine);
+        departed_[id] = {kDeleted, kDeleted};  // deleted: whatever still comes of it is late
     }
 }
 
@@ -296,7 +297,8 @@
     std::set<std::string> seen;
     for (const Rented& rented : command.machines) {
         seen.insert(rented.id);
-        if (deleted_.contains(rented.id)) continue;
+        const auto left = departed_.find(rented.id);
+        if (left != departed_.end() && left->second.first == kDeleted) continue;
         const bool known = fleet_.find(rented.id) != nullptr;
         auto& machine = identify(rented.id, rented.type, rented.zone, rented.spot);
         if (!known) {
