--- a/src/bookkeeping/fleet.h
+++ b/src/bookkeeping/fleet.h
@@ -84,8 +84,8 @@
     /// It showed our token: nothing that an earlier leader sent can start any more, and its list is whole.
     bool heard = false;
     /// Nothing of earlier leaders can be on it, as it was heard or its lease ran out.
-    bool settled = false;   // changed by Fleet::setSettled
-    bool counted = false;   // among Fleet::unsettled
+    bool settled = false;  // changed by Fleet::setSettled
+    bool counted = false;  // among Fleet::unsettled
     bool reports = false;  // a report of it was answered and its lease is not over
     Time lastReport{};
     Time leaseUntil = Time::max();  // the worker has forgotten its tasks by then
@@ -110,13 +110,13 @@
     std::pair<std::uint64_t, std::uint64_t> probedCounters;  // newest session and sequence as it was sent
     /// Answers in a row that did not get through, as its next report shows.
     std::uint32_t unheeded = 0;
-    std::uint32_t overtaken = 0;  // reports in a row older than the newest message
-    std::optional<Time> deafSince;  // nothing seems to reach it
-    Time quietUntil{};  // no new starts after a refusal
+    std::uint32_t overtaken = 0;       // reports in a row older than the newest message
+    std::optional<Time> deafSince;     // nothing seems to reach it
+    Time quietUntil{};                 // no new starts after a refusal
     const Job* reservedFor = nullptr;  // changed by Fleet::reserve
     Time reservedUntil{};
-    bool holding = false;       // only what comes free by itself is kept; nothing was stopped for it
-    std::uint32_t reserved = 1;  // tasks that the room is kept for
+    bool holding = false;             // only what comes free by itself is kept; nothing was stopped for it
+    std::uint32_t reserved = 1;       // tasks that the room is kept for
     std::set<std::string> errorJobs;  // jobs that failed on it since a task last worked
 
     bool hasImage(const std::string& image) const;
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -26,12 +26,12 @@
     bool began() const { return launched > 0 || liveTotal > 0; }
     explicit Run(std::uint32_t tasks) : live(tasks, 0) {}
 
-    std::vector<std::uint8_t> live;              // machines that each task is possibly on
-    std::uint32_t liveTotal = 0;                 // sum of `live`
-    std::uint32_t waiting = 0;                   // tasks neither finished nor possibly on a machine
-    std::uint32_t running = 0;                   // tasks seen running
-    std::set<std::uint32_t> unstored;            // tasks seen done whose bit is not stored yet
-    std::uint32_t hint = 0;                      // no task before this one is waiting
+    std::vector<std::uint8_t> live;                 // machines that each task is possibly on
+    std::uint32_t liveTotal = 0;                    // sum of `live`
+    std::uint32_t waiting = 0;                      // tasks neither finished nor possibly on a machine
+    std::uint32_t running = 0;                      // tasks seen running
+    std::set<std::uint32_t> unstored;               // tasks seen done whose bit is not stored yet
+    std::uint32_t hint = 0;                         // no task before this one is waiting
     std::map<std::string, std::uint32_t> zones;     // possible tasks per zone
     std::map<std::string, std::uint32_t> machines;  // and per machine
     bool inherited = false;                         // accepted before this leader began
@@ -44,13 +44,13 @@
     double pacedTotal = 0;
     bool admitted = false;
 
-    std::uint64_t gangAttempt = 0;  // the attempt under way, 0: none
+    std::uint64_t gangAttempt = 0;       // the attempt under way, 0: none
     std::set<std::string> machinesLeft;  // that a task of this attempt has gone from
     const protocol::Team* team = nullptr;
     std::optional<Seconds> tightWait;  // the shortest wait aim of its class
     double place = 0;                  // within its rank, the lower the sooner
-    Time notBefore{};               // back-off after failures
-    Time acceptedAt{};              // by this node's clock, as far as clocks agree
+    Time notBefore{};                  // back-off after failures
+    Time acceptedAt{};                 // by this node's clock, as far as clocks agree
     Time waitingSince{};
     Time nextBits{};                            // when its finished tasks are stored next
     std::map<std::string, Time> errorMachines;  // where a task of it failed since its last success
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -170,7 +170,8 @@
         }
         ++machine.unheeded;
     }
-    machine.leaseUntil = std::max(machine.settled ? Time{} : machine.leaseUntil, now_ + leaseBound(settings_));
+    machine.leaseUntil =
+        std::max(machine.settled ? Time{} : machine.leaseUntil, now_ + leaseBound(settings_));
     machine.reports = true;
     merge(machine, report, true);
     if (machine.heard) keepRoster(machine);
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -243,7 +243,7 @@
     std::uint64_t attempts_ = 0, rentals_ = 0;
     // Machines that are gone, with the newest counters seen: what is not newer is a late copy.
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> departed_;
-    std::set<std::string> urgent_;   // machines to be sent their stops at once
+    std::set<std::string> urgent_;  // machines to be sent their stops at once
 
     // the state service
     storage::RateBudget writeBudget_;
@@ -260,7 +260,7 @@
 
     // placement
     std::vector<Job*> order_;  // waiting jobs in the order they are walked
-    double leastCpus_ = 0;      // that any of them needs
+    double leastCpus_ = 0;     // that any of them needs
     std::vector<Job*> open_;
     bool orderStale_ = true;
     Time nextOrder_{}, nextPacing_{}, nextGangs_{};
@@ -270,7 +270,8 @@
     double meanCachedSeconds_ = 0;
     std::size_t machinesUp_ = 0;
     std::set<std::string> liveZones_;
-    std::map<std::string, std::pair<const Job*, Time>> gathering_;  // per zone, and until when
+    std::map<std::string, std::pair<const Job*, Time>>
+        hoarding_;  // the gang that does, per zone, and until when
     std::size_t preemptFrom_ = 0, turn_ = 0;
     std::uint64_t visited_ = 0;  // machines looked at on behalf of jobs; tests count them
     double meanFetch_ = 0;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t kMostStarts = 250;
 constexpr auto kErrorMemory = 90s;  // how long a task's failure on a machine keeps its job away from it
 constexpr std::size_t kSickJobs = 2;
-constexpr auto kPlainOnly = 12s;   // how long a replica waits for a machine without accelerators
+constexpr auto kPlainOnly = 12s;    // how long a replica waits for a machine without accelerators
 constexpr auto kLookAgain = 250ms;  // how long a look at the other machines serves a job
 constexpr int kProductionRank = 10, kOverdueRank = 6, kGuaranteedRank = 5;
 
@@ -33,7 +33,8 @@
 bool Leader::usable(const Machine& m) const {
     // A machine without a stored roster entry would be unknown to the next leader, tasks and all.
     return m.heard && m.reports && m.roster == RosterState::stored && !m.draining && !m.releasing &&
-           !m.failed && !m.recallAt && !m.deafSince && m.quietUntil <= now_ && m.errorJobs.size() < kSickJobs && m.kind;
+           !m.failed && !m.recallAt && !m.deafSince && m.quietUntil <= now_ &&
+           m.errorJobs.size() < kSickJobs && m.kind;
 }
 
 bool Leader::allows(const Job& job, const std::string& type, const std::string& zone, bool spot) const {
@@ -183,8 +184,8 @@
         demand += {spec.cpus * unfinished, spec.gpus * unfinished, 0};
         const auto* team = run.team;
         // "A value of 0 means none": with no guarantee of accelerators, work that needs them has none.
-        run.guaranteed = team && (team->cpus > 0 || team->gpus > 0) &&
-                         demand.cpus <= team->cpus + 1e-6 && demand.gpus <= team->gpus + 1e-6;
+        run.guaranteed = team && (team->cpus > 0 || team->gpus > 0) && demand.cpus <= team->cpus + 1e-6 &&
+                         demand.gpus <= team->gpus + 1e-6;
         const bool production = spec.priority == Priority::production;
         run.rank = production       ? kProductionRank
                    : run.guaranteed ? kGuaranteedRank
@@ -194,8 +195,8 @@
         if (run.waiting == 0) continue;
         order_.push_back(job);
         leastCpus_ = std::min(leastCpus_, spec.cpus);
-        // Within a rank by arrival. Where deadlines count, what is soonest through goes first, so that as many
-        // jobs as possible meet theirs, and what can no longer meet its own goes last.
+        // Within a rank by arrival. Where deadlines count, what is soonest through goes first, so that as
+        // many jobs as possible meet theirs, and what can no longer meet its own goes last.
         run.place = last / 2;
         const Seconds age = now_ - run.acceptedAt;
         if (spec.deadline)
@@ -218,8 +219,8 @@
 void Leader::admit(Job& job) {
     if (machinesUp_ == 0) return;
     const auto& having = fleet_.withImage(job.spec.image);
-    const auto has = std::count_if(having.begin(), having.end(),
-                                   [](const auto* m) { return m->reports && m->heard; });
+    const auto has =
+        std::count_if(having.begin(), having.end(), [](const auto* m) { return m->reports && m->heard; });
     const double lacking = 1 - std::min(1.0, static_cast<double>(has) / static_cast<double>(machinesUp_));
     job.run->admitted = true;
     job.run->pacedTotal = job.spec.tasks * lacking;
@@ -311,8 +312,8 @@
     if (spec.priority < job.spec.priority) return true;
     // Any other team's borrowed work yields to a guarantee.
     const auto* team = settings_.team(spec.team);
-    return job.run->guaranteed && job.spec.priority < Priority::production && spec.team != job.spec.team && team &&
-           fleet_.teamUse(spec.team).cpus > team->cpus && !placement.job->run->guaranteed;
+    return job.run->guaranteed && job.spec.priority < Priority::production && spec.team != job.spec.team &&
+           team && fleet_.teamUse(spec.team).cpus > team->cpus && !placement.job->run->guaranteed;
 }
 
 /// Would fetching its image make the job miss what its users expect, while a machine that has it could take
@@ -381,8 +382,7 @@
         ++p.job->run->launched;
         orders.push_back({Op::start, {p.job->spec.id, p.task, p.attempt}, Seconds(0)});
     }
-    const bool full =
-        !machine.kind || machine.kind->cpus - machine.used.cpus < leastCpus_ - 1e-6;
+    const bool full = !machine.kind || machine.kind->cpus - machine.used.cpus < leastCpus_ - 1e-6;
     bool fetchPlaced = false;
     // One rank after the other, so that a low job's cached tasks do not take the room of a high one's fetch.
     for (auto first = order_.begin(); first != order_.end();) {
@@ -433,8 +433,8 @@
     const auto need = bookkeeping::needOf(job.spec);
     if (!mostRoom(machine, job).covers(need) || roomOn(machine, job).covers(need)) return;
     if (fleet_.reservations(job, now_) >= run.waiting) return;
-    fleet_.reserve(machine, &job,
-                   now_ + std::chrono::duration_cast<Clock::duration>(settings_.report * 3), true);
+    fleet_.reserve(machine, &job, now_ + std::chrono::duration_cast<Clock::duration>(settings_.report * 3),
+                   true);
 }
 
 // --- gangs of several tasks: whole or not at all ----------------------------------------------------------
@@ -636,8 +636,7 @@
     std::sort(sacrifices.begin(), sacrifices.end(),
               [](const auto& a, const auto& b) { return a.loss < b.loss; });
     const std::uint32_t zoneMost = job.spec.spread ? (job.spec.tasks + 1) / 2 : job.spec.tasks;
-    const auto until =
-        std::chrono::duration_cast<Clock::duration>(settings_.report * 4 + job.spec.save);
+    const auto until = std::chrono::duration_cast<Clock::duration>(settings_.report * 4 + job.spec.save);
     int made = 0;
     for (const auto& sacrifice : sacrifices) {
         if (wanted == 0) break;
@@ -651,8 +650,9 @@
     return made;
 }
 
-/// Gathers room for a gang, whole or not at all: only where free room and what yields make up all of it, and
-/// one gang at a time in a zone, so that no two hold half of what each needs.
+/// Gathers room for a gang, whole or not at all: only where free room and what yields make up all of it.
+/// Only a gang that was passed over for too long keeps less than it needs, and only one at a time in a zone,
+/// so that no two wait for each other's halves.
 int Leader::gather(Job& job) {
     if (job.run->liveTotal > 0) return 0;
     const auto need = bookkeeping::needOf(job.spec);
@@ -665,8 +665,9 @@
     std::pair<std::uint32_t, std::uint32_t> bestMerit;
     const auto zones = job.spec.oneZone ? settings_.zones : std::vector<std::string>{""};
     for (const auto& zone : zones) {
-        auto& gathering = gathering_[zone];
-        if (gathering.first && gathering.first != &job && gathering.second > now_) continue;
+        const auto hoard = hoarding_.find(zone);
+        const bool hoarded = hoard != hoarding_.end() && hoard->second.second > now_;
+        const bool own = hoarded && hoard->second.first == &job;
         std::vector<Option> options;
         std::uint32_t free = 0, most = 0;
         for (const auto& [id, m] : fleet_.machines()) {
@@ -680,12 +681,12 @@
             most += later;
             options.push_back({m.get(), now, later});
         }
-        if (most < job.spec.tasks && !job.run->overdue) continue;
+        if (most < job.spec.tasks && (!job.run->overdue || (hoarded && !own))) continue;
         const auto merit = std::pair(std::min(most, job.spec.tasks), free);
         if (!best.empty() && merit <= bestMerit) continue;
         best = std::move(options);
         bestMerit = merit;
-        if (gathering.first == &job && gathering.second > now_) break;  // it goes on where it began
+        if (own) break;  // it goes on where it began
     }
     if (best.empty()) return 0;
     std::stable_sort(best.begin(), best.end(), [&](const Option& a, const Option& b) {
@@ -708,7 +709,8 @@
     // What has waited for too long keeps what comes free until there is enough.
     if (got < job.spec.tasks && !job.run->overdue) return 0;
     for (const auto& sacrifice : sacrifices) carryOut(sacrifice, job, until);
-    gathering_[job.spec.oneZone ? best.front().machine->zone : ""] = {&job, now_ + until};
+    if (got < job.spec.tasks)
+        hoarding_[job.spec.oneZone ? best.front().machine->zone : ""] = {&job, now_ + until};
     return 1;
 }
 
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -74,7 +74,8 @@
     std::vector<Bin> bins;
     for (auto& [id, m] : fleet_.machines()) {
         const auto* type = m->kind;
-        if (!type || m->deafSince || m->draining || m->releasing || m->failed || m->recallAt || m->errorJobs.size() >= 2)
+        if (!type || m->deafSince || m->draining || m->releasing || m->failed || m->recallAt ||
+            m->errorJobs.size() >= 2)
             continue;
         if (m->settled && !m->reports && m->session > 0) continue;  // lost
         Bin bin{m->type, m->zone, m->spot, bookkeeping::sizeOf(*type) - m->used, m.get()};
@@ -123,14 +124,19 @@
             // The zone that has room for most of the gang already, of those where the rest may be rented.
             std::map<std::string, std::uint32_t> rooms;
             for (const auto& zone : settings_.zones) rooms[zone] = 0;
+            std::map<std::string, std::uint32_t> asked;  // those not up yet or not even asked for
             for (const auto& bin : bins)
                 if (bin.room.covers(need) && allows(*job, bin.type, bin.zone, bin.spot) &&
                     (!bin.reservedFor || bin.reservedFor == job))
                     rooms[bin.zone] += bin.room.times(need);
+            for (const auto& bin : bins) asked[bin.zone] += !bin.machine && bin.used;
             const std::string* chosen = nullptr;
+            const auto merit = [&](const std::string& zone) {
+                return std::pair(std::min(rooms[zone], waiting), -static_cast<int>(asked[zone]));
+            };
             for (const auto& [zone, room] : rooms) {
                 if (room < waiting && !mayRent(*job, zone)) continue;
-                if (!chosen || room > rooms[*chosen]) chosen = &zone;
+                if (!chosen || merit(zone) > merit(*chosen)) chosen = &zone;
             }
             if (!chosen) continue;
             zones[*chosen] = 0;
@@ -214,7 +220,9 @@
             left -= some;
             rentalsPending_.push_back({{"r-" + std::to_string(token_) + "-" + std::to_string(++rentals_),
                                         shape.type, shape.zone, shape.spot, some},
-                                       now_, now_, false});
+                                       now_,
+                                       now_,
+                                       false});
         }
     for (auto& rental : rentalsPending_) {
         // One whose outcome is not known is repeated under its name: it rents nothing twice.
--- a/tests/jobs_test.cpp
+++ b/tests/jobs_test.cpp
@@ -153,7 +153,8 @@
     EXPECT_GT(third, second);
 }
 
-// Seen on a simulated day: workers cut off from the leader's zone lost their leases beside a node that saw both.
+// Seen on a simulated day: workers cut off from the leader's zone lost their leases beside a node that saw
+// both.
 TEST(Detour, StandsInForAWorkerThatComesBackFromTheLeader) {
     coordination::Detour detour;
     Time now{1000s};
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -105,7 +105,8 @@
     b.report("m2");
     b.tell(WorkerAnswered{"m1", b.message("m1", {}, 5)});
     EXPECT_EQ(b.report("m2"), Names{});
-    EXPECT_EQ(b.report("m1"), Names{"wk-1/0"});  // without the task, in a report: the response never got there
+    EXPECT_EQ(b.report("m1"),
+              Names{"wk-1/0"});  // without the task, in a report: the response never got there
 }
 
 TEST(Leader, AnUnheardMachineBlocksOnlyWhatItCouldHold) {
