Promises of all peers carry the leader through an outage of the state service

Ruled out: a longer lease, which would lose more when a leader alone is cut off. Reads are spaced so that five nodes fit the service's rate.

--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace burlpoint::coordination {
 
 using storage::TxnResult;
@@ -13,6 +15,11 @@
 
 namespace keys = storage::keys;
 
+namespace {
+constexpr Duration kPromise{2500};
+constexpr Duration kUnserved{1200};  // without an answer of the state service
+}  // namespace
+
 Election::Election(const protocol::Settings& settings, const protocol::Policy& policy,
                    storage::StateClient& state, bookkeeping::Mirror& mirror, Sync& sync, Won won, Lost lost)
     : settings_(settings),
@@ -21,7 +28,8 @@
       sync_(sync),
       won_(std::move(won)),
       lost_(std::move(lost)),
-      random_(std::random_device{}()) {
+      random_(std::random_device{}()),
+      started_(Clock::now()) {
     // Short enough that a successor takes over within the workers' lease, long enough that the leader's
     // silence during an outage of the state service, added to that lease, spans the outage.
     const auto wished = policy.leadership.count() > 0
@@ -52,9 +60,37 @@
         notBefore_ =
             std::max(notBefore_, now + (own ? 0ms : std::uniform_int_distribution<>(0, 250)(random_) * 1ms));
     }
+    // Bound by a promise, or perhaps by one that a former self gave before it ended.
+    if (now < bound_ && boundTo_ > abdicated_) return;
+    if (!own && mirror_.token > abdicated_ && now < started_ + kPromise + kPromise / 100) return;
     if (now >= notBefore_) attempt(now);
 }
 
+Duration Election::promise(const std::string& leader, std::uint64_t token, Time now) {
+    const bool known = mirror_.leader && mirror_.leader->node == leader && mirror_.leader->token == token;
+    if (!known || abdicated(*mirror_.leader) || leading_ || trying_ || !sync_.synced()) return Duration(0);
+    if (now - state_.lastAnswer() < kUnserved) return Duration(0);
+    // A transaction of an earlier try cannot come through late: this leader's key has changed its conditions.
+    bound_ = now + kPromise + kPromise / 1000;
+    boundTo_ = token;
+    return kPromise;
+}
+
+void Election::notePromise(const std::string& peer, Duration life, Time sent) {
+    if (life.count() <= 0) return;
+    Tenure promise;
+    promise.begin(sent, std::min(life, Duration(kPromise)));
+    promises_[peer] = promise.until();
+}
+
+bool Election::promised(Time now) const {
+    return !settings_.peers.empty() &&
+           std::all_of(settings_.peers.begin(), settings_.peers.end(), [&](const auto& peer) {
+               const auto found = promises_.find(peer.name);
+               return found != promises_.end() && now < found->second;
+           });
+}
+
 void Election::attempt(Time now) {
     trying_ = true;
     const auto round = ++round_;
@@ -142,6 +178,7 @@
 
 void Election::lose() {
     tenure_.end();
+    promises_.clear();
     givenUp_ = token_;
     leading_ = false;
     vacant_ = false;
--- a/src/coordination/election.h
+++ b/src/coordination/election.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <random>
 #include <string>
 
@@ -22,6 +23,7 @@
     void renewed(transport::Time sent) { until_ = std::max(until_, bound(sent, life_)); }
     void end() { until_ = transport::Time::min(); }
     bool valid(transport::Time now) const { return now < until_; }
+    transport::Time until() const { return until_; }
 
   private:
     static transport::Time bound(transport::Time sent, transport::Duration life) {
@@ -46,7 +48,12 @@
     /// Gives leadership up at once. `selfish`: this node is badly placed to lead, so others go first.
     void resign(transport::Time now, bool selfish);
     /// May this node act as leader at this moment?
-    bool valid(transport::Time now) const { return leading_ && tenure_.valid(now); }
+    bool valid(transport::Time now) const { return leading_ && (tenure_.valid(now) || promised(now)); }
+    /// A leader asks in an outage: how long will this node not try to lead? Zero unless its key was there when
+    /// the state service last answered, which was a while ago.
+    transport::Duration promise(const std::string& leader, std::uint64_t token, transport::Time now);
+    /// A peer's answer to that. Promises of all peers stand in for the lease while nobody is served.
+    void notePromise(const std::string& peer, transport::Duration life, transport::Time sent);
     bool leading() const { return leading_; }
     /// A leader that the state service refuses has told its peers that it stopped: its key may be taken over.
     void noteAbdication(std::uint64_t token) { abdicated_ = std::max(abdicated_, token); }
@@ -54,6 +61,7 @@
     std::uint64_t givenUp() const { return givenUp_; }
 
   private:
+    bool promised(transport::Time now) const;
     void attempt(transport::Time now);
     void takeOver(std::uint64_t lease, transport::Time sent);
     void confirm(std::uint64_t token);
@@ -75,6 +83,10 @@
     std::uint64_t round_ = 0;  // answers to requests of earlier rounds are ignored
     bool trying_ = false, leading_ = false, renewing_ = false, vacant_ = false;
     transport::Time notBefore_{}, nextRenewal_{};
+    const transport::Time started_;
+    transport::Time bound_{};                         // this node's promise to `boundTo_` ends
+    std::uint64_t boundTo_ = 0;                       // a leader's token
+    std::map<std::string, transport::Time> promises_;  // of the peers, to this leader
 };
 
 }  // namespace burlpoint::coordination
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -9,6 +9,7 @@
 using protocol::Malformed;
 using storage::TxnResult;
 using transport::Clock;
+using transport::Duration;
 using transport::Outcome;
 using transport::Reply;
 using transport::Request;
@@ -45,6 +46,13 @@
     return limits;
 }
 
+/// Three quarters of the state service's requests are shared out for reads, each followed by this pause.
+Duration readSpacing(const protocol::Settings& settings) {
+    const double nodes = static_cast<double>(settings.peers.size()) + 1;
+    return std::max(Duration(25),
+                    Duration(static_cast<int>(1000 * 1.5 * nodes / (settings.stateRps * 0.75))));
+}
+
 }  // namespace
 
 bool Detour::over(Time now) const { return now >= until_ && now - at_ >= kBackSoon; }
@@ -85,13 +93,15 @@
       policy_(policy),
       http_(io, settings.maxConnections * 3 / 10),
       state_(http_, settings.state, settings.stateRps, settings.stateWriteRps, 0.5, Clock::now()),
-      sync_(io, state_, mirror_,
-            [this](const std::vector<bookkeeping::Change>& changes) {
-                JobsChanged jobs;
-                for (const auto& change : changes)
-                    if (change.kind == bookkeeping::ChangeKind::job) jobs.ids.push_back(change.id);
-                if (leader_ && !jobs.ids.empty()) enqueue(Command(std::move(jobs)));
-            }),
+      sync_(
+          io, state_, mirror_,
+          [this](const std::vector<bookkeeping::Change>& changes) {
+              JobsChanged jobs;
+              for (const auto& change : changes)
+                  if (change.kind == bookkeeping::ChangeKind::job) jobs.ids.push_back(change.id);
+              if (leader_ && !jobs.ids.empty()) enqueue(Command(std::move(jobs)));
+          },
+          readSpacing(settings)),
       election_(
           settings, policy, state_, mirror_, sync_, [this](std::uint64_t token) { won(token); },
           [this] { lost(); }),
@@ -240,14 +250,20 @@
     const auto body = protocol::encodePeerStatus(ownStatus(now));
     if (leader_) desk_.setRunning(leader_->runningCounts());
     for (const auto& peer : settings_.peers)
-        http_.request(peer.address, "POST", paths::kPeer, body, kPeerTimeout, [this](Outcome outcome) {
-            if (!outcome.ok()) return;
-            try {
-                notePeer(protocol::decodePeerStatus(outcome.body), Clock::now());
-            } catch (const Malformed& error) {
-                spdlog::error("malformed answer of a peer: {}", error.what());
-            }
-        });
+        http_.request(peer.address, "POST", paths::kPeer, body, kPeerTimeout,
+                      [this, round = leaderRound_, name = peer.name, sent = now](Outcome outcome) {
+                          if (!outcome.ok()) return;
+                          try {
+                              const auto status = protocol::decodePeerStatus(outcome.body);
+                              notePeer(status, Clock::now());
+                              if (leader_ && round == leaderRound_ && status.node == name)
+                                  election_.notePromise(
+                                      name, Duration(std::min<std::uint64_t>(status.promiseMs, 60'000)),
+                                      sent);
+                          } catch (const Malformed& error) {
+                              spdlog::error("malformed answer of a peer: {}", error.what());
+                          }
+                      });
 }
 
 void Node::servePeer(Call& call) {
@@ -257,9 +273,13 @@
     if (call.request.method != "POST") return call.reply(respond(405));
     try {
         const auto now = Clock::now();
-        notePeer(protocol::decodePeerStatus(call.request.body), now);
+        const auto asking = protocol::decodePeerStatus(call.request.body);
+        notePeer(asking, now);
         auto status = ownStatus(now);
         status.running.clear();
+        if (asking.token > 0)
+            status.promiseMs =
+                static_cast<std::uint64_t>(election_.promise(asking.node, asking.token, now).count());
         call.reply(respond(200, protocol::encodePeerStatus(status)));
     } catch (const Malformed& error) {
         call.reply(respond(400, protocol::errorReply(error.what())));
--- a/src/coordination/sync.cpp
+++ b/src/coordination/sync.cpp
@@ -14,14 +14,18 @@
 constexpr auto kWatch = 10s;
 constexpr auto kWatchTimeout = 12s;
 constexpr auto kFreshTimeout = 1200ms;  // users wait 2 s for an answer
-constexpr auto kFreshSpacing = 25ms;    // what comes in meanwhile shares the next read
-constexpr auto kPollSpacing = 60ms;
 constexpr auto kRetry = 400ms;
 constexpr double kReserve = 10;  // requests kept for lease renewals and a leader's writes
 }  // namespace
 
-Sync::Sync(asio::io_context& io, storage::StateClient& state, bookkeeping::Mirror& mirror, Changed changed)
-    : state_(state), mirror_(mirror), changed_(std::move(changed)), pollTimer_(io), freshTimer_(io) {}
+Sync::Sync(asio::io_context& io, storage::StateClient& state, bookkeeping::Mirror& mirror, Changed changed,
+           transport::Duration spacing)
+    : spacing_(spacing),
+      state_(state),
+      mirror_(mirror),
+      changed_(std::move(changed)),
+      pollTimer_(io),
+      freshTimer_(io) {}
 
 void Sync::later(asio::steady_timer& timer, transport::Duration pause, void (Sync::*next)()) {
     timer.expires_after(pause);
@@ -77,7 +81,7 @@
 void Sync::poll() {
     if (polling_ || loading_) return;
     if (!state_.requests().take(0, kReserve, Clock::now()))
-        return later(pollTimer_, kPollSpacing, &Sync::poll);
+        return later(pollTimer_, spacing_ * 2, &Sync::poll);
     polling_ = true;
     state_.watch(storage::keys::kAll, mirror_.revision, kWatch, kWatchTimeout,
                  [this](ReadStatus status, const KeyPage& page) {
@@ -85,7 +89,7 @@
                      if (status == ReadStatus::tooOld) return load();
                      if (status == ReadStatus::failed) return later(pollTimer_, kRetry, &Sync::poll);
                      take(page);
-                     later(pollTimer_, kPollSpacing, &Sync::poll);
+                     later(pollTimer_, spacing_ * 2, &Sync::poll);
                  });
 }
 
@@ -104,7 +108,7 @@
         for (auto& done : std::exchange(asked_, {})) done(ok);
         if (waiting_) return;
         waiting_ = true;
-        later(freshTimer_, kFreshSpacing, &Sync::sendFresh);
+        later(freshTimer_, spacing_, &Sync::sendFresh);
     };
     state_.watch(storage::keys::kAll, mirror_.revision, 0s, kFreshTimeout,
                  [this, answer](ReadStatus status, const KeyPage& page) {
--- a/src/coordination/sync.h
+++ b/src/coordination/sync.h
@@ -15,7 +15,9 @@
     using Changed = std::function<void(const std::vector<bookkeeping::Change>&)>;
     using Fresh = std::function<void(bool ok)>;
 
-    Sync(asio::io_context& io, storage::StateClient& state, bookkeeping::Mirror& mirror, Changed changed);
+    /// `spacing`: the least time between two reads, so that all nodes' reads fit the service's rate.
+    Sync(asio::io_context& io, storage::StateClient& state, bookkeeping::Mirror& mirror, Changed changed,
+         transport::Duration spacing = transport::Duration(25));
 
     void start() { load(); }
     /// Everything stored has been read at least once.
@@ -31,6 +33,7 @@
     void take(const protocol::KeyPage& page);
     void sendFresh();
 
+    const transport::Duration spacing_;
     storage::StateClient& state_;
     bookkeeping::Mirror& mirror_;
     Changed changed_;
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -307,6 +307,7 @@
     s.token = f.integer("token");
     s.givenUp = f.integerOr("given_up", 0);
     s.stateAgeMs = f.integer("state_age_ms");
+    s.promiseMs = f.integerOr("promise_ms", 0);
     f.each("running", [&](const msgpack::object& element) {
         const Fields r(element);
         s.running.emplace_back(r.text("job"), static_cast<std::uint32_t>(
@@ -317,11 +318,12 @@
 
 std::string encodePeerStatus(const PeerStatus& s) {
     Packer p;
-    p.map(5)
+    p.map(6)
         .field("node", s.node)
         .field("token", s.token)
         .field("given_up", s.givenUp)
-        .field("state_age_ms", s.stateAgeMs);
+        .field("state_age_ms", s.stateAgeMs)
+        .field("promise_ms", s.promiseMs);
     p.key("running").list(s.running.size());
     for (const auto& [job, count] : s.running) p.map(2).field("job", job).field("count", count);
     return p.take();
--- a/tests/frontdesk_test.cpp
+++ b/tests/frontdesk_test.cpp
@@ -268,3 +268,38 @@
     while (!b.token) b.election.tick(Clock::now()), io.run_one_for(5ms);
     EXPECT_GT(b.token, token);
 }
+
+// In an outage nobody can take the key. Promises of all peers stand in for the lease, so that workers keep
+// their tasks; each peer keeps its promise whatever becomes of the key.
+TEST_F(FrontDeskTest, PromisesOfAllPeersCarryALeaderThroughAnOutage) {
+    Desk a(io, stub), b(io, stub, "two");
+    a.config.peers = {{"two", "z", ""}, {"three", "z", ""}};
+    while (!a.token) a.election.tick(Clock::now()), io.run_one_for(5ms);
+    b.until([&] { return b.mirror.leader && b.mirror.leader->token == a.token; });
+    EXPECT_EQ(b.election.promise("one", a.token, Clock::now()), 0ms);  // the state service answers
+    const auto later = Clock::now() + 20s;
+    EXPECT_EQ(b.election.promise("one", a.token + 1, later), 0ms);
+    EXPECT_EQ(b.election.promise("two", a.token, later), 0ms);
+    const auto life = b.election.promise("one", a.token, later);
+    ASSERT_GT(life, 0ms);
+    a.election.notePromise("two", life, later);
+    EXPECT_FALSE(a.election.valid(later));  // one of two
+    a.election.notePromise("three", life, later);
+    EXPECT_TRUE(a.election.valid(later + life / 2));
+    EXPECT_FALSE(a.election.valid(later + life));
+    stub.store.endLease(stub.store.leases.begin()->first);
+    stub.wake();
+    b.until([&] { return !b.mirror.leader; });
+    for (int i = 0; i < 100; ++i) b.election.tick(Clock::now()), io.run_one_for(2ms);
+    EXPECT_EQ(b.token, 0u);
+    while (!b.token) b.election.tick(later + 2 * life), io.run_one_for(5ms);
+    // A process that is back at once has forgotten what it promised.
+    Desk c(io, stub, "three");
+    c.until([&] { return c.mirror.leader && c.mirror.leader->node == "two"; });
+    stub.store.endLease(stub.store.leases.rbegin()->first);
+    stub.wake();
+    c.until([&] { return !c.mirror.leader; });
+    for (int i = 0; i < 300; ++i) c.election.tick(Clock::now()), io.run_one_for(2ms);
+    EXPECT_EQ(c.token, 0u);
+    while (!c.token) c.election.tick(Clock::now() + 10s), io.run_one_for(5ms);
+}
