Rentals are asked for where they are to be had; gangs bespeak a zone, stop as a whole and keep their machines

Cause: at the start each demand went again and again to spot types that the cloud had just refused, so the last ordinary machines came after 150 s; large gangs lost each freed machine to smaller ones, and a spot notice stopped one task of a gang whose progress the others then lost. Replicas leave accelerators alone while plain machines have room.

--- a/src/bookkeeping/fleet.h
+++ b/src/bookkeeping/fleet.h
@@ -28,6 +28,7 @@
         cpus -= o.cpus, gpus -= o.gpus, memoryGb -= o.memoryGb;
         return *this;
     }
+    friend Resources operator+(Resources a, const Resources& b) { return a += b; }
     friend Resources operator-(Resources a, const Resources& b) { return a -= b; }
     /// Sums of decimals are not exact; a billionth of a processor is not worth a refusal.
     bool covers(const Resources& o) const {
--- a/src/coordination/election.h
+++ b/src/coordination/election.h
@@ -49,8 +49,8 @@
     void resign(transport::Time now, bool selfish);
     /// May this node act as leader at this moment?
     bool valid(transport::Time now) const { return leading_ && (tenure_.valid(now) || promised(now)); }
-    /// A leader asks in an outage: how long will this node not try to lead? Zero unless its key was there when
-    /// the state service last answered, which was a while ago.
+    /// A leader asks in an outage: how long will this node not try to lead? Zero unless its key was there
+    /// when the state service last answered, which was a while ago.
     transport::Duration promise(const std::string& leader, std::uint64_t token, transport::Time now);
     /// A peer's answer to that. Promises of all peers stand in for the lease while nobody is served.
     void notePromise(const std::string& peer, transport::Duration life, transport::Time sent);
@@ -84,8 +84,8 @@
     bool trying_ = false, leading_ = false, renewing_ = false, vacant_ = false;
     transport::Time notBefore_{}, nextRenewal_{};
     const transport::Time started_;
-    transport::Time bound_{};                         // this node's promise to `boundTo_` ends
-    std::uint64_t boundTo_ = 0;                       // a leader's token
+    transport::Time bound_{};                          // this node's promise to `boundTo_` ends
+    std::uint64_t boundTo_ = 0;                        // a leader's token
     std::map<std::string, transport::Time> promises_;  // of the peers, to this leader
 };
 
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t kMostOrders = 300;  // keeps a response well below 64 KiB
 constexpr auto kBitsPause = 1s;           // a job's finished tasks gather for this long
 constexpr std::uint32_t kUnheeded = 2;    // answers that did not get through, in a row
+constexpr Seconds kKeptFor{5};            // machines of a stopped gang, beyond its save and reports
 constexpr auto kPaused = 3s;              // without a tick this node did not lead in the meantime
 
 Clock::duration ticks(Seconds s) { return std::chrono::duration_cast<Clock::duration>(s); }
@@ -396,6 +397,11 @@
             orderStale_ = true;
         } else {
             stop(*machine, *placement, grace);
+            // A gang that goes on later does so at once if the machines it has are kept for it meanwhile.
+            if (job.spec.kind == Kind::gang && job.spec.tasks > 1 && job.final == Final::open &&
+                !machine->isReserved(now_) && !machine->recallAt)
+                fleet_.reserve(*machine, &job, now_ + ticks(grace + settings_.report * 3 + kKeptFor), false,
+                               job.run->machines.at(machine->id));
         }
     }
 }
@@ -446,7 +452,10 @@
     for (auto& [key, placement] : machine.places) {
         const auto& spec = placement.job->spec;
         if (placement.state == PlaceState::planned) continue;
-        if (spec.checkpoint > Seconds(0)) {
+        if (spec.kind == Kind::gang && spec.tasks > 1) {
+            // Its save needs all of them told within a short time; one alone would lose the progress of all.
+            stopJob(*placement.job, spec.save);
+        } else if (spec.checkpoint > Seconds(0)) {
             stop(machine, placement, spec.save);
         } else if (spec.kind == Kind::array) {
             const Seconds ran =
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -136,7 +136,7 @@
     struct PendingRental {
         protocol::RentalRequest request;
         Time since{}, nextTry{};
-        bool asked = false;
+        bool asked = false, fresh = true;  // fresh: never asked for so far
     };
     struct Sacrifice {  // what would stop on a machine to make room
         Machine* machine = nullptr;
@@ -219,6 +219,7 @@
     void carryOut(const Sacrifice& sacrifice, Job& job, Clock::duration until);
     int preemptFor(Job& job);
     int gather(Job& job);
+    bool bespokenAgainst(const Job& job, const Machine& machine) const;
 
     // provisioning.cpp
     void provision();
@@ -265,13 +266,18 @@
     bool orderStale_ = true;
     Time nextOrder_{}, nextPacing_{}, nextGangs_{};
     std::map<std::string, std::pair<Resources, Priority>> acceleratorNeeds_;
+    // Machines per type whose replicas leave no room for the jobs that need accelerators, and all.
+    std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> givenOver_;
+    // Processors, per zone and kind, that replicas could have on machines without accelerators.
+    std::map<std::pair<std::string, bool>, double> plainRoom_;
     std::map<std::string, Time> zoneFetch_;    // the last fetch started per zone
     std::map<std::string, double> imageWork_;  // processor seconds waiting per image and cached processor
     double meanCachedSeconds_ = 0;
     std::size_t machinesUp_ = 0;
     std::set<std::string> liveZones_;
-    std::map<std::string, std::pair<const Job*, Time>>
-        hoarding_;  // the gang that does, per zone, and until when
+    const Job* bespeaker_ = nullptr;  // the gang for which a zone is bespoken
+    std::string bespokenZone_;
+    Time bespokenUntil_{};
     std::size_t preemptFrom_ = 0, turn_ = 0;
     std::uint64_t visited_ = 0;  // machines looked at on behalf of jobs; tests count them
     double meanFetch_ = 0;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t kSickJobs = 2;
 constexpr auto kPlainOnly = 12s;    // how long a replica waits for a machine without accelerators
 constexpr auto kLookAgain = 250ms;  // how long a look at the other machines serves a job
+constexpr double kFavour = 1e6, kSpotLoss = 100;  // processor seconds, when a gang's machines are chosen
 constexpr int kProductionRank = 10, kOverdueRank = 6, kGuaranteedRank = 5;
 
 }  // namespace
@@ -85,7 +86,11 @@
     auto room = bookkeeping::sizeOf(*machine.kind) - machine.used;
     if (machine.reservedFor != &job && machine.isReserved(now_)) {
         const auto* holder = machine.reservedFor;
-        if (holder->run && holder->run->waiting > 0 && rankOf(*holder) >= rankOf(job)) {
+        // Room that work was stopped for is not for other work of no higher priority, whatever its rank:
+        // guaranteed tasks would fill it again and again, to be stopped once more.
+        const bool kept = rankOf(*holder) >= rankOf(job) ||
+                          (!machine.holding && holder->spec.priority >= job.spec.priority);
+        if (holder->run && holder->run->waiting > 0 && kept) {
             const auto need = bookkeeping::needOf(holder->spec);
             room -= {need.cpus * machine.reserved, need.gpus * machine.reserved,
                      need.memoryGb * machine.reserved};
@@ -100,7 +105,7 @@
     if (job.final != Final::open || run.waiting == 0 || run.notBefore > now_) return false;
     if (!allows(job, machine.type, machine.zone, machine.spot) || !zoneAllows(job, machine.zone))
         return false;
-    if (!sparesAccelerators(job, machine)) return false;
+    if (!sparesAccelerators(job, machine) || bespokenAgainst(job, machine)) return false;
     const auto failed = run.errorMachines.find(machine.id);
     if (failed != run.errorMachines.end() && now_ - failed->second < kErrorMemory &&
         run.errorMachines.size() < 3)
@@ -123,8 +128,15 @@
     auto room = bookkeeping::sizeOf(*type) - bookkeeping::needOf(job.spec) - machine.plainUse[4];
     for (auto p = static_cast<std::size_t>(priority); p < 4; ++p) room -= machine.plainUse[p];
     if (room.covers(need)) return true;
-    // As long as the cloud has more of them, none is short, and replicas have nowhere else to go.
-    return service && !plainToBeHad(job) && machine.used.gpus <= 0 && !shortOf(machine.type);
+    if (!service || plainToBeHad(job)) return false;
+    const auto plain = plainRoom_.find({machine.zone, machine.spot});
+    if (plain != plainRoom_.end() && plain->second > 4 * job.spec.cpus) return false;
+    // Replicas have nowhere else to go. They share machines that others have given over to them, and take
+    // more as long as the cloud has more, or up to a quarter of them all.
+    if (!(room + bookkeeping::needOf(job.spec)).covers(need)) return true;
+    const auto given = givenOver_.find(machine.type);
+    const bool few = given == givenOver_.end() || given->second.first * 4 < given->second.second;
+    return machine.used.gpus <= 0 && (few || !shortOf(machine.type));
 }
 
 /// The cloud has lately refused machines of this type, in every zone.
@@ -243,11 +255,25 @@
         work = processors > 0 ? work / processors : 0;
     }
     machinesUp_ = 0;
+    givenOver_.clear();
+    plainRoom_.clear();
     liveZones_.clear();
     double sum = 0;
     for (const auto& [id, m] : fleet_.machines()) {
         if (!m->reports || !m->heard) continue;
         ++machinesUp_;
+        if (m->kind && m->kind->gpus <= 0 && usable(*m)) {
+            auto& room = plainRoom_[{m->zone, m->spot}];
+            room += m->kind->cpus - m->used.cpus;
+            for (const auto& stoppable : m->stoppable) room += stoppable.cpus;
+            room -= m->stoppable.back().cpus;  // production is not stopped
+        }
+        if (const auto need = acceleratorNeeds_.find(m->type); need != acceleratorNeeds_.end() && m->kind) {
+            auto& [given, all] = givenOver_[m->type];
+            ++all;
+            const auto left = bookkeeping::sizeOf(*m->kind) - m->plainUse[4];
+            given += !left.covers(need->second.first);
+        }
         sum += cachedSeconds(*m);
         // Only zones that report count: one that is cut off would raise the mean for all others.
         if (now_ - m->lastReport < std::chrono::duration_cast<Clock::duration>(settings_.report * 3))
@@ -488,7 +514,9 @@
         const auto room = roomOn(*m, job).times(need);
         if (room == 0) continue;
         total += room;
-        options.push_back({m.get(), room, (m->reservedFor == &job ? 2 : 0) + m->hasImage(job.spec.image)});
+        // One spot machine that is taken back stops the whole gang.
+        const int merit = (m->reservedFor == &job ? 4 : 0) + (m->spot ? 0 : 2) + m->hasImage(job.spec.image);
+        options.push_back({m.get(), room, merit});
     }
     if (total < wanted) return false;
     std::stable_sort(options.begin(), options.end(),
@@ -517,6 +545,7 @@
         fleet_.place(*machine, job, task, job.run->gangAttempt, PlaceState::planned, now_);
         if (machine->reservedFor == &job) fleet_.reserve(*machine, nullptr);
     }
+    if (bespeaker_ == &job) bespeaker_ = nullptr;
     orderStale_ = true;
     return true;
 }
@@ -537,7 +566,7 @@
 /// Room is made for a few jobs at a time, going on next time where the budget of machines to look at ended.
 void Leader::preempt() {
     constexpr int kMostAtOnce = 12;
-    constexpr std::uint64_t kMostVisits = 3000;
+    constexpr std::uint64_t kMostVisits = 6000;
     const auto visitedBefore = visited_;
     int made = 0;
     const auto jobs = order_;
@@ -591,6 +620,8 @@
 
 void Leader::carryOut(const Sacrifice& sacrifice, Job& job, Clock::duration until) {
     auto& machine = *sacrifice.machine;
+    spdlog::debug("room for {} of {} {} on {}: {} tasks stop", sacrifice.tasks, job.spec.id,
+                  job.spec.jobClass, machine.id, sacrifice.victims.size());
     for (auto* victim : sacrifice.victims) stop(machine, *victim, victim->job->spec.save);
     fleet_.reserve(machine, &job, now_ + until, false, sacrifice.tasks);
 }
@@ -650,9 +681,10 @@
     return made;
 }
 
-/// Gathers room for a gang, whole or not at all: only where free room and what yields make up all of it.
-/// Only a gang that was passed over for too long keeps less than it needs, and only one at a time in a zone,
-/// so that no two wait for each other's halves.
+/// Makes room for a gang, whole or not at all: only where free room and what yields make up all of it. A gang
+/// that is passed over for long, as smaller ones take each machine that comes free, bespeaks a zone: until it
+/// has enough there, other work that needs what it needs goes elsewhere. Lower work goes on meanwhile. There
+/// is one such gang at a time, so that no two wait for each other's halves.
 int Leader::gather(Job& job) {
     if (job.run->liveTotal > 0) return 0;
     const auto need = bookkeeping::needOf(job.spec);
@@ -663,11 +695,8 @@
     };
     std::vector<Option> best;
     std::pair<std::uint32_t, std::uint32_t> bestMerit;
-    const auto zones = job.spec.oneZone ? settings_.zones : std::vector<std::string>{""};
-    for (const auto& zone : zones) {
-        const auto hoard = hoarding_.find(zone);
-        const bool hoarded = hoard != hoarding_.end() && hoard->second.second > now_;
-        const bool own = hoarded && hoard->second.first == &job;
+    std::string bestZone;
+    for (const auto& zone : job.spec.oneZone ? settings_.zones : std::vector<std::string>{""}) {
         std::vector<Option> options;
         std::uint32_t free = 0, most = 0;
         for (const auto& [id, m] : fleet_.machines()) {
@@ -681,37 +710,56 @@
             most += later;
             options.push_back({m.get(), now, later});
         }
-        if (most < job.spec.tasks && (!job.run->overdue || (hoarded && !own))) continue;
         const auto merit = std::pair(std::min(most, job.spec.tasks), free);
         if (!best.empty() && merit <= bestMerit) continue;
         best = std::move(options);
         bestMerit = merit;
-        if (own) break;  // it goes on where it began
+        bestZone = zone;
+    }
+    if (bestMerit.first < job.spec.tasks) {
+        const bool bespoken = bespeaker_ && bespokenUntil_ > now_;
+        if (bespoken && bespeaker_ == &job) bestZone = bespokenZone_;  // it stays where it began
+        if (now_ - job.run->acceptedAt > policy_.longestPassedOver / 3 && (!bespoken || bespeaker_ == &job)) {
+            bespeaker_ = &job;
+            bespokenZone_ = bestZone;
+            bespokenUntil_ = now_ + 5s;
+        }
+        return 0;
     }
-    if (best.empty()) return 0;
-    std::stable_sort(best.begin(), best.end(), [&](const Option& a, const Option& b) {
-        const auto merit = [&](const Option& o) {
-            return (o.machine->reservedFor == &job ? 4 : 0) + (o.free > 0 ? 2 : 0) +
-                   (o.machine->hasImage(job.spec.image) ? 1 : 0);
-        };
-        return merit(a) > merit(b);
-    });
     std::vector<Sacrifice> sacrifices;
-    std::uint32_t got = 0;
     for (const auto& option : best) {
-        if (got >= job.spec.tasks) break;
-        const auto tasks = std::min(option.most, job.spec.tasks - got);
-        auto found = sacrificeFor(*option.machine, job, tasks);
+        auto found = sacrificeFor(*option.machine, job, std::min(option.most, job.spec.tasks));
         if (!found) continue;
-        got += tasks;
+        // Machines kept for it come first; a spot machine that is taken back would stop the whole gang.
+        if (option.machine->reservedFor == &job) found->loss -= kFavour;
+        if (option.machine->spot) found->loss += kSpotLoss * found->tasks;
         sacrifices.push_back(std::move(*found));
     }
-    // What has waited for too long keeps what comes free until there is enough.
-    if (got < job.spec.tasks && !job.run->overdue) return 0;
-    for (const auto& sacrifice : sacrifices) carryOut(sacrifice, job, until);
-    if (got < job.spec.tasks)
-        hoarding_[job.spec.oneZone ? best.front().machine->zone : ""] = {&job, now_ + until};
+    std::sort(sacrifices.begin(), sacrifices.end(),
+              [](const auto& a, const auto& b) { return a.loss / a.tasks < b.loss / b.tasks; });
+    std::uint32_t got = 0;
+    for (const auto& sacrifice : sacrifices) {
+        if (got >= job.spec.tasks) break;
+        got += sacrifice.tasks;
+    }
+    if (got < job.spec.tasks) return 0;
+    got = 0;
+    for (const auto& sacrifice : sacrifices) {
+        if (got >= job.spec.tasks) break;
+        got += sacrifice.tasks;
+        carryOut(sacrifice, job, until);
+    }
     return 1;
 }
 
+/// A gang that waits for machines like this one has bespoken the zone.
+bool Leader::bespokenAgainst(const Job& job, const Machine& machine) const {
+    if (!bespeaker_ || bespokenUntil_ <= now_ || bespeaker_ == &job || !machine.kind) return false;
+    const auto& spec = bespeaker_->spec;
+    if (!bespokenZone_.empty() && machine.zone != bespokenZone_) return false;
+    if (job.spec.priority < spec.priority || job.spec.priority == Priority::production) return false;
+    if (spec.gpus > 0 ? job.spec.gpus <= 0 : job.spec.kind != Kind::gang) return false;
+    return bookkeeping::sizeOf(*machine.kind).covers(bookkeeping::needOf(spec));
+}
+
 }  // namespace burlpoint::coordination
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -19,6 +19,7 @@
 constexpr std::uint32_t kMostPerRequest = 50;
 constexpr std::size_t kMostPerRelease = 100;
 constexpr auto kDeleted = std::numeric_limits<std::uint64_t>::max();
+constexpr std::uint32_t kFew = 3;
 constexpr bool kKinds[] = {false, true};  // ordinary and spot
 
 Clock::duration ticks(Seconds s) { return std::chrono::duration_cast<Clock::duration>(s); }
@@ -180,6 +181,8 @@
                         const Shape shape{name, zone, spot};
                         const auto count = std::min({size.times(need), waiting, zoneRoom(zone)});
                         if (count == 0 || refused(shape)) continue;
+                        // What was refused lately is asked for a few only, and the rest elsewhere.
+                        if (refusals_.contains(shape) && wanted[shape] >= kFew) continue;
                         const double cost = (spot ? type.spotPrice : type.price) / count;
                         if (best && cost >= bestCost) continue;
                         bestShape = shape;
@@ -222,13 +225,15 @@
                                         shape.type, shape.zone, shape.spot, some},
                                        now_,
                                        now_,
-                                       false});
+                                       false,
+                                       true});
         }
     for (auto& rental : rentalsPending_) {
         // One whose outcome is not known is repeated under its name: it rents nothing twice.
         if (rental.asked || now_ < rental.nextTry) continue;
         if (!cloudBudget_.take(1, 0, now_)) break;
         rental.asked = true;
+        rental.fresh = false;
         actions_.push_back(Rent{rental.request});
     }
 }
@@ -245,7 +250,13 @@
         return;
     }
     rentalsPending_.erase(found);
-    if (!command.rented || command.machines.size() < request.count) refuse(shape);
+    if (!command.rented || command.machines.size() < request.count) {
+        refuse(shape);
+        std::erase_if(rentalsPending_, [&](const auto& other) {
+            const auto& r = other.request;
+            return other.fresh && Shape{r.type, r.zone, r.spot} == shape;
+        });
+    }
     if (command.rented && command.machines.size() >= request.count) refusals_.erase(shape);
     for (const auto& id : command.machines) {
         if (departed_.contains(id) || fleet_.find(id)) continue;
