Submissions are paced by a budget of their own

Cause: on the leader's node its own writes emptied the budget that submissions were paced by, and users were answered 503 there. Ruled out: refusals by the state service itself (31 of 36,294).

--- a/src/coordination/frontdesk.cpp
+++ b/src/coordination/frontdesk.cpp
@@ -30,6 +30,9 @@
 constexpr auto kStoreTimeout = 1200ms;
 constexpr auto kLongestWait = 1200ms;  // in a team's queue, refusals by the state service included
 constexpr std::size_t kMostStoring = 8;
+// Of the state service's changes. A leader's writes are paced by a budget of their own: were both one, its
+// node would turn users away whenever it has much to store.
+constexpr double kShare = 0.3;
 constexpr std::size_t kMostQueued = 400;
 
 Response respond(int status, std::string body = {}) {
@@ -73,7 +76,12 @@
 
 FrontDesk::FrontDesk(asio::io_context& io, const protocol::Settings& settings, storage::StateClient& state,
                      bookkeeping::Mirror& mirror, Sync& sync)
-    : settings_(settings), state_(state), mirror_(mirror), sync_(sync), timer_(io) {}
+    : settings_(settings),
+      state_(state),
+      mirror_(mirror),
+      sync_(sync),
+      timer_(io),
+      writes_(settings.stateWriteRps * kShare, Clock::now()) {}
 
 bool FrontDesk::handle(const Request& request, const Reply& reply) {
     const std::string& path = request.path;
@@ -147,7 +155,7 @@
 
 void FrontDesk::enqueue(JobSpec spec, const Reply& reply) {
     // What cannot be stored soon is turned away at once, with the time to come back.
-    const double rate = settings_.stateWriteRps * 0.3;
+    const double rate = settings_.stateWriteRps * kShare;
     const Seconds expected(static_cast<double>(queued_) / rate);
     if (queued_ >= kMostQueued || expected > kLongestWait) {
         const auto after = std::chrono::ceil<std::chrono::seconds>(std::min<Seconds>(expected, 30s));
@@ -181,7 +189,7 @@
     }
     std::erase_if(queues_, [](const auto& entry) { return entry.second.empty(); });
     while (!queues_.empty() && storing_ < kMostStoring) {
-        if (!state_.writes().take(0, 1, now)) break;  // the write itself is counted as it is sent
+        if (!writes_.take(1, 0, now)) break;
         auto next = queues_.upper_bound(lastTeam_);
         if (next == queues_.end()) next = queues_.begin();
         lastTeam_ = next->first;
--- a/src/coordination/frontdesk.h
+++ b/src/coordination/frontdesk.h
@@ -52,6 +52,7 @@
     bookkeeping::Mirror& mirror_;
     Sync& sync_;
     asio::steady_timer timer_;
+    storage::RateBudget writes_;
     bool timing_ = false;
     std::map<std::string, std::deque<Waiting>> queues_;  // per team, served in turn
     std::size_t queued_ = 0, storing_ = 0;
