--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -208,9 +208,8 @@
     // A leader not heard of for a while may be gone; naming it would send the worker into a time-out.
     const auto* leader =
         call.fromPeer || election_.leading() || !mirror_.leader ? nullptr : &mirror_.leader->node;
-    const auto view = leader ? peers_.find(*leader) : peers_.end();
-    if (view == peers_.end() || now - view->second.heardAt >= kPeerSilence)
-        return call.reply(respond(421, protocol::encodeElsewhere("")));
+    if (!leader || !inTouch(*leader, now))
+        return call.reply(respond(421, protocol::encodeElsewhere(call.fromPeer ? "" : wayToLeader(now))));
     Report report;
     try {
         report = protocol::decodeReport(call.request.body);
@@ -229,6 +228,21 @@
                   });
 }
 
+bool Node::inTouch(const std::string& peer, Time now) const {
+    const auto view = peers_.find(peer);
+    return view != peers_.end() && now - view->second.heardAt < kPeerSilence;
+}
+
+/// A peer that is in touch with a leader that this node cannot reach: a worker that tried one node after the
+/// other would spend its lease on those behind the same cut.
+std::string Node::wayToLeader(Time now) const {
+    if (election_.leading() || !mirror_.leader) return "";
+    for (const auto& [name, view] : peers_)
+        if (name != mirror_.leader->node && inTouch(name, now) && view.hears == mirror_.leader->token)
+            return name;
+    return "";
+}
+
 // --- peers ------------------------------------------------------------------------------------------------
 
 protocol::PeerStatus Node::ownStatus(Time now) const {
@@ -237,8 +251,9 @@
     status.givenUp = election_.givenUp();
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - state_.lastAnswer());
     status.stateAgeMs = static_cast<std::uint64_t>(std::max<std::int64_t>(0, age.count()));
+    if (mirror_.leader && inTouch(mirror_.leader->node, now)) status.hears = mirror_.leader->token;
     if (leader_ && election_.valid(now)) {
-        status.token = leader_->token();
+        status.token = status.hears = leader_->token();
         status.running = leader_->runningCounts();
     }
     return status;
@@ -294,6 +309,7 @@
     view.heardAt = now;
     view.stateAnsweredAt =
         now - std::chrono::milliseconds(std::min<std::uint64_t>(status.stateAgeMs, 1u << 30));
+    view.hears = status.hears;
     election_.noteAbdication(status.givenUp);
     if (!status.running.empty() && status.token >= mirror_.token) desk_.setRunning(status.running);
 }
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -78,6 +78,8 @@
     void talkToPeers(transport::Time now);
     void notePeer(const protocol::PeerStatus& status, transport::Time now);
     bool able(transport::Time now) const;
+    bool inTouch(const std::string& peer, transport::Time now) const;
+    std::string wayToLeader(transport::Time now) const;
     bool refusedAlone(transport::Time now) const;
     protocol::PeerStatus ownStatus(transport::Time now) const;
 
@@ -101,6 +103,7 @@
     struct PeerView {
         transport::Time heardAt{};
         transport::Time stateAnsweredAt{};
+        std::uint64_t hears = 0;  // the token of the leader that it is in touch with
     };
     std::unordered_map<std::string, PeerView> peers_;
     std::unordered_map<std::string, Detour> detours_;  // per machine that reported to this follower
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -307,6 +307,7 @@
     s.token = f.integer("token");
     s.givenUp = f.integerOr("given_up", 0);
     s.stateAgeMs = f.integer("state_age_ms");
+    s.hears = f.integerOr("hears", 0);
     s.promiseMs = f.integerOr("promise_ms", 0);
     f.each("running", [&](const msgpack::object& element) {
         const Fields r(element);
@@ -318,11 +319,12 @@
 
 std::string encodePeerStatus(const PeerStatus& s) {
     Packer p;
-    p.map(6)
+    p.map(7)
         .field("node", s.node)
         .field("token", s.token)
         .field("given_up", s.givenUp)
         .field("state_age_ms", s.stateAgeMs)
+        .field("hears", s.hears)
         .field("promise_ms", s.promiseMs);
     p.key("running").list(s.running.size());
     for (const auto& [job, count] : s.running) p.map(2).field("job", job).field("count", count);
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -107,6 +107,7 @@
     std::uint64_t token = 0;       // of the sender's leadership, 0 for a follower
     std::uint64_t givenUp = 0;     // a token that the sender led with and will not act under again
     std::uint64_t stateAgeMs = 0;  // since the state service last answered the sender
+    std::uint64_t hears = 0;       // token of the leader that the sender is or is in touch with
     std::uint64_t promiseMs = 0;   // in an answer to a leader: so long the sender will not try to lead
     std::vector<std::pair<std::string, std::uint32_t>> running;  // a leader's counts per job
     bool operator==(const PeerStatus&) const = default;
