--- a/src/bookkeeping/fleet.h
+++ b/src/bookkeeping/fleet.h
@@ -108,10 +108,12 @@
     Time busyUntil{};                                    // when it last had a task
     Time probedAt{};                                     // when a probe was last answered
     bool probing = false;
-    std::pair<std::uint64_t, std::uint64_t> probedCounters;  // newest session and sequence as it was sent
     /// Answers in a row that did not get through, as its next report shows.
     std::uint32_t unheeded = 0;
     std::uint32_t overtaken = 0;       // reports in a row older than the newest message
+    /// Its worker has begun to count its messages anew, so that late copies can't be told from news: nothing of
+    /// it is believed any more, and it is replaced.
+    bool doubtful = false;
     std::optional<Time> deafSince;     // nothing seems to reach it
     Time quietUntil{};                 // no new starts after a refusal
     const Job* reservedFor = nullptr;  // changed by Fleet::reserve
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -148,20 +148,31 @@
         return;
     }
     auto& machine = identify(report.machine, report.type, report.zone, report.spot);
+    if (machine.doubtful) {
+        actions_.push_back(AnswerReport{command.request, false, {}});
+        return;
+    }
+    const bool behind = report.token < token_;
     if (counters <= std::pair(machine.session, machine.sequence)) {
         // A late copy, or overtaken by a direct answer: old news either way. It was sent before the newest
         // message came, so an answer renews the lease from then at most.
-        if (machine.reports)
+        // With an older token it may come of a worker that counts anew, which must not take ours unnoticed.
+        const bool answer = machine.reports && !behind;
+        if (answer)
             machine.leaseUntil = std::max(machine.leaseUntil, machine.newestAt + leaseBound(settings_));
-        actions_.push_back(AnswerReport{command.request, machine.reports, {}});
-        // Or its worker has begun to count anew: a direct answer tells.
+        actions_.push_back(AnswerReport{command.request, answer, {}});
         if (++machine.overtaken >= 2) probe(machine);
         return;
     }
+    if (machine.heard && behind) {
+        doubt(machine);
+        actions_.push_back(AnswerReport{command.request, false, {}});
+        return;
+    }
     machine.overtaken = 0;
     lastReport_ = now_;
     machine.lastReport = now_;
-    if (!machine.settled && report.token < token_) {
+    if (!machine.settled && behind) {
         // It has not taken our token, so no answer of ours to an earlier report has renewed its lease.
         machine.leaseUntil = began_ + leaseBound(settings_);
         if (machine.unheeded >= kUnheeded) {
@@ -191,13 +202,11 @@
         actions_.push_back(Resign{"a worker has seen a higher token"});
         return;
     }
-    if (std::pair(report.session, report.sequence) <= machine->probedCounters) {
-        // The answer was made after the probe was sent, so its worker has begun to count anew. Late copies of
-        // what it sent before could not be told from news: the machine is replaced.
-        spdlog::info("{} has begun to count anew and is given up", machine->id);
-        machine->releasing = true;
-        return;
-    }
+    if (machine->doubtful) return;
+    // The answer was made after the probe was sent.
+    if (std::pair(report.session, report.sequence) <= command.known ||
+        (machine->heard && report.token < token_))
+        return doubt(*machine);
     machine->probedAt = now_;
     machine->deafSince.reset();
     machine->unheeded = 0;
@@ -213,8 +222,21 @@
 void Leader::probe(Machine& machine) {
     if (machine.probing || machine.address.empty()) return;
     machine.probing = true;
-    machine.probedCounters = {machine.session, machine.sequence};
-    actions_.push_back(SendOrders{machine.id, machine.address, machine.session, stopOrders(machine)});
+    sendOrders(machine);
+}
+
+void Leader::sendOrders(const Machine& machine) {
+    actions_.push_back(SendOrders{machine.id,
+                                  machine.address,
+                                  machine.session,
+                                  stopOrders(machine),
+                                  {machine.session, machine.sequence}});
+}
+
+void Leader::doubt(Machine& machine) {
+    spdlog::info("{} has begun to count anew and is given up", machine.id);
+    machine.doubtful = true;
+    machine.releasing = true;
 }
 
 /// What was sent to the machine has not arrived. After a few times it is taken for deaf until it answers.
@@ -420,9 +442,9 @@
     for (const auto& id : std::exchange(urgent_, {})) {
         const auto* machine = fleet_.find(id);
         if (!machine || !machine->heard || machine->address.empty()) continue;
-        auto orders = stopOrders(*machine);
-        if (!orders.empty())
-            actions_.push_back(SendOrders{id, machine->address, machine->session, std::move(orders)});
+        const bool any = std::any_of(machine->places.begin(), machine->places.end(),
+                                     [](const auto& entry) { return entry.second.stopping; });
+        if (any) sendOrders(*machine);
     }
 }
 
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -38,9 +38,11 @@
     std::uint64_t request = 0;
     Report report;
 };
+using Counters = std::pair<std::uint64_t, std::uint64_t>;  // session and sequence of a worker's message
 struct WorkerAnswered {  // to SendOrders; no report: it could not be reached
     std::string machine;
     std::optional<Report> report;
+    Counters known{};  // as sent with the orders
 };
 struct JobsChanged {
     std::vector<std::string> ids;
@@ -83,6 +85,7 @@
     std::string machine, address;
     std::uint64_t session = 0;
     std::vector<Order> orders;
+    Counters known{};  // the newest seen before: whatever answers these orders is newer
 };
 struct WriteState {
     std::vector<protocol::KeyCondition> conditions;
@@ -170,6 +173,8 @@
     void stopJob(Job& job, Seconds grace);
     void settle(Machine& machine);
     void probe(Machine& machine);
+    void sendOrders(const Machine& machine);
+    void doubt(Machine& machine);
     void noteUnheeded(Machine& machine);
     void forget(Machine& machine);
     void adoptJob(Job& job, bool inherited);
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -363,20 +363,22 @@
 }
 
 void Node::perform(SendOrders& action) {
-    if (!election_.valid(Clock::now())) return enqueue(Command(WorkerAnswered{action.machine, std::nullopt}));
-    http_.request(action.address, "POST", paths::kOrders,
-                  protocol::encodeDirectOrders(leader_->token(), action.session, action.orders),
-                  kOrdersTimeout, [this, round = leaderRound_, machine = action.machine](Outcome outcome) {
-                      if (round != leaderRound_) return;
-                      WorkerAnswered answered{machine, std::nullopt};
-                      try {
-                          if (outcome.status == 200 || outcome.status == 409)
-                              answered.report = protocol::decodeReport(outcome.body);
-                      } catch (const Malformed& error) {
-                          spdlog::error("malformed answer of {}: {}", machine, error.what());
-                      }
-                      enqueue(Command(std::move(answered)));
-                  });
+    if (!election_.valid(Clock::now()))
+        return enqueue(Command(WorkerAnswered{action.machine, std::nullopt, action.known}));
+    http_.request(
+        action.address, "POST", paths::kOrders,
+        protocol::encodeDirectOrders(leader_->token(), action.session, action.orders), kOrdersTimeout,
+        [this, round = leaderRound_, machine = action.machine, known = action.known](Outcome outcome) {
+            if (round != leaderRound_) return;
+            WorkerAnswered answered{machine, std::nullopt, known};
+            try {
+                if (outcome.status == 200 || outcome.status == 409)
+                    answered.report = protocol::decodeReport(outcome.body);
+            } catch (const Malformed& error) {
+                spdlog::error("malformed answer of {}: {}", machine, error.what());
+            }
+            enqueue(Command(std::move(answered)));
+        });
 }
 
 void Node::perform(WriteState& action) {
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -109,3 +109,16 @@
     faults.crash = 0.03;
     live(seed(), faults, Seconds(100));
 }
+
+// Machines that report and hear nothing, copies of reports that come long after, workers back at once, some
+// counting from the beginning, and leaders that lose the store while workers still reach them.
+RC_GTEST_PROP(History, RulesHoldWithDeafMachinesLateCopiesAndInstantReturns, ()) {
+    World::Faults faults;
+    faults.deaf = 0.02;
+    faults.copy = 0.4;
+    faults.back = 0.01;
+    faults.anew = 0.004;
+    faults.sever = 0.03;
+    faults.crash = 0.03;
+    live(seed(), faults, Seconds(120));
+}
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -103,7 +103,7 @@
     b.job(make("wk-1", 1, 4));
     ASSERT_EQ(b.report("m1"), Names{"wk-1/0"});
     b.report("m2");
-    b.tell(WorkerAnswered{"m1", b.message("m1", {}, 5)});
+    b.tell(WorkerAnswered{"m1", b.message("m1", {}, 5), {}});
     EXPECT_EQ(b.report("m2"), Names{});
     EXPECT_EQ(b.report("m1"),
               Names{"wk-1/0"});  // without the task, in a report: the response never got there
@@ -244,7 +244,7 @@
     b.job(spec);
     EXPECT_EQ(b.report("m1").size(), 0u);  // m2, not heard yet, may be full of the team's tasks
     b.report("m2", {}, 4);
-    b.tell(WorkerAnswered{"m2", b.message("m2", {}, 5)});
+    b.tell(WorkerAnswered{"m2", b.message("m2", {}, 5), {}});
     EXPECT_EQ(b.report("m1").size(), 2u);
     EXPECT_EQ(b.report("m2").size(), 0u);
 }
--- a/tests/world.h
+++ b/tests/world.h
@@ -50,6 +50,11 @@
         double cut = 0.005;     // a worker from the controllers, per second
         double error = 0.02;    // a task
         double recall = 0.002;  // a spot machine, per second
+        double deaf = 0.003;    // a worker whose reports arrive and that nothing reaches, per second
+        double copy = 0.05;     // a report of which a copy comes again, up to several leases later
+        double back = 0.001;    // a worker that ends and is back at once, per second
+        double anew = 0.0005;   // the same, and it counts its reports from the beginning
+        double sever = 0.003;   // the leader from the store, not from the workers, per second
     };
 
     World(std::uint64_t seed, Faults faults) : faults_(faults), random_(seed) {
@@ -103,7 +108,7 @@
             .final;
     }
     const std::map<std::string, JobSpec>& jobs() const { return specs_; }
-    void calm() { faults_ = {0, 0, 0, 0, 0, 0, 0, 0}; }
+    void calm() { faults_ = {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0}; }
 
     void run(Seconds time) {
         const auto end = now_ + std::chrono::duration_cast<Clock::duration>(time);
@@ -161,7 +166,7 @@
     struct Worker {
         std::string id, type, zone;
         bool spot = false, up = false, dead = false;
-        Time bootAt{}, hungUntil{}, cutUntil{};
+        Time bootAt{}, hungUntil{}, cutUntil{}, deafUntil{};
         std::optional<Time> recallAt;
         double drift = 1;
         std::uint64_t session = 1, sequence = 0, token = 0;
@@ -177,6 +182,8 @@
         bookkeeping::Mirror mirror;
         std::size_t read = 0;
         std::unique_ptr<Leader> leader;
+        Time tenureEnds = Time::max();  // severed from the store, it leads until then
+        bool severed() const { return tenureEnds != Time::max(); }
     };
 
     Clock::duration span(double from, double to) {
@@ -200,8 +207,11 @@
         const double perStep = 0.1;
         if (!tenant_ && now_ >= electionAt_) takeOver();
         if (tenant_ && chance(faults_.crash * perStep)) crash();
+        if (tenant_ && !tenant_->severed() && chance(faults_.sever * perStep))
+            tenant_->tenureEnds = now_ + span(1, 8);
+        if (tenant_ && now_ >= tenant_->tenureEnds) crash();
         if (tenant_) {
-            if (chance(0.5)) readStore(*tenant_);
+            if (chance(0.5) && !tenant_->severed()) readStore(*tenant_);
             if (tenant_) tell(coordination::Tick{});
         }
         for (auto& [id, worker] : workers_) stepWorker(worker, perStep);
@@ -259,7 +269,7 @@
         const auto delay = chance(faults_.late) ? span(0, 8) : span(0, 0.2);
         at(delay, [this, id = worker, session = session, request = a.request, token = tenant_->token,
                    orders = a.orders] {
-            auto* w = reachable(id);
+            auto* w = hearing(id);
             if (!w || w->inFlight != request || w->session != session) return;
             w->inFlight = 0;
             if (token < w->token) return;
@@ -273,18 +283,20 @@
         const auto token = tenant_->token;
         const bool late = chance(faults_.late);
         if (late || chance(faults_.lose))
-            tellLater(2500ms, token, coordination::WorkerAnswered{a.machine, std::nullopt});
-        else if (!reachable(a.machine))
-            return tellLater(2500ms, token, coordination::WorkerAnswered{a.machine, std::nullopt});
+            tellLater(2500ms, token, coordination::WorkerAnswered{a.machine, std::nullopt, a.known});
+        else if (!hearing(a.machine))
+            return tellLater(2500ms, token, coordination::WorkerAnswered{a.machine, std::nullopt, a.known});
         at(late ? span(3, 40) : span(0, 0.2), [this, late, token, a] {
-            auto* w = reachable(a.machine);
+            auto* w = hearing(a.machine);
             if (!w) return;
             if (token >= w->token && a.session == w->session) {
                 if (token > w->token) w->changed = true;
                 w->token = token;
                 for (const auto& order : a.orders) execute(*w, order);
             }
-            if (!late) tellLater(span(0, 0.2), token, coordination::WorkerAnswered{a.machine, reportOf(*w)});
+            if (!late)
+                tellLater(span(0, 0.2), token,
+                          coordination::WorkerAnswered{a.machine, reportOf(*w), a.known});
         });
     }
     void perform(coordination::WriteState& a) {
@@ -297,7 +309,7 @@
             return result;
         };
         if (a.writes.size() > settings.txnOps) broken.push_back("transaction over its limit");
-        if (chance(faults_.late)) {  // no answer; carried out later or never
+        if (tenant_->severed() || chance(faults_.late)) {  // no answer; carried out later or never
             if (chance(0.7)) at(span(0, 25), [this, write, a] { lateWrites += write(a).revision != 0; });
             return tellLater(1500ms, token, coordination::StateWritten{});
         }
@@ -312,6 +324,7 @@
     void perform(coordination::RefreshMirror&) {
         at(20ms, [this, token = tenant_->token] {
             if (!tenant_ || tenant_->token != token) return;
+            if (tenant_->severed()) return tell(coordination::MirrorRefreshed{false});
             readStore(*tenant_);
             tell(coordination::MirrorRefreshed{true});
         });
@@ -391,6 +404,11 @@
         auto& w = found->second;
         return w.up && !w.dead && w.hungUntil <= now_ && w.cutUntil <= now_ ? &w : nullptr;
     }
+    /// And what is sent to it gets there.
+    Worker* hearing(const std::string& id) {
+        auto* w = reachable(id);
+        return w && w->deafUntil <= now_ ? w : nullptr;
+    }
     Report reportOf(Worker& w) {
         Report r{w.id, w.id, w.type, w.zone, w.spot, w.session, ++w.sequence, w.token, {}, {}};
         if (w.recallAt) r.notice = std::max(Seconds(0), Seconds(*w.recallAt - now_));
@@ -411,6 +429,15 @@
         }
         if (chance(faults_.hang * perStep)) w.hungUntil = now_ + span(1, 18);
         if (chance(faults_.cut * perStep)) w.cutUntil = now_ + span(1, 25);
+        if (chance(faults_.deaf * perStep)) w.deafUntil = now_ + span(3, 60);
+        if (const bool anew = chance(faults_.anew * perStep); anew || chance(faults_.back * perStep)) {
+            w.tasks.clear();
+            w.session = anew ? 1 : w.session + 1;
+            if (anew) w.sequence = w.token = 0;
+            w.answeredSent = now_;
+            w.inFlight = 0;
+            w.changed = true;
+        }
         if (w.spot && !w.recallAt && chance(faults_.recall * perStep)) w.recallAt = now_ + span(3, 9);
         if (w.hungUntil > now_) return;
         if (!present(w)) {
@@ -439,9 +466,14 @@
                 at(w.cutUntil - now_, [this, report, request = requests_] { arrive(report, request); });
             return;
         }
+        if (chance(faults_.copy)) {
+            const auto copy = ++requests_;  // nobody waits for its answer
+            reports_[copy] = {w.id, w.session};
+            at(span(0.1, chance(0.5) ? 3 : 50), [this, report, copy] { arrive(report, copy); });
+        }
         if (chance(faults_.lose)) return;
         at(chance(faults_.late) ? span(0, 10) : span(0, 0.2),
-           [this, report, request = requests_] { arrive(report, request); });
+           [this, report, request = w.inFlight] { arrive(report, request); });
     }
     void arrive(const Report& report, std::uint64_t request) {
         if (tenant_) tell(coordination::ReportArrived{request, report});
