--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 #include "coordination/leader.h"
 
@@ -694,14 +695,16 @@
         std::uint32_t free, most;
     };
     std::vector<Option> best;
-    std::pair<std::uint32_t, std::uint32_t> bestMerit;
+    std::tuple<std::uint32_t, std::uint32_t, std::uint32_t> bestMerit;
     std::string bestZone;
     for (const auto& zone : job.spec.oneZone ? settings_.zones : std::vector<std::string>{""}) {
         std::vector<Option> options;
-        std::uint32_t free = 0, most = 0;
+        std::uint32_t free = 0, most = 0, could = 0;
         for (const auto& [id, m] : fleet_.machines()) {
             ++visited_;
             if ((!zone.empty() && m->zone != zone) || !m->kind || !usable(*m)) continue;
+            if (allows(job, m->type, m->zone, m->spot))
+                could += (bookkeeping::sizeOf(*m->kind) - m->plainUse[4]).times(need);
             if (!bookkeeping::sizeOf(*m->kind).covers(need) || !mayStart(job, *m)) continue;
             if (m->isReserved(now_) && !m->holding && m->reservedFor != &job) continue;
             const auto now = roomOn(*m, job).times(need), later = mostRoom(*m, job).times(need);
@@ -710,13 +713,14 @@
             most += later;
             options.push_back({m.get(), now, later});
         }
-        const auto merit = std::pair(std::min(most, job.spec.tasks), free);
-        if (!best.empty() && merit <= bestMerit) continue;
+        const auto merit = std::tuple(std::min(most, job.spec.tasks), std::min(could, job.spec.tasks), free);
+        if (merit <= bestMerit) continue;
         best = std::move(options);
         bestMerit = merit;
         bestZone = zone;
     }
-    if (bestMerit.first < job.spec.tasks) {
+    if (std::get<0>(bestMerit) < job.spec.tasks) {
+        if (std::get<1>(bestMerit) < job.spec.tasks) return 0;  // more machines have to come first
         const bool bespoken = bespeaker_ && bespokenUntil_ > now_;
         if (bespoken && bespeaker_ == &job) bestZone = bespokenZone_;  // it stays where it began
         if (now_ - job.run->acceptedAt > policy_.longestPassedOver / 3 && (!bespoken || bespeaker_ == &job)) {
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "coordination/node.h"
+#include "world.h"
 
 using namespace burlpoint;
 using namespace burlpoint::coordination;
@@ -292,3 +293,290 @@
     b.report("m1", {{b.last.at("wk-2/0"), TaskState::exited, protocol::ExitReason::error, false}});
     EXPECT_EQ(b.report("m1"), Names{});  // two jobs have failed on it
 }
+
+// A copy of an old report says nothing about now: it renews no lease, makes no machine count and settles
+// nothing.
+TEST(Leader, ALateCopyIsNoSignOfLife) {
+    Bench b;
+    b.roster("m1");
+    b.roster("m2");
+    b.lead();
+    b.report("m2");
+    b.job(make("wk-1", 1, 8));
+    ASSERT_EQ(b.report("m1"), Names{"wk-1/0"});
+    const auto empty = b.message("m1", {}, 5);
+    b.report("m1", {b.task("wk-1/0", TaskState::running)});
+    const auto& m1 = *b.leader->fleet().machines().at("m1");
+    Names starts;
+    for (int second = 0; second < 30 && starts.empty(); ++second) {
+        EXPECT_EQ(m1.places.size(), 1u);  // a copy without the task does not settle it
+        b.now += 1s;
+        b.tell(ReportArrived{7, empty});
+        b.tell(Tick{});
+        starts = b.report("m2");
+    }
+    EXPECT_EQ(starts, Names{"wk-1/0"});  // the lease ran out all the same
+    EXPECT_FALSE(m1.reports);
+    bool accepted = true;
+    for (const auto& action : b.tell(ReportArrived{8, empty}))
+        if (const auto* answer = std::get_if<AnswerReport>(&action)) accepted = answer->accepted;
+    EXPECT_FALSE(accepted);
+}
+
+// Deleted machines stay deleted, however late what they sent arrives.
+TEST(Leader, NoCopyBringsADeletedMachineBack) {
+    Bench b;
+    b.roster("m1");
+    b.lead();
+    b.report("m1");
+    b.tell(ReleaseAnswered{{"m1"}, true});
+    EXPECT_EQ(b.report("m1"), Names{});
+    EXPECT_TRUE(b.leader->fleet().machines().empty());
+}
+
+// Its reports arrive, and neither answers nor commands reach it: seen from starts that never show.
+TEST(Leader, AMachineThatHearsNothingGetsNoMoreWorkUntilItAnswers) {
+    Bench b;
+    b.roster("m1");
+    b.lead();
+    b.job(make("wk-1", 4, 2));
+    EXPECT_EQ(b.report("m1").size(), 4u);
+    EXPECT_EQ(b.report("m1").size(), 4u);  // an answer may be lost once
+    EXPECT_EQ(b.report("m1"), Names{});
+    bool probed = false;
+    for (int i = 0; i < 5; ++i)
+        for (const auto& action : b.tick())
+            if (const auto* direct = std::get_if<SendOrders>(&action)) probed |= direct->machine == "m1";
+    EXPECT_TRUE(probed);
+    EXPECT_EQ(b.report("m1"), Names{});
+    b.tell(WorkerAnswered{"m1", b.message("m1", {}, 5), {}});
+    EXPECT_EQ(b.report("m1").size(), 4u);
+}
+
+// The same after a take-over: every report shows the old token, so no answer has renewed the lease, and what
+// may be on the machine is free to run elsewhere once the lease that the earlier leader left is over.
+TEST(Leader, AMachineThatNeverTakesTheTokenDoesNotHoldItsTasksForEver) {
+    Bench b;
+    b.roster("m1");
+    b.roster("m2");
+    b.job(make("wk-1", 1, 8));
+    b.lead();
+    Names starts;
+    const auto began = b.now;
+    while (b.now - began < 40s && starts.empty()) {
+        b.now += 2s;
+        b.report("m1", {}, 4);
+        b.tell(Tick{});
+        starts = b.report("m2");
+    }
+    EXPECT_EQ(starts, Names{"wk-1/0"});
+    EXPECT_GE(b.now - began, 20s);
+}
+
+// After a restart of its worker counters begin anew: neither old news for good nor believed.
+TEST(Leader, AMachineThatCountsAnewIsReplaced) {
+    Bench b;
+    b.roster("m1");
+    b.lead();
+    b.job(make("wk-1", 4, 2));
+    for (int i = 0; i < 5; ++i) b.report("m1");
+    b.sequences["m1"] = 0;
+    std::optional<SendOrders> probe;
+    for (int i = 0; i < 3; ++i) {
+        b.now += 1s;
+        for (const auto& action : b.tell(ReportArrived{1, b.message("m1", {}, 0)})) {
+            if (const auto* answer = std::get_if<AnswerReport>(&action)) {
+                EXPECT_FALSE(answer->accepted);
+            }
+            if (const auto* direct = std::get_if<SendOrders>(&action)) probe = *direct;
+        }
+    }
+    ASSERT_TRUE(probe);
+    b.tell(WorkerAnswered{"m1", b.message("m1", {}, 5), probe->known});
+    EXPECT_EQ(b.report("m1"), Names{});
+    bool released = false;
+    for (int i = 0; i < 10; ++i)
+        for (const auto& action : b.tick())
+            if (const auto* release = std::get_if<Release>(&action))
+                released |= release->machines == Names{"m1"};
+    EXPECT_TRUE(released);
+}
+
+namespace {
+
+/// Plays workers that run every task for a while; returns when the job's first task started, in seconds.
+double beginsAfter(Bench& b, const std::vector<std::string>& machines, const std::string& job,
+                   const std::function<void(int second)>& arrive, int most = 300) {
+    std::map<std::string, std::map<protocol::Attempt, int>> running;
+    for (int second = 0; second < most; ++second) {
+        arrive(second);
+        b.tell(Tick{});
+        for (const auto& id : machines) {
+            std::vector<TaskReport> tasks;
+            for (auto& [attempt, left] : running[id])
+                tasks.push_back({attempt, left-- > 0 ? TaskState::running : TaskState::exited,
+                                 left >= 0 ? protocol::ExitReason::none : protocol::ExitReason::done, false});
+            std::erase_if(running[id], [](const auto& entry) { return entry.second < 0; });
+            std::vector<Action> actions = b.tell(ReportArrived{1, b.message(id, tasks, 5)});
+            for (const auto& action : actions) {
+                const auto* answer = std::get_if<AnswerReport>(&action);
+                if (!answer) continue;
+                for (const auto& order : answer->orders) {
+                    if (order.op != Op::start) continue;
+                    if (order.attempt.job == job) return second;
+                    running[id][order.attempt] = 20;
+                }
+            }
+        }
+        b.now += 1s;
+    }
+    return most;
+}
+
+}  // namespace
+
+// Under a lasting overload of small jobs with deadlines a large one was passed over for good; so was a gang
+// whose machines went to smaller ones as they came free.
+TEST(Leader, NoJobIsPassedOverForEver) {
+    Bench b;
+    const std::vector<std::string> machines{"m1", "m2", "m3"};
+    for (const auto& id : machines) b.roster(id);
+    b.lead();
+    int number = 10;
+    const auto small = [&](int) {
+        for (int i = 0; i < 2; ++i) {
+            auto spec = make("wk-" + std::to_string(number++), 2, 4);
+            spec.deadline = protocol::Seconds(200);
+            b.job(spec);
+        }
+    };
+    small(0);
+    auto large = make("wk-1", 900, 4);
+    large.deadline = protocol::Seconds(60);
+    b.job(large);
+    EXPECT_LT(beginsAfter(b, machines, "wk-1", small), 180);
+}
+
+TEST(Leader, AGangOfManyBeginsAmongSmallerOnes) {
+    Bench b;
+    const std::vector<std::string> machines{"m1", "m2", "m3", "m4"};
+    for (const auto& id : machines) b.roster(id, "gpu");
+    b.lead();
+    int number = 10;
+    const auto gang = [&](const std::string& id, std::uint32_t tasks) {
+        auto spec = make(id, tasks, 14, Kind::gang);
+        spec.gpus = 2;
+        spec.oneZone = true;
+        spec.priority = protocol::Priority::high;
+        b.job(spec);
+    };
+    const auto small = [&](int second) {
+        if (second % 4 == 0) gang("wk-" + std::to_string(number++), 1);
+    };
+    for (int i = 0; i < 6; ++i) small(0);
+    gang("wk-1", 4);
+    EXPECT_LT(beginsAfter(b, machines, "wk-1", small), 180);
+}
+
+// What a report costs must not grow with the fleet: the machines looked at per report are counted.
+TEST(Leader, AReportCostsNoMoreInALargerFleet) {
+    const auto visitsPerReport = [](int fleet) {
+        Bench b;
+        std::vector<std::string> machines;
+        for (int i = 0; i < fleet; ++i) {
+            machines.push_back("m" + std::to_string(i));
+            b.roster(machines.back());
+        }
+        b.lead();
+        for (int i = 0; i < 20; ++i) {
+            auto spec = make("wk-" + std::to_string(i), 2000, 1, i % 2 ? Kind::array : Kind::service);
+            spec.image = "image-" + std::to_string(i % 5);
+            b.job(spec);
+        }
+        std::uint64_t before = 0, reports = 0;
+        for (int round = 0; round < 4; ++round) {  // every machine reports once in two seconds
+            if (round == 1) before = LeaderProbe::visited(*b.leader);
+            for (const auto& id : machines) {
+                std::vector<TaskReport> tasks;
+                for (const auto& [key, place] : b.leader->fleet().machines().at(id)->places)
+                    tasks.push_back({{key.job->spec.id, key.task, key.attempt},
+                                     TaskState::running,
+                                     protocol::ExitReason::none,
+                                     false});
+                b.now += std::chrono::duration_cast<Clock::duration>(protocol::Seconds(2.0 / fleet));
+                b.tell(ReportArrived{1, b.message(id, tasks, 5)});
+                reports += round > 0;
+            }
+        }
+        return static_cast<double>(LeaderProbe::visited(*b.leader) - before) / static_cast<double>(reports);
+    };
+    const auto few = visitsPerReport(40), many = visitsPerReport(400);
+    EXPECT_LT(many, few * 1.5 + 20);
+}
+
+// A spot notice for one machine: a gang's save needs all its tasks told together.
+TEST(Leader, ANoticeStopsAGangAsAWhole) {
+    Bench b;
+    b.roster("m1", "gpu");
+    b.roster("m2", "gpu");
+    b.lead();
+    b.report("m1");
+    b.report("m2");
+    auto spec = make("wk-1", 2, 14, Kind::gang);
+    spec.gpus = 2;
+    spec.checkpoint = protocol::Seconds(20);
+    spec.save = protocol::Seconds(4);
+    b.job(spec);
+    b.tick();
+    b.tick();
+    ASSERT_EQ(b.report("m1").size() + b.report("m2").size(), 2u);
+    std::map<std::string, protocol::Attempt> on;
+    for (const auto& [id, m] : b.leader->fleet().machines())
+        for (const auto& [key, place] : m->places) on[id] = {"wk-1", key.task, key.attempt};
+    for (const auto& [id, attempt] : on) b.report(id, {{attempt, TaskState::running, {}, false}});
+    auto notice = b.message("m1", {{on.at("m1"), TaskState::running, {}, false}}, 5);
+    notice.notice = protocol::Seconds(15);
+    std::set<std::string> stopped;
+    for (const auto& action : b.tell(ReportArrived{1, notice})) {
+        if (const auto* answer = std::get_if<AnswerReport>(&action))
+            for (const auto& order : answer->orders)
+                if (order.op == Op::stop) stopped.insert("m1");
+        if (const auto* direct = std::get_if<SendOrders>(&action))
+            for (const auto& order : direct->orders) {
+                EXPECT_EQ(order.grace, spec.save);
+                stopped.insert(direct->machine);
+            }
+    }
+    EXPECT_EQ(stopped, (std::set<std::string>{"m1", "m2"}));
+}
+
+// Seen on a simulated day: all demand went again and again to spot types that the cloud had just refused.
+TEST(Leader, ARefusedTypeIsAskedForAFewOnly) {
+    Bench b;
+    b.settings.cloudRps = 50;
+    b.lead();
+    auto spec = make("wk-1", 400, 8);
+    spec.spot = true;
+    b.job(spec);
+    const auto asked = [&] {
+        std::map<bool, std::uint32_t> count;
+        for (int i = 0; i < 8; ++i)
+            for (const auto& action : b.tick())
+                if (const auto* rent = std::get_if<Rent>(&action)) {
+                    count[rent->request.spot] += rent->request.count;
+                    RentalAnswered answer;
+                    answer.name = rent->request.name;
+                    answer.noCapacity = true;
+                    b.tell(answer);
+                }
+        return count;
+    };
+    EXPECT_GT(asked()[true], 100u);
+    for (int i = 0; i < 10; ++i) {
+        b.now += 20s;  // the pause after the refusals is over
+        const auto some = asked()[true];
+        if (i >= 5) {  // by then each type and zone was refused
+            EXPECT_LE(some, 24u);
+        }
+    }
+}
--- a/tests/world.h
+++ b/tests/world.h
@@ -16,6 +16,55 @@
 
 class LeaderProbe {
   public:
+    static std::uint64_t visited(const Leader& l) { return l.visited_; }
+    /// Where the fleet's indexes and running totals differ from a recount, in words.
+    static std::string recount(const Leader& l) {
+        std::string out;
+        std::map<std::string, Resources> teams;
+        std::map<const Job*, std::map<std::string, std::uint32_t>> machines, zones;
+        std::map<Shape, std::uint32_t> unsettled;
+        const auto differs = [](const Resources& a, const Resources& b) {
+            return std::abs(a.cpus - b.cpus) + std::abs(a.gpus - b.gpus) + std::abs(a.memoryGb - b.memoryGb) >
+                   1e-6;
+        };
+        for (const auto& [id, m] : l.fleet_.machines()) {
+            Resources used;
+            std::array<Resources, 5> plain;
+            std::array<Resources, 4> stoppable;
+            for (const auto& [key, place] : m->places) {
+                const auto& spec = place.job->spec;
+                const auto need = bookkeeping::needOf(spec);
+                const auto priority = static_cast<std::size_t>(spec.priority);
+                const bool service = spec.kind == protocol::Kind::service;
+                used += need;
+                teams[spec.team] += need;
+                if (spec.gpus <= 0) plain[service ? 4 : priority] += need;
+                if (!service && (spec.kind == protocol::Kind::array || spec.tasks == 1))
+                    stoppable[priority] += need;
+                ++machines[place.job][id];
+                ++zones[place.job][m->zone];
+            }
+            if (differs(used, m->used)) out += "use of " + id + "; ";
+            for (std::size_t i = 0; i < 5; ++i)
+                if (differs(plain[i], m->plainUse[i])) out += "plain use of " + id + "; ";
+            for (std::size_t i = 0; i < 4; ++i)
+                if (differs(stoppable[i], m->stoppable[i])) out += "stoppable on " + id + "; ";
+            if (m->roster == bookkeeping::RosterState::stored && !m->settled)
+                ++unsettled[{m->type, m->zone, m->spot}];
+            for (const auto& [image, gb] : m->images) {
+                const auto& with = l.fleet_.withImage(image);
+                if (std::count(with.begin(), with.end(), m.get()) != 1) out += "image on " + id + "; ";
+            }
+        }
+        for (const auto& [team, use] : teams)
+            if (differs(use, l.fleet_.teamUse(team))) out += "use of team " + team + "; ";
+        if (unsettled != l.fleet_.unsettled()) out += "unsettled machines; ";
+        for (const auto& [id, job] : l.mirror_.jobs())
+            if (job->run &&
+                (job->run->machines != machines[job.get()] || job->run->zones != zones[job.get()]))
+                out += "machines of " + id + "; ";
+        return out;
+    }
     static std::string writing(const Leader& l) {
         return "writing " + std::to_string(l.writing_) + " refreshing " + std::to_string(l.refreshing_) +
                " unstored " + std::to_string(l.unstored_.size()) + " roster +" +
@@ -249,7 +298,11 @@
     void tell(coordination::Command command) {
         if (!tenant_) return;
         const auto tenant = tenant_;
-        for (auto& action : tenant->leader->handle(std::move(command), now_)) {
+        auto actions = tenant->leader->handle(std::move(command), now_);
+        if (++told_ % 16 == 0)
+            if (const auto wrong = coordination::LeaderProbe::recount(*tenant->leader); !wrong.empty())
+                broken.push_back("recount: " + wrong);
+        for (auto& action : actions) {
             if (tenant_ != tenant) return;
             std::visit([&](auto& a) { perform(a); }, action);
         }
@@ -635,7 +688,7 @@
     std::map<std::string, Worker> workers_;
     std::map<std::string, std::vector<std::string>> rented_;
     std::map<std::uint64_t, std::pair<std::string, std::uint64_t>> reports_;
-    std::uint64_t requests_ = 0, machines_ = 0;
+    std::uint64_t requests_ = 0, machines_ = 0, told_ = 0;
     std::string lastFailed_;  // a key whose condition failed in the last transaction
     std::shared_ptr<Tenant> tenant_;
     Time electionAt_{};
