--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -22,7 +22,7 @@
 constexpr std::size_t kSickJobs = 2;
 constexpr auto kPlainOnly = 12s;    // how long a replica waits for a machine without accelerators
 constexpr auto kLookAgain = 250ms;  // how long a look at the other machines serves a job
-constexpr double kFavour = 1e6, kSpotLoss = 100;  // processor seconds, when a gang's machines are chosen
+constexpr double kFavour = 1e6, kSpotLoss = 100, kFetchLoss = 150;  // processor seconds, when a gang's machines are chosen
 constexpr int kProductionRank = 10, kOverdueRank = 6, kGuaranteedRank = 5;
 
 }  // namespace
@@ -133,10 +133,10 @@
     const auto plain = plainRoom_.find({machine.zone, machine.spot});
     if (plain != plainRoom_.end() && plain->second > 4 * job.spec.cpus) return false;
     // Replicas have nowhere else to go. They share machines that others have given over to them, and take
-    // more as long as the cloud has more, or up to a quarter of them all.
+    // more as long as the cloud has more, or up to an eighth of them all.
     if (!(room + bookkeeping::needOf(job.spec)).covers(need)) return true;
     const auto given = givenOver_.find(machine.type);
-    const bool few = given == givenOver_.end() || given->second.first * 4 < given->second.second;
+    const bool few = given == givenOver_.end() || given->second.first * 8 < given->second.second;
     return machine.used.gpus <= 0 && (few || !shortOf(machine.type));
 }
 
@@ -503,9 +503,10 @@
         Machine* machine;
         std::uint32_t room;
         int merit;
+        bool cached;
     };
     std::vector<Option> options;
-    std::uint32_t total = 0;
+    std::uint32_t total = 0, cachedTotal = 0;
     for (auto& [id, m] : fleet_.machines()) {
         if ((zone && m->zone != *zone) || !m->kind || m->kind->gpus - m->used.gpus < need.gpus - 1e-6 ||
             m->kind->cpus - m->used.cpus < need.cpus - 1e-6)
@@ -516,10 +517,15 @@
         if (room == 0) continue;
         total += room;
         // One spot machine that is taken back stops the whole gang.
-        const int merit = (m->reservedFor == &job ? 4 : 0) + (m->spot ? 0 : 2) + m->hasImage(job.spec.image);
-        options.push_back({m.get(), room, merit});
+        const bool cached = m->hasImage(job.spec.image);
+        const int merit = (m->reservedFor == &job ? 4 : 0) + (m->spot ? 0 : 2) + cached;
+        if (cached) cachedTotal += room;
+        options.push_back({m.get(), room, merit, cached});
     }
     if (total < wanted) return false;
+    // A gang waits for its slowest fetch, so the image counts most where none of its tasks has to fetch.
+    if (cachedTotal >= wanted)
+        for (auto& option : options) option.merit += option.cached ? 8 : 0;
     std::stable_sort(options.begin(), options.end(),
                      [](const Option& a, const Option& b) { return a.merit > b.merit; });
     std::vector<Machine*> chosen;
@@ -737,6 +743,7 @@
         // Machines kept for it come first; a spot machine that is taken back would stop the whole gang.
         if (option.machine->reservedFor == &job) found->loss -= kFavour;
         if (option.machine->spot) found->loss += kSpotLoss * found->tasks;
+        if (!option.machine->hasImage(job.spec.image)) found->loss += kFetchLoss * found->tasks;
         sacrifices.push_back(std::move(*found));
     }
     std::sort(sacrifices.begin(), sacrifices.end(),
