--- a/src/bookkeeping/fleet.h
+++ b/src/bookkeeping/fleet.h
@@ -110,9 +110,9 @@
     bool probing = false;
     /// Answers in a row that did not get through, as its next report shows.
     std::uint32_t unheeded = 0;
-    std::uint32_t overtaken = 0;       // reports in a row older than the newest message
-    /// Its worker has begun to count its messages anew, so that late copies can't be told from news: nothing of
-    /// it is believed any more, and it is replaced.
+    std::uint32_t overtaken = 0;  // reports in a row older than the newest message
+    /// Its worker has begun to count its messages anew, so that late copies can't be told from news: nothing
+    /// of it is believed any more, and it is replaced.
     bool doubtful = false;
     std::optional<Time> deafSince;     // nothing seems to reach it
     Time quietUntil{};                 // no new starts after a refusal
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -92,7 +92,7 @@
       settings_(settings),
       policy_(policy),
       http_(io, settings.maxConnections * 3 / 10),
-      state_(http_, settings.state, settings.stateRps, settings.stateWriteRps, 0.5, Clock::now()),
+      state_(http_, settings.state, settings.stateRps, 0.5, Clock::now()),
       sync_(
           io, state_, mirror_,
           [this](const std::vector<bookkeeping::Change>& changes) {
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -22,7 +22,8 @@
 constexpr std::size_t kSickJobs = 2;
 constexpr auto kPlainOnly = 12s;    // how long a replica waits for a machine without accelerators
 constexpr auto kLookAgain = 250ms;  // how long a look at the other machines serves a job
-constexpr double kFavour = 1e6, kSpotLoss = 100, kFetchLoss = 150;  // processor seconds, when a gang's machines are chosen
+constexpr double kFavour = 1e6, kSpotLoss = 100,
+                 kFetchLoss = 150;  // processor seconds, when a gang's machines are chosen
 constexpr int kProductionRank = 10, kOverdueRank = 6, kGuaranteedRank = 5;
 
 }  // namespace
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -55,8 +55,8 @@
 /// The operators' own settings (XML). Each has a default that suits both first deployments.
 struct Policy {
     Seconds leadership{0};           // 0: derived from the workers' lease
-    Seconds idleKeep{20};            // how long a machine without tasks is kept
-    double bootKeep = 1.5;           // and at least this many of its type's boot times
+    Seconds idleKeep{10};            // how long a machine without tasks is kept
+    double bootKeep = 0.8;           // and at least this many of its type's boot times
     Seconds minimumKeep{55};         // the cloud charges a minute at least
     Seconds backlogHorizon{45};      // a backlog of short tasks should be gone after this
     Seconds fetchStart{5};           // fetch time assumed before one was seen
--- a/src/storage/store.cpp
+++ b/src/storage/store.cpp
@@ -31,13 +31,8 @@
     return true;
 }
 
-StateClient::StateClient(transport::Client& http, std::string address, double rps, double writeRps,
-                         double share, Time now)
-    : http_(http),
-      address_(std::move(address)),
-      requests_(rps * share, now),
-      writes_(writeRps * share, now),
-      lastAnswer_(now) {}
+StateClient::StateClient(transport::Client& http, std::string address, double rps, double share, Time now)
+    : http_(http), address_(std::move(address)), requests_(rps * share, now), lastAnswer_(now) {}
 
 void StateClient::answered(int status) {
     if (status == 200 || status == 404 || status == 409) lastAnswer_ = Clock::now();
@@ -45,9 +40,7 @@
 
 void StateClient::transact(const std::vector<KeyCondition>& conditions, const std::vector<KeyWrite>& writes,
                            Duration timeout, TxnDone done) {
-    const auto now = Clock::now();
-    requests_.force(1, now);
-    writes_.force(static_cast<double>(writes.size()), now);
+    requests_.force(1, Clock::now());
     http_.request(
         address_, "POST", protocol::paths::kTransaction, protocol::encodeTransaction(conditions, writes),
         timeout, [this, done = std::move(done)](Outcome outcome) {
--- a/src/storage/store.h
+++ b/src/storage/store.h
@@ -52,8 +52,7 @@
     /// 200: extended or made; 404: ended; anything else: not known.
     using LeaseDone = std::function<void(int status, std::uint64_t lease)>;
 
-    StateClient(transport::Client& http, std::string address, double rps, double writeRps, double share,
-                Time now);
+    StateClient(transport::Client& http, std::string address, double rps, double share, Time now);
 
     void transact(const std::vector<protocol::KeyCondition>& conditions,
                   const std::vector<protocol::KeyWrite>& writes, Duration timeout, TxnDone done);
@@ -65,7 +64,6 @@
     void endLease(std::uint64_t lease);
 
     RateBudget& requests() { return requests_; }
-    RateBudget& writes() { return writes_; }
     /// When the service last carried out something for this node.
     Time lastAnswer() const { return lastAnswer_; }
 
@@ -75,7 +73,7 @@
 
     transport::Client& http_;
     std::string address_;
-    RateBudget requests_, writes_;
+    RateBudget requests_;
     Time lastAnswer_;
 };
 
--- a/tests/frontdesk_test.cpp
+++ b/tests/frontdesk_test.cpp
@@ -26,7 +26,7 @@
     Desk(asio::io_context& context, const StateStub& stub, const std::string& name = "one")
         : io(context),
           config(settings(name)),
-          state(http, stub.address(), 1000, 1000, 1, Clock::now()),
+          state(http, stub.address(), 1000, 1, Clock::now()),
           sync(io, state, mirror, [](const auto&) {}),
           desk(io, config, state, mirror, sync),
           election(
