--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -379,7 +379,9 @@
     b.roster("m1");
     b.lead();
     b.job(make("wk-1", 4, 2));
-    for (int i = 0; i < 5; ++i) b.report("m1");
+    std::vector<TaskReport> running;
+    for (const auto& name : b.report("m1")) running.push_back(b.task(name, TaskState::running));
+    for (int i = 0; i < 5; ++i) b.report("m1", running);
     b.sequences["m1"] = 0;
     std::optional<SendOrders> probe;
     for (int i = 0; i < 3; ++i) {
@@ -392,8 +394,13 @@
         }
     }
     ASSERT_TRUE(probe);
+    const auto& m1 = *b.leader->fleet().machines().at("m1");
+    const auto possible = m1.places.size();
+    ASSERT_GT(possible, 0u);
     b.tell(WorkerAnswered{"m1", b.message("m1", {}, 5), probe->known});
+    b.sequences["m1"] = 50;  // beyond what was known: a late copy could look like this, too
     EXPECT_EQ(b.report("m1"), Names{});
+    EXPECT_EQ(m1.places.size(), possible);  // and would settle what is running now
     bool released = false;
     for (int i = 0; i < 10; ++i)
         for (const auto& action : b.tick())
@@ -489,8 +496,11 @@
         }
         b.lead();
         for (int i = 0; i < 20; ++i) {
-            auto spec = make("wk-" + std::to_string(i), 2000, 1, i % 2 ? Kind::array : Kind::service);
+            // The first ten fill the machines and leave their images there, the others wait.
+            const auto tasks = static_cast<std::uint32_t>(i < 10 ? fleet / 5 : 2000);
+            auto spec = make("wk-" + std::to_string(i), tasks, 1, i % 2 ? Kind::array : Kind::service);
             spec.image = "image-" + std::to_string(i % 5);
+            spec.memoryGb = 16;  // machines are full with processors to spare
             b.job(spec);
         }
         std::uint64_t before = 0, reports = 0;
