--- a/tests/frontdesk_test.cpp
+++ b/tests/frontdesk_test.cpp
@@ -290,7 +290,7 @@
     stub.store.endLease(stub.store.leases.begin()->first);
     stub.wake();
     b.until([&] { return !b.mirror.leader; });
-    for (int i = 0; i < 100; ++i) b.election.tick(Clock::now()), io.run_one_for(2ms);
+    for (int i = 0; i < 100; ++i) b.election.tick(later + i * life / 120), io.run_one_for(2ms);
     EXPECT_EQ(b.token, 0u);
     while (!b.token) b.election.tick(later + 2 * life), io.run_one_for(5ms);
     // A process that is back at once has forgotten what it promised.
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -590,3 +590,37 @@
         }
     }
 }
+
+// Seen on a simulated day: guaranteed tasks of low priority took the room that others had been stopped for,
+// and were stopped in turn, over and over.
+TEST(Leader, RoomThatWorkWasStoppedForIsNotTakenByOtherWorkOfNoHigherPriority) {
+    Bench b;
+    b.settings.teams.push_back({"guaranteed", 100, 0, 0, 0});
+    b.roster("m1", "gpu");
+    b.roster("m2", "gpu");
+    b.lead();
+    std::map<std::string, std::vector<TaskReport>> running;
+    const auto fill = [&](const std::string& id) {
+        for (const auto& name : b.report(id, running[id]))
+            running[id].push_back(b.task(name, TaskState::running));
+    };
+    b.job(make("wk-1", 40, 1));
+    fill("m1");
+    fill("m2");
+    ASSERT_EQ(running["m1"].size() + running["m2"].size(), 32u);
+    auto gang = make("wk-2", 2, 14, Kind::gang);
+    gang.gpus = 2;
+    gang.priority = protocol::Priority::high;
+    b.job(gang);
+    auto other = make("wk-3", 40, 1);
+    other.team = "guaranteed";
+    b.job(other);
+    for (int i = 0; i < 5; ++i) b.tick();
+    for (const char* id : {"m1", "m2"}) {
+        running[id].resize(2);  // the others have stopped
+        for (const auto& name : b.report(id, running[id])) EXPECT_FALSE(name.starts_with("wk-3")) << name;
+    }
+    b.tick();
+    b.tick();
+    EXPECT_EQ(b.report("m1", running["m1"]).size() + b.report("m2", running["m2"]).size(), 2u);  // the gang
+}
