--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -730,7 +730,10 @@
         if (std::get<1>(bestMerit) < job.spec.tasks) return 0;  // more machines have to come first
         const bool bespoken = bespeaker_ && bespokenUntil_ > now_;
         if (bespoken && bespeaker_ == &job) bestZone = bespokenZone_;  // it stays where it began
-        if (now_ - job.run->acceptedAt > policy_.longestPassedOver / 3 && (!bespoken || bespeaker_ == &job)) {
+        // The oldest goes first, or one after the other might be younger.
+        const bool turn =
+            !bespoken || bespeaker_ == &job || job.run->acceptedAt < bespeaker_->run->acceptedAt;
+        if (turn && now_ - job.run->acceptedAt > policy_.longestPassedOver / 3) {
             bespeaker_ = &job;
             bespokenZone_ = bestZone;
             bespokenUntil_ = now_ + 5s;
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -56,7 +56,7 @@
 struct Policy {
     Seconds leadership{0};           // 0: derived from the workers' lease
     Seconds idleKeep{10};            // how long a machine without tasks is kept
-    double bootKeep = 0.3;           // and at least this many of its type's boot times
+    double bootKeep = 0.8;           // and at least this many of its type's boot times
     Seconds minimumKeep{55};         // the cloud charges a minute at least
     Seconds backlogHorizon{45};      // a backlog of short tasks should be gone after this
     Seconds fetchStart{5};           // fetch time assumed before one was seen
