--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -141,6 +141,10 @@
         Time since{}, nextTry{};
         bool asked = false, fresh = true;  // fresh: never asked for so far
     };
+    struct Bespoken {  // a zone for a gang
+        const Job* job = nullptr;
+        Time until{};
+    };
     struct Sacrifice {  // what would stop on a machine to make room
         Machine* machine = nullptr;
         std::vector<Placement*> victims;
@@ -224,6 +228,7 @@
     void carryOut(const Sacrifice& sacrifice, Job& job, Clock::duration until);
     int preemptFor(Job& job);
     int gather(Job& job);
+    void bespeak(const Job& job, const std::string& zone);
     bool bespokenAgainst(const Job& job, const Machine& machine) const;
 
     // provisioning.cpp
@@ -280,9 +285,7 @@
     double meanCachedSeconds_ = 0;
     std::size_t machinesUp_ = 0;
     std::set<std::string> liveZones_;
-    const Job* bespeaker_ = nullptr;  // the gang for which a zone is bespoken
-    std::string bespokenZone_;
-    Time bespokenUntil_{};
+    std::map<std::string, Bespoken> bespoken_;  // per zone
     std::size_t preemptFrom_ = 0, turn_ = 0;
     std::uint64_t visited_ = 0;  // machines looked at on behalf of jobs; tests count them
     double meanFetch_ = 0;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -24,6 +24,7 @@
 constexpr auto kLookAgain = 250ms;  // how long a look at the other machines serves a job
 constexpr double kFavour = 1e6, kSpotLoss = 100,
                  kFetchLoss = 150;  // processor seconds, when a gang's machines are chosen
+constexpr auto kBespoken = 5s;      // renewed while the gang waits
 constexpr int kProductionRank = 10, kOverdueRank = 6, kGuaranteedRank = 5;
 
 }  // namespace
@@ -553,7 +554,7 @@
         fleet_.place(*machine, job, task, job.run->gangAttempt, PlaceState::planned, now_);
         if (machine->reservedFor == &job) fleet_.reserve(*machine, nullptr);
     }
-    if (bespeaker_ == &job) bespeaker_ = nullptr;
+    std::erase_if(bespoken_, [&](const auto& entry) { return entry.second.job == &job; });
     orderStale_ = true;
     return true;
 }
@@ -727,17 +728,8 @@
         bestZone = zone;
     }
     if (std::get<0>(bestMerit) < job.spec.tasks) {
-        if (std::get<1>(bestMerit) < job.spec.tasks) return 0;  // more machines have to come first
-        const bool bespoken = bespeaker_ && bespokenUntil_ > now_;
-        if (bespoken && bespeaker_ == &job) bestZone = bespokenZone_;  // it stays where it began
-        // The oldest goes first, or one after the other might be younger.
-        const bool turn =
-            !bespoken || bespeaker_ == &job || job.run->acceptedAt < bespeaker_->run->acceptedAt;
-        if (turn && now_ - job.run->acceptedAt > policy_.longestPassedOver / 3) {
-            bespeaker_ = &job;
-            bespokenZone_ = bestZone;
-            bespokenUntil_ = now_ + 5s;
-        }
+        // Unless more machines have to come first.
+        if (std::get<1>(bestMerit) >= job.spec.tasks) bespeak(job, bestZone);
         return 0;
     }
     std::vector<Sacrifice> sacrifices;
@@ -767,14 +759,35 @@
     return 1;
 }
 
+/// One zone at a time, so that smaller work has another to go to; a gang that is overdue may take a further
+/// one.
+void Leader::bespeak(const Job& job, const std::string& zone) {
+    std::erase_if(bespoken_, [&](const auto& entry) { return entry.second.until <= now_; });
+    const auto own = std::find_if(bespoken_.begin(), bespoken_.end(),
+                                  [&](const auto& entry) { return entry.second.job == &job; });
+    if (own != bespoken_.end()) {  // it stays where it began
+        own->second.until = now_ + kBespoken;
+        return;
+    }
+    if (now_ - job.run->acceptedAt <= policy_.longestPassedOver / 3) return;
+    const auto there = bespoken_.find(zone);
+    // The oldest goes first, or one after the other might be younger.
+    const bool older = there != bespoken_.end() && job.run->acceptedAt < there->second.job->run->acceptedAt;
+    if (older || bespoken_.empty() || (job.run->overdue && there == bespoken_.end()))
+        bespoken_[zone] = {&job, now_ + kBespoken};
+}
+
 /// A gang that waits for machines like this one has bespoken the zone.
 bool Leader::bespokenAgainst(const Job& job, const Machine& machine) const {
-    if (!bespeaker_ || bespokenUntil_ <= now_ || bespeaker_ == &job || !machine.kind) return false;
-    const auto& spec = bespeaker_->spec;
-    if (!bespokenZone_.empty() && machine.zone != bespokenZone_) return false;
-    if (job.spec.priority < spec.priority || job.spec.priority == Priority::production) return false;
-    if (spec.gpus > 0 ? job.spec.gpus <= 0 : job.spec.kind != Kind::gang) return false;
-    return bookkeeping::sizeOf(*machine.kind).covers(bookkeeping::needOf(spec));
+    if (bespoken_.empty() || !machine.kind || job.spec.priority == Priority::production) return false;
+    return std::any_of(bespoken_.begin(), bespoken_.end(), [&](const auto& entry) {
+        const auto& [zone, by] = entry;
+        if (by.until <= now_ || by.job == &job || (!zone.empty() && machine.zone != zone)) return false;
+        const auto& spec = by.job->spec;
+        if (job.spec.priority < spec.priority) return false;
+        if (spec.gpus > 0 ? job.spec.gpus <= 0 : job.spec.kind != Kind::gang) return false;
+        return bookkeeping::sizeOf(*machine.kind).covers(bookkeeping::needOf(spec));
+    });
 }
 
 }  // namespace burlpoint::coordination
