Sockets are shared out for a worker each; connections kept for later give way

Now the workers' client is apart, an idle connection gives way, and the process asks for as many files as it may have sockets.

--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -40,9 +40,18 @@
     return r;
 }
 
+// Shares of the sockets. Every worker keeps a connection to the leader, beside the users that any node has;
+// what a node opens itself is short-lived.
+constexpr double kUserSockets = 0.74, kPeerSockets = 0.04, kServiceSockets = 0.07, kWorkerSockets = 0.12;
+static_assert(kUserSockets + kPeerSockets + kServiceSockets + kWorkerSockets < 0.98);
+
+std::size_t sockets(const protocol::Settings& settings, double share) {
+    return static_cast<std::size_t>(settings.maxConnections * share);
+}
+
 transport::ServerLimits limits(const protocol::Settings& settings, double share) {
     transport::ServerLimits limits;
-    limits.connections = static_cast<std::size_t>(settings.maxConnections * share);
+    limits.connections = sockets(settings, share);
     return limits;
 }
 
@@ -91,7 +100,8 @@
     : io_(io),
       settings_(settings),
       policy_(policy),
-      http_(io, settings.maxConnections * 3 / 10),
+      http_(io, sockets(settings, kServiceSockets)),
+      workers_(io, sockets(settings, kWorkerSockets)),
       state_(http_, settings.state, settings.stateRps, 0.5, Clock::now()),
       sync_(
           io, state_, mirror_,
@@ -107,11 +117,11 @@
           [this] { lost(); }),
       desk_(io, settings, state_, mirror_, sync_),
       ticker_(io),
-      users_(io, transport::parseEndpoint(settings.listen), limits(settings, 0.55),
+      users_(io, transport::parseEndpoint(settings.listen), limits(settings, kUserSockets),
              [this](Request&& request, Reply reply) {
                  enqueue(Call{std::move(request), std::move(reply), false});
              }),
-      peerServer_(io, transport::parseEndpoint(settings.peerListen), limits(settings, 0.05),
+      peerServer_(io, transport::parseEndpoint(settings.peerListen), limits(settings, kPeerSockets),
                   [this](Request&& request, Reply reply) {
                       enqueue(Call{std::move(request), std::move(reply), true});
                   }) {
@@ -158,6 +168,7 @@
     if (now >= nextClean_) {
         nextClean_ = now + 5s;
         http_.closeIdle(20s);
+        workers_.closeIdle(20s);
         std::erase_if(detours_, [&](const auto& entry) { return entry.second.over(now); });
     }
     ticker_.expires_after(kTick);
@@ -365,7 +376,7 @@
 void Node::perform(SendOrders& action) {
     if (!election_.valid(Clock::now()))
         return enqueue(Command(WorkerAnswered{action.machine, std::nullopt, action.known}));
-    http_.request(
+    workers_.request(
         action.address, "POST", paths::kOrders,
         protocol::encodeDirectOrders(leader_->token(), action.session, action.orders), kOrdersTimeout,
         [this, round = leaderRound_, machine = action.machine, known = action.known](Outcome outcome) {
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -86,7 +86,8 @@
     asio::io_context& io_;
     const protocol::Settings& settings_;
     const protocol::Policy& policy_;
-    transport::Client http_;
+    transport::Client http_;     // to the state service, the cloud and peers
+    transport::Client workers_;  // apart, so that silent machines do not take those sockets
     storage::StateClient state_;
     bookkeeping::Mirror mirror_;
     Sync sync_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,6 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <sys/resource.h>
 
 #include <CLI/CLI.hpp>
 #include <cstdlib>
@@ -24,6 +25,16 @@
         spdlog::error("LOG_LEVEL={}: not error, info or debug; info is used", level);
 }
 
+/// A socket for each worker of a large fleet is more than most systems give a process unasked.
+void raiseFileLimit(unsigned connections) {
+    constexpr rlim_t kOthers = 64;  // standard error, timers and the like
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= connections + kOthers) return;
+    limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, connections + kOthers);
+    if (setrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur < connections + kOthers)
+        spdlog::info("only {} open files of {} are allowed", limit.rlim_cur, connections + kOthers);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -46,6 +57,7 @@
                       << settings.peers.size() << " peers, " << settings.teams.size() << " teams: good\n";
             return EXIT_SUCCESS;
         }
+        raiseFileLimit(settings.maxConnections);
         asio::io_context io(1);
         burlpoint::coordination::Node node(io, settings, policy);
         spdlog::info("{} serves {}", settings.name, settings.listen);
--- a/src/transport/client.cpp
+++ b/src/transport/client.cpp
@@ -155,6 +155,15 @@
         }
 }
 
+void Client::closeOneIdle() {
+    for (const auto& [address, pool] : pools_)
+        for (const auto& connection : pool)
+            if (!connection->busy()) {
+                const auto idle = connection;
+                return idle->close();
+            }
+}
+
 void Client::request(const std::string& address, const char* method, const std::string& target,
                      std::string body, Duration timeout, Done done) {
     auto& pool = pools_[address];
@@ -163,7 +172,10 @@
         const auto connection = *idle;
         return connection->send(method, target, std::move(body), timeout, std::move(done));
     }
+    // Connections kept for later give way to one that is needed now.
+    if (open_ >= limit_) closeOneIdle();
     if (open_ >= limit_) {
+        if (pool.empty()) pools_.erase(address);
         asio::post(io_, [done = std::move(done)] { done({}); });
         return;
     }
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -6,10 +6,10 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
-#include <list>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace burlpoint::transport {
@@ -64,7 +64,7 @@
     asio::steady_timer sweeper_;
     ServerLimits limits_;
     Handler handler_;
-    std::list<std::shared_ptr<Connection>> connections_;
+    std::unordered_set<std::shared_ptr<Connection>> connections_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
@@ -86,7 +86,7 @@
     Client& operator=(const Client&) = delete;
 
     /// `done` is called exactly once, never from inside this call. A request that finds the table of
-    /// connections full fails at once with status 0.
+    /// connections full of others under way fails at once with status 0.
     void request(const std::string& address, const char* method, const std::string& target, std::string body,
                  Duration timeout, Done done);
     /// Closes idle connections unused for `age`.
@@ -95,6 +95,7 @@
   private:
     class Connection;
     void remove(Connection* connection);
+    void closeOneIdle();
 
     asio::io_context& io_;
     std::size_t limit_;
--- a/src/transport/server.cpp
+++ b/src/transport/server.cpp
@@ -65,7 +65,7 @@
         closed_ = true;
         asio::error_code ignored;
         socket_.close(ignored);
-        server_.connections_.remove(shared_from_this());
+        server_.connections_.erase(shared_from_this());
     }
 
     /// Silent and slow peers may not hold their sockets for ever.
@@ -200,7 +200,10 @@
 
 Server::~Server() {
     *alive_ = false;
-    while (!connections_.empty()) connections_.front()->close();
+    while (!connections_.empty()) {
+        const auto connection = *connections_.begin();
+        connection->close();
+    }
 }
 
 void Server::accept() {
@@ -219,8 +222,9 @@
         if (connections_.size() < limits_.connections) {
             asio::error_code ignored;
             socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-            connections_.push_back(std::make_shared<Connection>(*this, std::move(socket)));
-            connections_.back()->read();
+            const auto connection = std::make_shared<Connection>(*this, std::move(socket));
+            connections_.insert(connection);
+            connection->read();
         }
         accept();
     });
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <optional>
+
 using namespace burlpoint::transport;
 using namespace std::chrono_literals;
 
@@ -87,6 +89,20 @@
     EXPECT_EQ(echo.ask(other, "GET", "/").status, 0);
 }
 
+// A leader of a large fleet found its table full of connections that it only kept for later.
+TEST(Http, AnIdleConnectionGivesWayToOneThatIsNeeded) {
+    Echo one, other;
+    Client client(one.io, 1);
+    EXPECT_EQ(one.ask(client, "GET", "/").status, 200);
+    std::optional<int> status;
+    client.request(other.address, "GET", "/", "", 2000ms, [&](Outcome o) { status = o.status; });
+    while (!status) {
+        one.io.run_one_for(1ms);
+        other.io.run_one_for(1ms);
+    }
+    EXPECT_EQ(*status, 200);
+}
+
 TEST(Http, ConnectionsBeyondTheLimitAreClosed) {
     ServerLimits limits;
     limits.connections = 1;
