A machine that was only rented neither delays a take-over nor is given up by it

Inherited jobs waited for them until they were deleted after 8 s, and machines that take 50 s to boot never came up. Now that entry is a note without an address, under which no task is given; the entry with the address is written on the machine's first report, before it has taken the token, so it is mostly stored when the second comes.

--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -68,6 +68,7 @@
     }
     for (const auto& [id, stored] : mirror.roster) {
         auto& machine = identify(id, stored.record.type, stored.record.zone, stored.record.spot);
+        if (!mayHoldTasks(id)) continue;  // noted as it was rented: it may boot still
         machine.address = stored.record.address;
         fleet_.setRoster(machine, RosterState::stored);
         // Whatever earlier leaders answered, they answered before now.
@@ -113,6 +114,19 @@
     orderStale_ = true;
 }
 
+/// The roster entry of a machine that has not reported yet has no address. It is a note for the next leader
+/// and no task is given under it: were it otherwise, each take-over would wait for all machines that are
+/// booting.
+storage::MachineRecord Leader::recordOf(const Machine& machine) const {
+    return {machine.session > 0 ? machine.address : "", machine.type, machine.zone, machine.spot};
+}
+
+/// May an earlier leader have given the machine a task?
+bool Leader::mayHoldTasks(const std::string& id) const {
+    const auto stored = mirror_.roster.find(id);
+    return stored != mirror_.roster.end() && !stored->second.record.address.empty();
+}
+
 /// The machine's record; a new one is not in the roster, so no earlier leader gave the machine a task.
 Machine& Leader::identify(const std::string& id, const std::string& type, const std::string& zone,
                           bool spot) {
@@ -123,7 +137,7 @@
     machine.zone = zone;
     machine.spot = spot;
     machine.kind = typeOf(type);
-    machine.settled = !mirror_.roster.contains(id);
+    machine.settled = !mayHoldTasks(id);
     // Back in the cloud's list, say: what is not newer than its last message stays old.
     if (const auto left = departed_.find(id); left != departed_.end())
         std::tie(machine.session, machine.sequence) = left->second;
@@ -147,6 +161,7 @@
         actions_.push_back(AnswerReport{command.request, false, {}});
         return;
     }
+    const bool expected = fleet_.find(report.machine);
     auto& machine = identify(report.machine, report.type, report.zone, report.spot);
     if (machine.doubtful) {
         actions_.push_back(AnswerReport{command.request, false, {}});
@@ -186,7 +201,8 @@
         std::max(machine.settled ? Time{} : machine.leaseUntil, now_ + leaseBound(settings_));
     machine.reports = true;
     merge(machine, report, true);
-    if (machine.heard) keepRoster(machine);
+    // Its entry is written as it comes up, before it has taken the token and can be given tasks.
+    if (machine.heard || (expected && machine.settled)) keepRoster(machine);
     actions_.push_back(AnswerReport{command.request, true, compose(machine, report)});
     urgent_.erase(machine.id);  // the response has its stops
 }
@@ -519,7 +535,6 @@
 }
 
 void Leader::keepRoster(Machine& machine) {
-    const storage::MachineRecord record{machine.address, machine.type, machine.zone, machine.spot};
     const auto stored = mirror_.roster.find(machine.id);
     if (machine.roster == RosterState::writing) return;
     // It was forgotten, and is back. A deletion of its entry may still be on its way, so the entry counts
@@ -530,12 +545,12 @@
         rosterAdd_.insert(machine.id);
         return;
     }
-    if (stored != mirror_.roster.end() && stored->second.record == record) {
+    if (stored != mirror_.roster.end() && stored->second.record == recordOf(machine)) {
         fleet_.setRoster(machine, RosterState::stored);
         rosterAdd_.erase(machine.id);
         return;
     }
-    fleet_.setRoster(machine, stored == mirror_.roster.end() ? RosterState::absent : RosterState::stored);
+    fleet_.setRoster(machine, mayHoldTasks(machine.id) ? RosterState::stored : RosterState::absent);
     rosterAdd_.insert(machine.id);
 }
 
@@ -616,16 +631,19 @@
         write.writes.push_back({key, std::move(value), 0});
     };
 
-    for (const auto& id : rosterAdd_) {
-        if (!room()) break;
-        auto* machine = fleet_.find(id);
-        const auto stored = mirror_.roster.find(id);
-        if (machine->roster == RosterState::absent) fleet_.setRoster(*machine, RosterState::writing);
-        put(keys::machine(id),
-            storage::encodeMachine({machine->address, machine->type, machine->zone, machine->spot}),
-            stored == mirror_.roster.end() ? 0 : stored->second.version);
-        rosterWrites_.push_back(id);
-    }
+    const auto enter = [&](bool reported) {
+        for (const auto& id : rosterAdd_) {
+            if (!room()) break;
+            auto* machine = fleet_.find(id);
+            if ((machine->session > 0) != reported) continue;
+            const auto stored = mirror_.roster.find(id);
+            if (machine->roster == RosterState::absent) fleet_.setRoster(*machine, RosterState::writing);
+            rosterWrites_.emplace_back(id, recordOf(*machine));
+            put(keys::machine(id), storage::encodeMachine(rosterWrites_.back().second),
+                stored == mirror_.roster.end() ? 0 : stored->second.version);
+        }
+    };
+    enter(true);
     for (auto* job : unstored_) {
         if (!room()) break;
         if (!endsWithOneWrite(*job)) continue;
@@ -655,6 +673,7 @@
         }
         job->run->nextBits = now_ + kBitsPause;
     }
+    enter(false);  // notes wait for everything that somebody waits for
     std::erase_if(rosterDrop_, [&](const auto& id) { return !mirror_.roster.contains(id); });
     for (const auto& id : rosterDrop_) {
         if (!room()) break;
@@ -679,21 +698,19 @@
     // Other users of the store need their turn, and a moment's wait lets changes gather.
     nextWrite_ = now_ + 150ms;
     const bool applied = result.status == TxnStatus::applied;
-    for (const auto& id : rosterWrites_) {
+    for (const auto& [id, record] : rosterWrites_) {
         auto* machine = fleet_.find(id);
-        if (machine && applied) fleet_.setRoster(*machine, RosterState::stored);
+        const bool whole = applied && !record.address.empty();
+        if (machine && whole) fleet_.setRoster(*machine, RosterState::stored);
         if (machine && machine->roster == RosterState::writing)
             fleet_.setRoster(*machine, RosterState::absent);
         if (!applied) continue;
-        rosterAdd_.erase(id);
+        mirror_.roster[id] = {record, result.revision};
         rosterDeleted_.erase(id);
-        if (!machine) {
+        if (!machine)
             rosterDrop_.insert(id);
-            mirror_.roster[id] = {{}, result.revision};
-            continue;
-        }
-        auto& stored = mirror_.roster[id];
-        stored = {{machine->address, machine->type, machine->zone, machine->spot}, result.revision};
+        else if (record == recordOf(*machine))
+            rosterAdd_.erase(id);
     }
     if (applied) {
         for (const auto& id : rosterDeletes_) {
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -187,6 +187,8 @@
     void sendUrgent();
     void recall(Machine& machine);
     void watchSilence();
+    storage::MachineRecord recordOf(const Machine& machine) const;
+    bool mayHoldTasks(const std::string& id) const;
     void keepRoster(Machine& machine);
     void maybeWrite();
     void dump() const;
@@ -266,7 +268,8 @@
     bool typesUnstored_ = false;
     std::vector<DoneWrite> doneWrites_;  // of the write under way
     std::vector<Job*> finalWrites_;
-    std::vector<std::string> rosterWrites_, rosterDeletes_;
+    std::vector<std::pair<std::string, storage::MachineRecord>> rosterWrites_;
+    std::vector<std::string> rosterDeletes_;
     std::vector<MachineType> typesWrite_;
 
     // placement
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -261,8 +261,7 @@
     for (const auto& id : command.machines) {
         if (departed_.contains(id) || fleet_.find(id)) continue;
         identify(id, request.type, request.zone, request.spot);
-        // In the roster before its worker's first report, so that that report can be answered with tasks.
-        rosterAdd_.insert(id);
+        rosterAdd_.insert(id);  // noted for the next leader, which would rent it again
     }
 }
 
@@ -320,11 +319,12 @@
         if (left != departed_.end() && left->second.first == kDeleted) continue;
         const bool known = fleet_.find(rented.id) != nullptr;
         auto& machine = identify(rented.id, rented.type, rented.zone, rented.spot);
-        if (!known) {
-            // Rented by an earlier leader, or by a request that was carried out late.
-            machine.knownSince = now_ - ticks(std::min(rented.age, Seconds(86'400)));
-            machine.busyUntil = now_;
-        }
+        // Rented by an earlier leader, or by a request that was carried out late. One that may have had tasks
+        // is silent, not booting, and its age says nothing.
+        if (machine.session == 0 && !mayHoldTasks(rented.id))
+            machine.knownSince =
+                std::min(machine.knownSince, now_ - ticks(std::min(rented.age, Seconds(86'400))));
+        if (!known) machine.busyUntil = now_;
         if (machine.address.empty()) machine.address = rented.address;
         if (rented.state == MachineState::failed) machine.failed = true;
     }
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -273,6 +273,36 @@
     EXPECT_EQ(b.report("m9"), Names{"wk-1/0"});
 }
 
+// Seen on a recorded day: each take-over waited for the machines that were booting and then deleted them, as
+// if they had fallen silent, so that with a leader lost every 40 s some never came up.
+TEST(Leader, AMachineThatWasOnlyRentedIsNeitherWaitedForNorGivenUp) {
+    Bench b;
+    b.roster("m1");
+    b.mirror.roster["m2"] = {{"", "plain", "z", false}, 9};
+    b.job(make("wk-1", 1, 8));
+    b.lead();
+    EXPECT_EQ(b.report("m1"), Names{"wk-1/0"});  // it can't be on m2
+    const auto running = b.task("wk-1/0", TaskState::running);
+    for (int second = 0; second < 30; ++second) {
+        b.report("m1", {running});
+        for (const auto& action : b.tick(800ms)) EXPECT_FALSE(std::holds_alternative<Release>(action));
+    }
+    // It comes up: its entry is written on its first report, and until then it gets nothing.
+    b.job(make("wk-2", 1, 8));
+    const auto first = b.message("m2", {}, 0);
+    std::size_t writes = 0;
+    for (const auto& action : b.tell(ReportArrived{1, first}))
+        if (const auto* write = std::get_if<WriteState>(&action))
+            for (const auto& each : write->writes) writes += each.key == storage::keys::machine("m2");
+    EXPECT_EQ(writes, 1u);
+    EXPECT_EQ(b.report("m2"), Names{});
+    storage::TxnResult applied;
+    applied.status = storage::TxnStatus::applied;
+    applied.revision = 77;
+    b.tell(StateWritten{applied});
+    EXPECT_EQ(b.report("m2"), Names{"wk-2/0"});
+}
+
 // A machine that fails the tasks of different jobs is kept out of use; a job that fails everywhere is not
 // taken for a fault of the machines.
 TEST(Leader, FaultyMachinesAndFaultyJobsAreToldApart) {
