--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -30,11 +30,12 @@
       lost_(std::move(lost)),
       random_(std::random_device{}()),
       started_(Clock::now()) {
-    // Short enough that a successor takes over within the workers' lease, long enough that the leader's
-    // silence during an outage of the state service, added to that lease, spans the outage.
+    // Half of the workers' lease at most: when a leader stands still, its workers wait for it, find the
+    // successor among the others, and all of them must be answered in what is left of their leases. An outage
+    // of the state service is spanned by the peers' promises.
     const auto wished = policy.leadership.count() > 0
                             ? policy.leadership
-                            : std::clamp(settings.lease * 0.75, protocol::Seconds(2), protocol::Seconds(8));
+                            : std::clamp(settings.lease * 0.5, protocol::Seconds(2), protocol::Seconds(8));
     life_ = std::chrono::duration_cast<Duration>(wished);
 }
 
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -25,6 +25,8 @@
 constexpr auto kBitsPause = 1s;           // a job's finished tasks gather for this long
 constexpr std::uint32_t kUnheeded = 2;    // answers that did not get through, in a row
 constexpr Seconds kKeptFor{5};            // machines of a stopped gang, beyond its save and reports
+constexpr auto kFirstReports = 1500ms;    // within this after a take-over most workers report by themselves
+constexpr std::size_t kMostProbes = 100;  // at a time
 constexpr auto kPaused = 3s;              // without a tick this node did not lead in the meantime
 
 Clock::duration ticks(Seconds s) { return std::chrono::duration_cast<Clock::duration>(s); }
@@ -575,6 +577,7 @@
         machine->reports = false;
     }
     const bool few = silent <= std::max<std::size_t>(2, (reporting + silent) / 4);
+    std::size_t probes = 0;
     // A worker whose report fails waits 4 s, and another second before it tries the next node.
     const auto giveUp = std::max(ticks(settings_.lease * 0.4), ticks(settings_.report * 1.25 + Seconds(5.5)));
     for (auto& [id, machine] : fleet_.machines()) {
@@ -585,8 +588,11 @@
                                      : machine->deafSince ? *machine->deafSince
                                                           : machine->lastReport);
         if (!unheard && !machine->deafSince && silence <= patience) continue;
-        // The probe carries the token, so a reachable worker reports anew and an unheard one is heard.
-        probe(*machine);
+        // The probe carries the token, so a reachable worker reports anew and an unheard one is heard. Most
+        // come by themselves after a take-over, when each answer is urgent, so probes wait and come a few at
+        // a time.
+        if (!machine->probing && (!unheard || silence > kFirstReports) && ++probes <= kMostProbes)
+            probe(*machine);
         const bool answered = now_ - machine->probedAt < giveUp;
         const bool holds = unheard || machine->deafSince || !machine->places.empty();
         if (few && holds && !answered && silence > giveUp && !machine->releasing) {
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <numeric>
+
 #include "coordination/node.h"
 #include "world.h"
 
@@ -403,6 +405,27 @@
     EXPECT_GE(b.now - began, 20s);
 }
 
+// Seen on a simulated day: a new leader spent its first second on probing hundreds of machines that were
+// about to report, and answered some only after their leases were over.
+TEST(Leader, ATakeOverAnswersReportsBeforeItProbes) {
+    Bench b;
+    for (int i = 0; i < 300; ++i) b.roster(std::string("m").append(std::to_string(i)));
+    b.lead();
+    const auto probesIn = [&](int ticks) {
+        std::vector<std::size_t> probes;
+        for (int i = 0; i < ticks; ++i) {
+            probes.push_back(0);
+            for (const auto& action : b.tick(500ms))
+                probes.back() += std::holds_alternative<SendOrders>(action);
+        }
+        return probes;
+    };
+    EXPECT_EQ(probesIn(2), (std::vector<std::size_t>{0, 0}));
+    const auto later = probesIn(6);
+    EXPECT_LE(*std::max_element(later.begin(), later.end()), 100u);
+    EXPECT_EQ(std::accumulate(later.begin(), later.end(), std::size_t{0}), 300u);  // each of them once
+}
+
 // After a restart of its worker counters begin anew: neither old news for good nor believed.
 TEST(Leader, AMachineThatCountsAnewIsReplaced) {
     Bench b;
