Promises tell a leader the cancellations that it may not know; blind leaders stop

Cause: a promise asked and told nothing about how much of the store each side had seen. A leader that the state service refused alone, with an outage for all right after, was carried on by peers that had confirmed cancellations in between, and its machines kept those tasks for longer than cancel_s.

Now the leader's question names the revision that it knows everything up to and how far it was told of the peer's log of cancellations; the answer tells the rest, in parts if need be, and promises only with the last part. A node knows what it has confirmed at once, without a read. A leader whose lease is renewed while its reads fail stops being entitled after half of what cancel_s leaves beside a lease; its own lease is bounded by the same. Being refused alone now takes a peer that was served 2 s after this node: a refusal that an outage follows at once made the leader resign when nobody could take over, which lost every task.

Ruled out: telling the leader at once as the argument itself, since such a message may be lost.

--- a/src/bookkeeping/jobs.cpp
+++ b/src/bookkeeping/jobs.cpp
@@ -91,22 +91,40 @@
         known = job.get();
         jobs_.emplace(id, std::move(job));
     }
-    known->version = version;
     known->acceptedMs = record.acceptedMs;
     known->chunkTasks = record.chunkTasks;
-    if (record.final == Final::open) {
-        open_.insert(known);
-        return;
+    if (record.final != Final::open) return close(*known, record.final, record.done, version);
+    known->version = version;
+    open_.insert(known);
+    if (const auto ahead = cancelledAhead_.find(id); ahead != cancelledAhead_.end())
+        close(*known, Final::cancelled, 0, ahead->second);
+}
+
+void Mirror::close(Job& job, Final final, std::uint32_t done, std::uint64_t version) {
+    if (final == Final::cancelled && job.final != Final::cancelled) cancelled_.push_back(&job);
+    cancelledAhead_.erase(job.spec.id);
+    job.version = version;
+    job.final = final;
+    job.doneCount = done;
+    job.done = {};
+    job.chunkVersions = {};
+    open_.erase(&job);
+    if (job.run) {
+        job.run->waiting = 0;
+        job.run->unstored.clear();
     }
-    known->final = record.final;
-    known->doneCount = record.done;
-    known->done = {};
-    known->chunkVersions = {};
-    open_.erase(known);
-    if (known->run) {
-        known->run->waiting = 0;
-        known->run->unstored.clear();
+}
+
+void Mirror::noteCancelled(const std::string& id, std::uint64_t version, std::vector<Change>& changes) {
+    auto* job = find(id);
+    if (!job) {
+        // Its record will be read later, perhaps as it stood before the cancellation.
+        cancelledAhead_[id] = version;
+        return;
     }
+    if (job->final != Final::open) return;
+    close(*job, Final::cancelled, job->doneCount, version);
+    changes.push_back({ChangeKind::job, id});
 }
 
 bool Mirror::apply(const protocol::KeyChange& change, std::vector<Change>& changes) {
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -120,6 +120,10 @@
     bool apply(const protocol::KeyChange& change, std::vector<Change>& changes);
     /// After all keys were read anew: what was not among them is gone.
     void dropUnread(const std::set<std::string>& read, std::vector<Change>& changes);
+    /// A confirmed cancellation that no read has shown yet: `version` is that of the record which tells it.
+    void noteCancelled(const std::string& id, std::uint64_t version, std::vector<Change>& changes);
+    /// Cancelled jobs in the order in which this node learned of them; it only grows.
+    const std::vector<const Job*>& cancelled() const { return cancelled_; }
 
     Job* find(const std::string& id);
     const std::unordered_map<std::string, std::unique_ptr<Job>>& jobs() const { return jobs_; }
@@ -136,9 +140,12 @@
 
   private:
     void applyJob(const std::string& id, const msgpack::object& value, std::uint64_t version);
+    void close(Job& job, Final final, std::uint32_t done, std::uint64_t version);
 
     std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
     std::set<Job*> open_;
+    std::vector<const Job*> cancelled_;
+    std::map<std::string, std::uint64_t> cancelledAhead_;  // of jobs that are not known yet
 };
 
 }  // namespace burlpoint::bookkeeping
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -36,7 +36,16 @@
     const auto wished = policy.leadership.count() > 0
                             ? policy.leadership
                             : std::clamp(settings.lease * 0.5, protocol::Seconds(2), protocol::Seconds(8));
-    life_ = std::chrono::duration_cast<Duration>(wished);
+    blind_ = longestBlind(settings);
+    life_ = std::min(std::chrono::duration_cast<Duration>(wished), blind_);
+}
+
+Duration Election::longestBlind(const protocol::Settings& settings) {
+    // A cancellation confirmed elsewhere must reach the leader, or the leases that it renewed last must be
+    // over, within `cancel_s`. Half of what is left beside a lease; the rest is for clocks, for an answer on
+    // its way and for a worker's next look at its lease.
+    const auto half = std::chrono::duration_cast<Duration>((settings.cancel - settings.lease) / 2.0);
+    return std::clamp(half, Duration(2000), Duration(10'000));
 }
 
 void Election::tick(Time now) {
--- a/src/coordination/election.h
+++ b/src/coordination/election.h
@@ -48,11 +48,18 @@
     /// Gives leadership up at once. `selfish`: this node is badly placed to lead, so others go first.
     void resign(transport::Time now, bool selfish);
     /// May this node act as leader at this moment?
-    bool valid(transport::Time now) const { return leading_ && (tenure_.valid(now) || promised(now)); }
+    bool valid(transport::Time now) const {
+        return leading_ && ((tenure_.valid(now) && now - sync_.asOf() < blind_) || promised(now));
+    }
+    /// How long a leader may act on its own, without an answer of the state service to anything but the
+    /// renewal of its lease: then the workers' leases are over well within the time a cancellation has.
+    static transport::Duration longestBlind(const protocol::Settings& settings);
     /// A leader asks in an outage: how long will this node not try to lead? Zero unless its key was there
-    /// when the state service last answered, which was a while ago.
+    /// when the state service last answered, which was a while ago. The answer that carries the promise must
+    /// tell all cancellations that this node knows and the leader may not.
     transport::Duration promise(const std::string& leader, std::uint64_t token, transport::Time now);
-    /// A peer's answer to that. Promises of all peers stand in for the lease while nobody is served.
+    /// A peer's answer to that, once what came with it is taken in. Promises of all peers stand in for the
+    /// lease while nobody is served.
     void notePromise(const std::string& peer, transport::Duration life, transport::Time sent);
     bool leading() const { return leading_; }
     /// A leader that the state service refuses has told its peers that it stopped: its key may be taken over.
@@ -76,7 +83,7 @@
     Sync& sync_;
     Won won_;
     Lost lost_;
-    transport::Duration life_;
+    transport::Duration life_, blind_;
     std::mt19937 random_;
     Tenure tenure_;
     std::uint64_t lease_ = 0, token_ = 0, abdicated_ = 0, givenUp_ = 0;
--- a/src/coordination/frontdesk.cpp
+++ b/src/coordination/frontdesk.cpp
@@ -249,8 +249,12 @@
     // Conditional on the record: a job becomes either done or cancelled, whichever is stored first.
     state_.transact({{key, job->version}}, {{key, storage::encodeJob(record), 0}}, kStoreTimeout,
                     [this, id, reply, tries](const TxnResult& result) {
-                        if (result.status == TxnStatus::applied)
+                        if (result.status == TxnStatus::applied) {
+                            // No read may come through for a while: whoever asks this node from now on, its
+                            // own leadership and a leader that wants its promise first of all, is told.
+                            sync_.noteCancelled(id, result.revision);
                             return reply(respond(200, protocol::jobReply(id, JobState::cancelled)));
+                        }
                         if (result.status == TxnStatus::conflict && tries > 1)
                             return cancel(id, reply, tries - 1);
                         reply(comeBack(503, "the state service does not answer"));
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -31,7 +31,9 @@
 constexpr auto kRelayFor = 30s;         // then it is sent to the leader again, to see
 constexpr auto kRelayTimeout = 2500ms;  // the worker waits for 4 s
 constexpr auto kAlone = 2500ms;         // without an answer of the state service that others get
+constexpr auto kServedSince = 2000ms;   // and these got one so long after this node's last
 constexpr unsigned kPageMachines = 500;
+constexpr std::size_t kMostTold = 500;  // cancellations in one message
 
 Response respond(int status, std::string body = {}) {
     Response r;
@@ -62,6 +64,11 @@
                     Duration(static_cast<int>(1000 * 1.5 * nodes / (settings.stateRps * 0.75))));
 }
 
+std::uint64_t drawLog() {
+    std::random_device device;
+    return std::uniform_int_distribution<std::uint64_t>(1)(device);  // 0 names none
+}
+
 }  // namespace
 
 bool Detour::over(Time now) const { return now >= until_ && now - at_ >= kBackSoon; }
@@ -116,6 +123,7 @@
           settings, policy, state_, mirror_, sync_, [this](std::uint64_t token) { won(token); },
           [this] { lost(); }),
       desk_(io, settings, state_, mirror_, sync_),
+      log_(drawLog()),
       ticker_(io),
       users_(io, transport::parseEndpoint(settings.listen), limits(settings, kUserSockets),
              [this](Request&& request, Reply reply) {
@@ -153,7 +161,8 @@
     const auto now = Clock::now();
     election_.tick(now);
     if (leader_ && election_.valid(now)) lead(Tick{});
-    if (now >= nextHeartbeat_ && now - state_.lastAnswer() > 800ms) {
+    const bool old = leader_ && now - sync_.asOf() > 1500ms;  // a leader must know what is cancelled
+    if (now >= nextHeartbeat_ && (old || now - state_.lastAnswer() > 800ms)) {
         nextHeartbeat_ = now + 800ms;
         sync_.fresh([](bool) {});
     }
@@ -273,23 +282,57 @@
 void Node::talkToPeers(Time now) {
     if (now < nextPeers_) return;
     nextPeers_ = now + 1s;
-    const auto body = protocol::encodePeerStatus(ownStatus(now));
+    auto status = ownStatus(now);
     if (leader_) desk_.setRunning(leader_->runningCounts());
-    for (const auto& peer : settings_.peers)
-        http_.request(peer.address, "POST", paths::kPeer, body, kPeerTimeout,
+    for (const auto& peer : settings_.peers) {
+        if (leader_) askFor(peer.name, status);
+        http_.request(peer.address, "POST", paths::kPeer, protocol::encodePeerStatus(status), kPeerTimeout,
                       [this, round = leaderRound_, name = peer.name, sent = now](Outcome outcome) {
                           if (!outcome.ok()) return;
                           try {
-                              const auto status = protocol::decodePeerStatus(outcome.body);
-                              notePeer(status, Clock::now());
-                              if (leader_ && round == leaderRound_ && status.node == name)
+                              const auto answer = protocol::decodePeerStatus(outcome.body);
+                              if (answer.node != name) return;
+                              notePeer(answer, Clock::now());
+                              takeCancelled(answer);
+                              // A promise of a peer that has more to tell would carry this leader on while
+                              // tasks go on that users were told are cancelled.
+                              if (leader_ && round == leaderRound_ && answer.told)
                                   election_.notePromise(
-                                      name, Duration(std::min<std::uint64_t>(status.promiseMs, 60'000)),
+                                      name, Duration(std::min<std::uint64_t>(answer.promiseMs, 60'000)),
                                       sent);
                           } catch (const Malformed& error) {
                               spdlog::error("malformed answer of a peer: {}", error.what());
                           }
                       });
+    }
+}
+
+/// What a leader's question to a peer names, so that the peer tells the cancellations not known here.
+void Node::askFor(const std::string& peer, protocol::PeerStatus& question) const {
+    const auto view = peers_.find(peer);
+    question.revision = mirror_.revision;
+    question.log = view == peers_.end() ? 0 : view->second.log;
+    question.logAt = view == peers_.end() ? 0 : view->second.logAt;
+}
+
+/// In parts, as a message has its bounds; the asking leader comes back for the next at once.
+void Node::tellCancelled(const protocol::PeerStatus& asking, protocol::PeerStatus& answer) const {
+    const auto& known = mirror_.cancelled();
+    answer.log = log_;
+    auto at = asking.log == log_ ? std::min<std::uint64_t>(asking.logAt, known.size()) : 0;
+    for (; at < known.size() && answer.cancelled.size() < kMostTold; ++at)
+        if (known[at]->version > asking.revision)
+            answer.cancelled.push_back({known[at]->spec.id, known[at]->version});
+    answer.logAt = at;
+    answer.told = at == known.size();
+}
+
+void Node::takeCancelled(const protocol::PeerStatus& answer) {
+    for (const auto& [job, version] : answer.cancelled) sync_.noteCancelled(job, version);
+    auto& view = peers_[answer.node];
+    view.log = answer.log;
+    view.logAt = answer.logAt;
+    if (!answer.cancelled.empty() && !answer.told) nextPeers_ = Clock::now();
 }
 
 void Node::servePeer(Call& call) {
@@ -303,9 +346,12 @@
         notePeer(asking, now);
         auto status = ownStatus(now);
         status.running.clear();
-        if (asking.token > 0)
-            status.promiseMs =
-                static_cast<std::uint64_t>(election_.promise(asking.node, asking.token, now).count());
+        if (asking.token > 0) {
+            tellCancelled(asking, status);
+            if (status.told)
+                status.promiseMs =
+                    static_cast<std::uint64_t>(election_.promise(asking.node, asking.token, now).count());
+        }
         call.reply(respond(200, protocol::encodePeerStatus(status)));
     } catch (const Malformed& error) {
         call.reply(respond(400, protocol::errorReply(error.what())));
@@ -328,11 +374,16 @@
 bool Node::able(Time now) const { return sync_.synced() && !mirror_.types.empty() && !refusedAlone(now); }
 
 /// The state service answers peers and not this node. When nobody is answered it is an outage that all nodes
-/// share, and stepping aside would help nobody.
+/// share, and stepping aside would help nobody: nobody could take over, and every task would be lost. So a
+/// peer must have been served for a while after this node was last: a refusal that an outage follows at once
+/// is no reason, since the leader goes on by its peers' promises.
 bool Node::refusedAlone(Time now) const {
-    if (now - state_.lastAnswer() < kAlone) return false;
+    const auto last = state_.lastAnswer();
+    if (now - last < kAlone) return false;
     return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
-        return now - entry.second.heardAt < 2500ms && now - entry.second.stateAnsweredAt < 2000ms;
+        const auto& view = entry.second;
+        return now - view.heardAt < 2500ms && now - view.stateAnsweredAt < 2000ms &&
+               view.stateAnsweredAt - last >= kServedSince;
     });
 }
 
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -79,6 +79,9 @@
     void notePeer(const protocol::PeerStatus& status, transport::Time now);
     bool able(transport::Time now) const;
     bool inTouch(const std::string& peer, transport::Time now) const;
+    void askFor(const std::string& peer, protocol::PeerStatus& question) const;
+    void tellCancelled(const protocol::PeerStatus& asking, protocol::PeerStatus& answer) const;
+    void takeCancelled(const protocol::PeerStatus& answer);
     std::string wayToLeader(transport::Time now) const;
     bool refusedAlone(transport::Time now) const;
     protocol::PeerStatus ownStatus(transport::Time now) const;
@@ -98,13 +101,15 @@
 
     std::deque<Queued> queue_;
     bool draining_ = false;
+    const std::uint64_t log_;  // names this process's log of cancellations
     std::uint64_t requests_ = 0;
     std::unordered_map<std::uint64_t, transport::Reply> reports_;  // being answered
 
     struct PeerView {
         transport::Time heardAt{};
         transport::Time stateAnsweredAt{};
-        std::uint64_t hears = 0;  // the token of the leader that it is in touch with
+        std::uint64_t hears = 0;           // the token of the leader that it is in touch with
+        std::uint64_t log = 0, logAt = 0;  // its log of cancellations, and how far it is known here
     };
     std::unordered_map<std::string, PeerView> peers_;
     std::unordered_map<std::string, Detour> detours_;  // per machine that reported to this follower
--- a/src/coordination/sync.cpp
+++ b/src/coordination/sync.cpp
@@ -11,8 +11,8 @@
 using namespace std::chrono_literals;
 
 namespace {
-constexpr auto kWatch = 10s;
-constexpr auto kWatchTimeout = 12s;
+constexpr auto kWatch = 5s;  // where the service is slow, a leader proves by these that it is up to date
+constexpr auto kWatchTimeout = 7s;
 constexpr auto kFreshTimeout = 1200ms;  // users wait 2 s for an answer
 constexpr auto kRetry = 400ms;
 constexpr double kReserve = 10;  // requests kept for lease renewals and a leader's writes
@@ -78,17 +78,24 @@
     if (!changes.empty()) changed_(changes);
 }
 
+void Sync::noteCancelled(const std::string& id, std::uint64_t version) {
+    std::vector<Change> changes;
+    mirror_.noteCancelled(id, version, changes);
+    if (!changes.empty()) changed_(changes);
+}
+
 void Sync::poll() {
     if (polling_ || loading_) return;
     if (!state_.requests().take(0, kReserve, Clock::now()))
         return later(pollTimer_, spacing_ * 2, &Sync::poll);
     polling_ = true;
     state_.watch(storage::keys::kAll, mirror_.revision, kWatch, kWatchTimeout,
-                 [this](ReadStatus status, const KeyPage& page) {
+                 [this, sent = Clock::now()](ReadStatus status, const KeyPage& page) {
                      polling_ = false;
                      if (status == ReadStatus::tooOld) return load();
                      if (status == ReadStatus::failed) return later(pollTimer_, kRetry, &Sync::poll);
                      take(page);
+                     asOf_ = std::max(asOf_, sent);
                      later(pollTimer_, spacing_ * 2, &Sync::poll);
                  });
 }
@@ -111,11 +118,12 @@
         later(freshTimer_, spacing_, &Sync::sendFresh);
     };
     state_.watch(storage::keys::kAll, mirror_.revision, 0s, kFreshTimeout,
-                 [this, answer](ReadStatus status, const KeyPage& page) {
+                 [this, answer, sent = Clock::now()](ReadStatus status, const KeyPage& page) {
                      if (status == ReadStatus::tooOld) load();
                      // While all keys are read anew the mirror is a mixture of times and proves nothing.
                      if (status == ReadStatus::ok && !loading_) {
                          take(page);
+                         asOf_ = std::max(asOf_, sent);
                          synced_ = true;
                          return answer(true);
                      }
--- a/src/coordination/sync.h
+++ b/src/coordination/sync.h
@@ -24,6 +24,10 @@
     bool synced() const { return synced_; }
     /// `done(true)` once the mirror holds all that was stored when this was called.
     void fresh(Fresh done);
+    /// The mirror holds all that was stored up to this time: when the newest read that was answered was sent.
+    transport::Time asOf() const { return asOf_; }
+    /// What is known without a read: a cancellation that was confirmed, by this node or by a peer.
+    void noteCancelled(const std::string& id, std::uint64_t version);
 
   private:
     void load();
@@ -42,6 +46,7 @@
     std::uint64_t loadRevision_ = 0;
     bool synced_ = false, loading_ = false, polling_ = false, asking_ = false, waiting_ = false;
     std::vector<Fresh> asked_, next_;
+    transport::Time asOf_{};
 };
 
 }  // namespace burlpoint::coordination
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -309,6 +309,14 @@
     s.stateAgeMs = f.integer("state_age_ms");
     s.hears = f.integerOr("hears", 0);
     s.promiseMs = f.integerOr("promise_ms", 0);
+    s.revision = f.integerOr("revision", 0);
+    s.log = f.integerOr("log", 0);
+    s.logAt = f.integerOr("log_at", 0);
+    s.told = f.flagOr("told", false);
+    f.each("cancelled", [&](const msgpack::object& element) {
+        const Fields c(element);
+        s.cancelled.push_back({c.text("job"), c.integer("version")});
+    });
     f.each("running", [&](const msgpack::object& element) {
         const Fields r(element);
         s.running.emplace_back(r.text("job"), static_cast<std::uint32_t>(
@@ -319,13 +327,16 @@
 
 std::string encodePeerStatus(const PeerStatus& s) {
     Packer p;
-    p.map(7)
+    p.map(12)
         .field("node", s.node)
         .field("token", s.token)
         .field("given_up", s.givenUp)
         .field("state_age_ms", s.stateAgeMs)
         .field("hears", s.hears)
         .field("promise_ms", s.promiseMs);
+    p.field("revision", s.revision).field("log", s.log).field("log_at", s.logAt).field("told", s.told);
+    p.key("cancelled").list(s.cancelled.size());
+    for (const auto& c : s.cancelled) p.map(2).field("job", c.job).field("version", c.version);
     p.key("running").list(s.running.size());
     for (const auto& [job, count] : s.running) p.map(2).field("job", job).field("count", count);
     return p.take();
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -101,6 +101,12 @@
     bool more = false;
 };
 
+struct Cancellation {
+    std::string job;
+    std::uint64_t version = 0;  // of the record that tells it
+    bool operator==(const Cancellation&) const = default;
+};
+
 /// What nodes tell each other.
 struct PeerStatus {
     std::string node;
@@ -110,6 +116,13 @@
     std::uint64_t hears = 0;       // token of the leader that the sender is or is in touch with
     std::uint64_t promiseMs = 0;   // in an answer to a leader: so long the sender will not try to lead
     std::vector<std::pair<std::string, std::uint32_t>> running;  // a leader's counts per job
+    // A leader asks for the cancellations that the other side knows and it may not.
+    std::uint64_t revision = 0;  // it knows all that was stored up to here
+    // Each process keeps a log of the cancellations it knows, named by a number that it draws as it starts.
+    // In a question: whose log, and from where on; in an answer: the own one, and up to where it was told.
+    std::uint64_t log = 0, logAt = 0;
+    std::vector<Cancellation> cancelled;
+    bool told = false;  // in an answer: nothing is left to tell
     bool operator==(const PeerStatus&) const = default;
 };
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -148,7 +148,18 @@
 }
 
 RC_GTEST_PROP(Codec, PeerStatusRoundTrip, ()) {
-    PeerStatus s{shortName(), big(), big(), big(), 5, 7, {{jobId(), 3}, {jobId(), kMostTasks}}};
+    PeerStatus s{shortName(),
+                 big(),
+                 big(),
+                 big(),
+                 5,
+                 7,
+                 {{jobId(), 3}, {jobId(), kMostTasks}},
+                 big(),
+                 big(),
+                 big(),
+                 {{jobId(), big()}, {jobId(), 1}},
+                 true};
     const auto bytes = encodePeerStatus(s);
     RC_ASSERT(decodePeerStatus(bytes) == s);
     survives(bytes, [](const std::string& b) { decodePeerStatus(b); });
--- a/tests/frontdesk_test.cpp
+++ b/tests/frontdesk_test.cpp
@@ -303,3 +303,48 @@
     EXPECT_EQ(c.token, 0u);
     while (!c.token) c.election.tick(Clock::now() + 10s), io.run_one_for(5ms);
 }
+
+// A leader whose lease goes on while its reads fail does not see what others confirm.
+TEST_F(FrontDeskTest, ALeaderThatReadsNothingStopsThoughItsLeaseGoesOn) {
+    Desk a(io, stub);
+    a.config.lease = protocol::Seconds(10);
+    a.config.cancel = protocol::Seconds(14);
+    coordination::Election election(
+        a.config, a.policy, a.state, a.mirror, a.sync, [&](std::uint64_t t) { a.token = t; }, [] {});
+    while (!a.token) election.tick(Clock::now()), io.run_one_for(5ms);
+    EXPECT_TRUE(election.valid(Clock::now()));
+    stub.readsFail = true;
+    int rounds = 0;
+    for (; election.valid(Clock::now()) && rounds < 1000; ++rounds)
+        election.tick(Clock::now()), io.run_one_for(20ms);
+    EXPECT_LT(rounds, 1000);
+    EXPECT_TRUE(election.leading());
+    EXPECT_FALSE(stub.store.leases.empty());
+    stub.readsFail = false;
+    a.sync.fresh([](bool) {});
+    while (!election.valid(Clock::now())) election.tick(Clock::now()), io.run_one_for(20ms);
+}
+
+// What a cancellation has and a lease takes leave a leader this long without a read, at every deployment.
+TEST_F(FrontDeskTest, LeasesEndWithinTheTimeOfACancellation) {
+    for (const auto& [lease, cancel] : {std::pair(26.5, 46.5), {13, 33}, {24, 44}, {10, 30}, {30, 40}}) {
+        auto s = settings("one");
+        s.lease = protocol::Seconds(lease);
+        s.cancel = protocol::Seconds(cancel);
+        EXPECT_LT(coordination::Election::longestBlind(s) + s.lease * 1.002 + protocol::Seconds(4), s.cancel);
+    }
+}
+
+// The node that confirmed a cancellation knows it at once, though no read comes through any more.
+TEST_F(FrontDeskTest, AConfirmedCancellationIsKnownWhereItWasConfirmed) {
+    Desk d(io, stub);
+    d.until([&] { return d.sync.synced(); });
+    EXPECT_EQ(d.ask("POST", "/submissions", body("wk-1")).status, 201);
+    EXPECT_EQ(d.bearing("wk-1"), "pending");
+    EXPECT_TRUE(d.mirror.cancelled().empty());
+    EXPECT_EQ(d.ask("POST", "/submissions/wk-1/cancel").status, 200);
+    stub.outage = true;
+    EXPECT_EQ(d.bearing("wk-1"), "cancelled");
+    ASSERT_EQ(d.mirror.cancelled().size(), 1u);
+    EXPECT_EQ(d.mirror.cancelled()[0]->version, stub.store.revision);
+}
--- a/tests/jobs_test.cpp
+++ b/tests/jobs_test.cpp
@@ -95,6 +95,35 @@
     EXPECT_TRUE(mirror.openJobs().empty());
 }
 
+// A cancellation heard of from a peer, of a job known and of one whose record is read only afterwards,
+// perhaps as it stood before.
+TEST(Mirror, ACancellationHeardOfStays) {
+    Mirror mirror;
+    const auto spec = arrayOf(20);
+    const auto key = storage::keys::job(spec.id);
+    std::vector<Change> changes;
+    mirror.noteCancelled(spec.id, 9, changes);
+    EXPECT_TRUE(changes.empty());
+    EXPECT_TRUE(store(mirror, key, record(spec, Final::open), 5));
+    EXPECT_EQ(mirror.find(spec.id)->final, Final::cancelled);
+    EXPECT_TRUE(store(mirror, storage::keys::doneChunk(spec.id, 0), storage::encodeBits({true}, 0, 8), 6));
+    EXPECT_TRUE(store(mirror, key, record(spec, Final::cancelled, 3), 9));
+    mirror.noteCancelled(spec.id, 9, changes);
+    EXPECT_TRUE(changes.empty());
+    ASSERT_EQ(mirror.cancelled().size(), 1u);
+    EXPECT_EQ(mirror.cancelled()[0]->version, 9u);
+    EXPECT_TRUE(mirror.openJobs().empty());
+
+    auto other = arrayOf(3);
+    other.id = "wk-2";
+    EXPECT_TRUE(store(mirror, storage::keys::job(other.id), record(other, Final::open), 11));
+    mirror.noteCancelled(other.id, 12, changes);
+    ASSERT_EQ(changes.size(), 1u);
+    EXPECT_EQ(changes[0].id, other.id);
+    EXPECT_EQ(mirror.find(other.id)->final, Final::cancelled);
+    EXPECT_EQ(mirror.cancelled().size(), 2u);
+}
+
 TEST(Mirror, ReadsBitmapsInChunks) {
     Mirror mirror;
     const auto spec = arrayOf(20);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "state_stub.h"
 
 using namespace burlpoint;
@@ -22,6 +24,7 @@
 
     asio::io_context io{1};
     tests::StateStub stub{io};
+    tests::StateStub own{io, &stub};  // a way to the same store for one node
     transport::Client http{io, 50};
     protocol::Policy policy;
     Settings one = settings("one"), two = settings("two"), three = settings("three");
@@ -39,14 +42,37 @@
     static protocol::Peer peer(const Settings& s) { return {s.name, "z", s.peerListen}; }
     static protocol::Peer unreachable(const Settings& s) { return {s.name, "z", kNowhere}; }
 
-    Outcome report(const Settings& to) {
-        protocol::Report r{"m1", "127.0.0.1:1", "plain", "z", false, 1, ++sequence, 0, {}, {}};
+    Outcome ask(const std::string& address, const std::string& path, std::string body = {}) {
         std::optional<Outcome> out;
-        http.request(to.listen, "POST", protocol::paths::kReport, protocol::encodeReport(r), 4s,
+        http.request(address, "POST", path, std::move(body), 4s,
                      [&](Outcome outcome) { out = std::move(outcome); });
         while (!out) io.run_one();
         return *out;
     }
+    Outcome report(const Settings& to, std::uint64_t token = 0,
+                   std::vector<protocol::TaskReport> tasks = {}) {
+        protocol::Report r{"m1", "127.0.0.1:1", "plain", "z", false, 1, ++sequence, token, {}, tasks};
+        return ask(to.listen, protocol::paths::kReport, protocol::encodeReport(r));
+    }
+    /// As a leader would ask.
+    protocol::PeerStatus question(const Settings& to, const protocol::PeerStatus& status) {
+        return protocol::decodePeerStatus(
+            ask(to.peerListen, protocol::paths::kPeer, protocol::encodePeerStatus(status)).body);
+    }
+    std::uint64_t store(const protocol::JobSpec& spec, storage::Final final) {
+        std::vector<std::string> failed;
+        return stub.store.transact(
+            {}, {{storage::keys::job(spec.id), storage::encodeJob({spec, final, 0, 0, 4}), 0}}, failed);
+    }
+    static protocol::JobSpec job(const std::string& id) {
+        protocol::JobSpec spec;
+        spec.id = id;
+        spec.jobClass = spec.image = "x";
+        spec.team = "team";
+        spec.kind = protocol::Kind::service;
+        spec.cpus = 1;
+        return spec;
+    }
     void runFor(transport::Duration time) {
         const auto end = transport::Clock::now() + time;
         while (transport::Clock::now() < end) io.run_one_for(5ms);
@@ -75,3 +101,103 @@
     EXPECT_EQ(relayed.status, 200);
     EXPECT_EQ(protocol::Fields(protocol::unpackBody(relayed.body).get()).integer("helm"), 1u);
 }
+
+// The gap: the store refuses the leader alone, another node confirms a cancellation, and then nobody is
+// served for longer than a cancelled task may go on. The promises that carry the leader through tell it what
+// to stop, and its other tasks go on.
+TEST_F(Nodes, PromisesTellALeaderWhatItsPeersHaveConfirmed) {
+    std::vector<std::string> failed;
+    protocol::MachineType type{"plain", 8, 0, 32, 10, 1, 1, 1, protocol::Seconds(5), {"z"}};
+    stub.store.transact({}, {{storage::keys::kTypes, protocol::encodeMachineTypes({type}), 0}}, failed);
+    policy.leadership = protocol::Seconds(4);
+    for (auto* s : {&one, &two, &three}) s->teams = {{"team", 0, 0, 0, 0}};
+    one.state = own.address();
+    one.peers = {peer(two), peer(three)};
+    two.peers = {peer(one), peer(three)};
+    three.peers = {peer(one), peer(two)};
+    coordination::Node first(io, one, policy);
+    while (report(one).status != 200) runFor(50ms);
+    coordination::Node second(io, two, policy), third(io, three, policy);
+    for (const auto* id : {"wk-1", "wk-2"}) {
+        protocol::Packer p;
+        protocol::packSpec(p, job(id));
+        while (ask(two.listen, protocol::paths::kSubmissions, p.take()).status != 201) runFor(50ms);
+    }
+    std::vector<protocol::TaskReport> tasks;
+    std::uint64_t token = 0;
+    while (tasks.size() < 2) {
+        const auto answer = report(one, token, tasks);
+        ASSERT_EQ(answer.status, 200);
+        token = protocol::Fields(protocol::unpackBody(answer.body).get()).integer("helm");
+        for (const auto& order : protocol::decodeOrders(answer.body))
+            if (order.op == protocol::Op::start)
+                tasks.push_back({order.attempt, protocol::TaskState::running, {}, false});
+        runFor(50ms);
+    }
+    runFor(1500ms);  // the others come to know this leader and each other
+    own.outage = true;
+    EXPECT_EQ(ask(two.listen, std::string(protocol::paths::kSubmissions) + "/wk-1/cancel").status, 200);
+    stub.outage = true;
+    bool stopped = false;
+    // For twice as long as the leader's own lease.
+    for (int i = 0; i < 80; ++i) {
+        const auto answer = report(one, token, tasks);
+        ASSERT_EQ(answer.status, 200) << "in round " << i;
+        for (const auto& order : protocol::decodeOrders(answer.body)) {
+            EXPECT_EQ(order.op, protocol::Op::stop);
+            EXPECT_EQ(order.attempt.job, "wk-1");
+            std::erase_if(tasks, [&](const auto& t) { return t.attempt == order.attempt; });
+            stopped = true;
+        }
+        runFor(100ms);
+    }
+    EXPECT_TRUE(stopped);
+    EXPECT_EQ(tasks.size(), 1u);
+}
+
+// What does not fit one message comes in parts, and no promise before the last. A process that is not the one
+// that was asked before begins anew.
+TEST_F(Nodes, APeerPromisesOnlyOnceItHasToldEverything) {
+    std::uint64_t middle = 0;
+    for (int i = 0; i < 1200; ++i) {
+        const auto revision = store(job("wk-" + std::to_string(i)), storage::Final::cancelled);
+        if (i == 599) middle = revision;
+    }
+    std::vector<std::string> failed;
+    stub.store.transact({},
+                        {{storage::keys::kLeader, storage::encodeLeader({"one", 7}), 0},
+                         {storage::keys::kToken, storage::encodeToken(7), 0}},
+                        failed);
+    two.peers = {peer(one), unreachable(three)};
+    one.peerListen = kNowhere;
+    coordination::Node second(io, two, policy);
+    protocol::PeerStatus asking;
+    asking.node = "one";
+    asking.token = 7;
+    asking.revision = stub.store.revision;
+    while (question(two, asking).log == 0) runFor(50ms);
+    while (ask(two.listen, std::string(protocol::paths::kSubmissions) + "/wk-0/cancel").status != 200)
+        runFor(50ms);
+    stub.outage = true;
+    while (question(two, asking).promiseMs == 0) runFor(50ms);
+    EXPECT_TRUE(question(two, asking).cancelled.empty());  // it knows all of them
+
+    asking.revision = 0;
+    std::set<std::string> heard;
+    protocol::PeerStatus answer;
+    int parts = 0;
+    for (; !answer.told; ++parts) {
+        answer = question(two, asking);
+        EXPECT_EQ(answer.promiseMs > 0, answer.told);
+        for (const auto& c : answer.cancelled) EXPECT_TRUE(heard.insert(c.job).second);
+        asking.log = answer.log;
+        asking.logAt = answer.logAt;
+    }
+    EXPECT_EQ(heard.size(), 1200u);
+    EXPECT_GE(parts, 3);
+    EXPECT_TRUE(question(two, asking).cancelled.empty());
+    asking.log += 1;  // of a process that has ended
+    EXPECT_EQ(question(two, asking).cancelled.size(), answer.cancelled.size() + 300);
+    asking.revision = middle;
+    EXPECT_FALSE(question(two, asking).told);
+}
--- a/tests/state_stub.h
+++ b/tests/state_stub.h
@@ -54,7 +54,7 @@
     std::map<std::string, Value> values;
     std::vector<Event> log;
     std::map<std::uint64_t, bool> leases;
-    std::uint64_t revision = 0;
+    std::uint64_t revision = 0, nextLease = 0;
 
   private:
     void change(const std::string& key, const std::optional<std::string>& data, std::uint64_t lease) {
@@ -68,14 +68,24 @@
 
 class StateStub {
   public:
-    explicit StateStub(asio::io_context& io)
-        : server_(io, transport::parseEndpoint("127.0.0.1:0"), {},
-                  [this](transport::Request&& r, transport::Reply reply) { serve(r, reply); }) {}
+    /// With `other`, one more way to what that one stores, which may fail for itself.
+    explicit StateStub(asio::io_context& io, StateStub* other = nullptr)
+        : store(other ? other->store : own_),
+          server_(io, transport::parseEndpoint("127.0.0.1:0"), {},
+                  [this](transport::Request&& r, transport::Reply reply) { serve(r, reply); }),
+          other_(other) {
+        if (other) other->other_ = this;
+    }
 
     std::string address() const { return "127.0.0.1:" + std::to_string(server_.localEndpoint().port()); }
 
-    Store store;
+  private:
+    Store own_;
+
+  public:
+    Store& store;
     bool outage = false;         // answers 503
+    bool readsFail = false;      // and this to reads alone
     bool swallowWrites = false;  // carries transactions out and answers none of them
     bool holdLeases = false;     // makes leases and does not answer until release()
     unsigned pageEntries = 1000;
@@ -85,14 +95,19 @@
         for (auto& made : std::exchange(held_, {})) made();
     }
 
-    /// Lets open watches see what has changed.
+    /// Lets open watches see what has changed; during an outage they stay open.
     void wake() {
-        for (auto& check : std::exchange(watches_, {})) check();
+        wakeOwn();
+        if (other_) other_->wakeOwn();
     }
 
   private:
     using Packer = protocol::Packer;
 
+    void wakeOwn() {
+        if (outage) return;
+        for (auto& check : std::exchange(watches_, {})) check();
+    }
     static std::string parameter(const std::string& query, const std::string& name) {
         std::size_t at = 0;
         while (at < query.size()) {
@@ -112,13 +127,13 @@
             response.body = std::move(body);
             reply(response);
         };
-        if (outage) return answer(503, "");
+        if (outage || (readsFail && (r.path == "/kv" || r.path == "/watch"))) return answer(503, "");
         if (r.path == "/multi") return transaction(r, answer);
         if (r.path == "/kv") return page(r, answer);
         if (r.path == "/watch") return watch(r.query, answer);
         if (r.path == "/holds") {
-            store.leases[++nextLease_] = true;
-            const auto made = [answer, lease = nextLease_] {
+            store.leases[++store.nextLease] = true;
+            const auto made = [answer, lease = store.nextLease] {
                 answer(200, Packer().map(1).field("mooring", lease).take());
             };
             if (!holdLeases) return made();
@@ -207,7 +222,7 @@
 
     transport::Server server_;
     std::vector<std::function<void()>> watches_, held_;
-    std::uint64_t nextLease_ = 0;
+    StateStub* other_;
 };
 
 }  // namespace burlpoint::tests
