Stop cancelled tasks with a new leader's first answer; rent when all machines are lost

Cause: a leader answered a machine that had not taken its token without stops, which renewed the lease: with each change of leader a cancelled task could go on for one lease more. A machine of which an earlier leader knew an address counted as booting for 3.5 boot times once its lease was over.

Ruled out: giving such machines up at once, as their tasks may run on.

Now: the first answer stops attempts of jobs that are over, which is right however old the list is; one leadership in as many as there are nodes and one more sits the silence out; machines that were up before are lost, not booting.

--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -468,7 +468,17 @@
 
 std::vector<Order> Leader::compose(Machine& machine, const Report& report) {
     std::vector<Order> orders;
-    if (!machine.heard) return orders;
+    if (!machine.heard) {
+        // This answer renews the lease. Without stops, what is cancelled would go on for one lease more with
+        // each change of leader. Stopping an attempt of a job that is over is right however old the list is.
+        for (const auto& task : report.tasks) {
+            const auto* job = mirror_.find(task.attempt.job);
+            if (job && job->final != Final::open && task.state != TaskState::exited &&
+                orders.size() < kMostOrders)
+                orders.push_back({Op::stop, task.attempt, Seconds(0)});
+        }
+        return orders;
+    }
     for (const auto& task : report.tasks) {
         if (orders.size() >= kMostOrders) return orders;
         const auto* job = mirror_.find(task.attempt.job);
@@ -600,8 +610,12 @@
             machine->releasing = true;
         }
     }
-    // Nobody reports here any more: more likely this node's network than all machines at once.
-    if (reporting == 0 && silent >= 2 && now_ - lastReport_ > patience + 4s && now_ - began_ > patience + 6s)
+    // Nobody reports here any more: more likely this node's network than all machines at once. Where each
+    // node has found the same in turn, they are gone: the next stays until their leases are over, or the
+    // nodes would make way for each other for ever.
+    const bool staysAllTheSame = token_ % (settings_.peers.size() + 2) == 0;
+    if (reporting == 0 && silent >= 2 && !staysAllTheSame && now_ - lastReport_ > patience + 4s &&
+        now_ - began_ > patience + 6s)
         actions_.push_back(Resign{"no worker reaches this node", true});
 }
 
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -238,6 +238,7 @@
     bool mayRent(const Job& job, const std::string& zone) const;
     bool worthIt(const Job& job, const MachineType& type, bool spot) const;
     void requestRentals(const std::map<Shape, std::uint32_t>& wanted);
+    bool wasUp(const Machine& machine) const;
     void releaseIdle(const std::set<std::string>& needed);
     bool refused(const Shape& shape) const;
     void refuse(const Shape& shape);
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -37,6 +37,9 @@
     refusal.until = now_ + refusal.pause;
 }
 
+/// It has reported, here or to an earlier leader: if it is silent, it does not boot, it is lost.
+bool Leader::wasUp(const Machine& machine) const { return machine.session > 0 || mayHoldTasks(machine.id); }
+
 /// Could any more machines for the job be had in the zone?
 bool Leader::mayRent(const Job& job, const std::string& zone) const {
     return std::any_of(types_.begin(), types_.end(), [&](const auto& entry) {
@@ -78,7 +81,7 @@
         if (!type || m->deafSince || m->draining || m->releasing || m->failed || m->recallAt ||
             m->errorJobs.size() >= 2)
             continue;
-        if (m->settled && !m->reports && m->session > 0) continue;  // lost
+        if (m->settled && !m->reports && wasUp(*m)) continue;  // lost
         Bin bin{m->type, m->zone, m->spot, bookkeeping::sizeOf(*type) - m->used, m.get()};
         if (m->isReserved(now_)) bin.reservedFor = m->reservedFor;
         bins.push_back(std::move(bin));
@@ -275,7 +278,7 @@
         }
         if (!m->places.empty() || !m->settled) continue;
         const auto* type = typeOf(m->type);
-        const bool neverUp = m->session == 0;
+        const bool neverUp = !wasUp(*m);
         const auto known = now_ - m->knownSince;
         if (neverUp) {
             if (type && known > ticks(type->boot * 3.5 + Seconds(15))) machines.push_back(id);
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -713,3 +713,106 @@
     b.tick();
     EXPECT_EQ(b.report("m1", running["m1"]).size() + b.report("m2", running["m2"]).size(), 2u);  // the gang
 }
+
+// Two troubles at once; the histories in meetings_test.cpp play them at length. Here are the cases that a
+// history meets too seldom.
+
+// A new leader's first answer renews the lease of a machine that has not taken the token. If it brought no
+// stops, a cancelled task could go on for one lease more with each change of leader.
+TEST(Leader, TheFirstAnswerOfANewLeaderStopsWhatIsCancelled) {
+    Bench b;
+    b.roster("m1");
+    auto spec = make("wk-1", 2, 2), other = make("wk-2", 1, 2);
+    b.job(spec);
+    b.job(other);
+    const auto value = storage::encodeJob({spec, storage::Final::cancelled, 0, 0, storage::chunkTasks(8)});
+    const auto handle = protocol::unpackBody(value);
+    std::vector<bookkeeping::Change> changes;
+    b.mirror.apply({storage::keys::job("wk-1"), &handle.get(), ++b.revision}, changes);
+    b.lead();
+    const std::vector<TaskReport> tasks{{{"wk-1", 0, 7}, TaskState::running, {}, false},
+                                        {{"wk-1", 1, 8}, TaskState::fetching, {}, false},
+                                        {{"wk-2", 0, 9}, TaskState::running, {}, false},
+                                        {{"wk-9", 0, 9}, TaskState::running, {}, false}};
+    std::set<std::string> stopped;
+    for (const auto& action : b.tell(ReportArrived{1, b.message("m1", tasks, 4)}))
+        if (const auto* answer = std::get_if<AnswerReport>(&action)) {
+            EXPECT_TRUE(answer->accepted);
+            for (const auto& order : answer->orders) {
+                EXPECT_EQ(order.op, Op::stop);
+                stopped.insert(order.attempt.job + "/" + std::to_string(order.attempt.task));
+            }
+        }
+    EXPECT_EQ(stopped, (std::set<std::string>{"wk-1/0", "wk-1/1"}));  // of others its list may be old news
+}
+
+// Every machine of the roster is gone. A leader that hears nobody makes way for one that may be better
+// placed, before the leases are over; when each of them did, they made way for ever and nothing was rented.
+TEST(Leader, WhenNobodyHearsAnyMachineSomeLeaderStaysUntilTheLeasesAreOver) {
+    Bench b;
+    b.settings.peers = {{"two", "z", ""}, {"three", "y", ""}};
+    for (const char* id : {"m1", "m2", "m3", "m4"}) b.roster(id);
+    b.job(make("wk-1", 1, 2));
+    int resigned = 0, rented = 0;
+    for (std::uint64_t token = 6; token < 10 && rented == 0; ++token) {
+        b.mirror.token = token;
+        b.leader.reset();
+        b.leader = std::make_unique<Leader>(b.settings, b.policy, b.mirror, token, b.now, 0);
+        bool leads = true;
+        for (int i = 0; i < 40 * 5 && leads; ++i)
+            for (const auto& action : b.tick()) {
+                leads &= !std::holds_alternative<Resign>(action);
+                rented += std::holds_alternative<Rent>(action);
+            }
+        resigned += !leads;
+    }
+    EXPECT_GT(rented, 0);
+    EXPECT_GT(resigned, 0);  // those better placed have their chance
+    EXPECT_LE(resigned, 3);
+}
+
+// Its reports reach no controller and commands reach it. What is cancelled stops by command; the lease runs
+// out all the same, and then the machine is given back.
+TEST(Leader, AMuteMachineIsStoppedByCommandAndGivenBackAfterItsLease) {
+    Bench b;
+    b.roster("m1");
+    b.roster("m2");
+    b.lead();
+    auto spec = make("wk-1", 1, 8);
+    b.job(spec);
+    ASSERT_EQ(b.report("m1"), Names{"wk-1/0"});
+    b.job(make("wk-2", 1, 8));
+    ASSERT_EQ(b.report("m2"), Names{"wk-2/0"});  // it is in use, and stays
+    const std::vector<TaskReport> running{b.task("wk-1/0", TaskState::running)};
+    const std::vector<TaskReport> other{b.task("wk-2/0", TaskState::running)};
+    b.report("m1", running);
+    const auto answerProbes = [&](const std::vector<Action>& actions, std::vector<TaskReport> tasks) {
+        std::size_t stops = 0;
+        for (const auto& action : actions)
+            if (const auto* direct = std::get_if<SendOrders>(&action); direct && direct->machine == "m1") {
+                stops += direct->orders.size();
+                b.tell(WorkerAnswered{"m1", b.message("m1", tasks, 5), direct->known});
+            }
+        return stops;
+    };
+    for (int i = 0; i < 20; ++i) {  // silent for longer than a machine that nothing reaches would be kept
+        b.report("m2", other);
+        const auto actions = b.tick(500ms);
+        for (const auto& action : actions) EXPECT_FALSE(std::holds_alternative<Release>(action));
+        answerProbes(actions, running);
+    }
+    const auto value = storage::encodeJob({spec, storage::Final::cancelled, 0, 0, storage::chunkTasks(8)});
+    const auto handle = protocol::unpackBody(value);
+    std::vector<bookkeeping::Change> changes;
+    b.mirror.apply({storage::keys::job("wk-1"), &handle.get(), ++b.revision}, changes);
+    EXPECT_EQ(answerProbes(b.tell(JobsChanged{{"wk-1"}}), {}), 1u);
+    EXPECT_TRUE(b.leader->fleet().machines().at("m1")->places.empty());
+    std::set<std::string> released;
+    for (int i = 0; i < 80 && !released.contains("m1"); ++i) {
+        b.report("m2", other);
+        for (const auto& action : b.tick(500ms))
+            if (const auto* release = std::get_if<Release>(&action))
+                released.insert(release->machines.begin(), release->machines.end());
+    }
+    EXPECT_TRUE(released.contains("m1"));
+}
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -31,14 +31,18 @@
     Make make = randomJob;
     std::function<void(World&)> prepare;
     int mostJobs = 40;
-    int seeds = 24;
+    std::vector<int> seeds = {};  // beside the first few: those that have shown a fault
 };
 
+constexpr int kSeeds = 60;
+
 /// Half of the histories have a lease that is long against the time in which a cancelled task must be gone.
 void hold(const Meeting& meeting) {
-    int seeds = meeting.seeds;
-    if (const char* more = std::getenv("BURLPOINT_MEETINGS")) seeds = std::atoi(more);  // to look further
-    for (int seed = 1; seed <= seeds; ++seed) {
+    int most = kSeeds;
+    if (const char* more = std::getenv("BURLPOINT_MEETINGS")) most = std::atoi(more);  // to look further
+    auto seeds = meeting.seeds;
+    for (int seed = 1; seed <= most; ++seed) seeds.push_back(seed);
+    for (const int seed : seeds) {
         World world(static_cast<std::uint64_t>(seed) * 0x9e3779b97f4a7c15u, meeting.faults);
         if (seed % 2 == 0) world.settings.lease = Seconds(30);
         if (meeting.prepare) meeting.prepare(world);
@@ -117,6 +121,7 @@
     m.faults.die = 0.01;
     m.faults.back = 0.01;
     m.faults.crash = 0.01;
+    m.seeds = {136};
     hold(m);
 }
 
@@ -246,6 +251,7 @@
         return spec;
     };
     m.faults.crash = 0.01;
+    m.seeds = {235};
     m.script = [](World& world, int second) {
         if (second % 8 != 6) return;
         half(world, [&](const std::string& id) {
