Nothing waits for 90 s beside room that it fits in

Ruled out: dropping these preferences, as they keep dear machines and whole zones for what needs them.

Now: no preference holds longer than 60 s for a job of which nothing is on a machine; a bespoken zone is kept for 60 s, then what has waited for 20 s has its turn for 30 s, and so on.

--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -143,7 +143,7 @@
     };
     struct Bespoken {  // a zone for a gang
         const Job* job = nullptr;
-        Time until{};
+        Time until{}, since{};
     };
     struct Sacrifice {  // what would stop on a machine to make room
         Machine* machine = nullptr;
@@ -200,6 +200,7 @@
     Resources roomOn(const Machine& machine, const Job& job) const;
     bool allows(const Job& job, const std::string& type, const std::string& zone, bool spot) const;
     bool mayStart(const Job& job, const Machine& machine) const;
+    bool heldBackFor(const Job& job, Clock::duration time) const;
     bool sparesAccelerators(const Job& job, const Machine& machine) const;
     bool plainToBeHad(const Job& job) const;
     bool shortOf(const std::string& type) const;
@@ -236,6 +237,7 @@
     // provisioning.cpp
     void provision();
     bool mayRent(const Job& job, const std::string& zone) const;
+    bool boundToAccelerators(const Job& job) const;
     bool worthIt(const Job& job, const MachineType& type, bool spot) const;
     void requestRentals(const std::map<Shape, std::uint32_t>& wanted);
     bool wasUp(const Machine& machine) const;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -18,7 +18,12 @@
 namespace {
 
 constexpr std::size_t kMostStarts = 250;
-constexpr auto kErrorMemory = 90s;  // how long a task's failure on a machine keeps its job away from it
+// Nothing may wait for 90 s beside room that it fits in, whatever speaks for keeping it from there.
+constexpr auto kHeldBack = 60s;
+constexpr auto kErrorMemory = kHeldBack;  // a task's failure on a machine keeps its job away from it
+constexpr auto kBespokenTurn = 60s;       // a zone is kept for a gang for so long,
+constexpr auto kOthersTurn = 30s;         // then what has waited has its turn there, and so on
+constexpr auto kBrieflyWaited = 20s;
 constexpr std::size_t kSickJobs = 2;
 constexpr auto kPlainOnly = 12s;    // how long a replica waits for a machine without accelerators
 constexpr auto kLookAgain = 250ms;  // how long a look at the other machines serves a job
@@ -116,16 +121,22 @@
     return true;
 }
 
+/// None of the job's tasks has been on a machine for that time.
+bool Leader::heldBackFor(const Job& job, Clock::duration time) const {
+    return job.run->liveTotal == 0 && now_ - job.run->waitingSince >= time;
+}
+
 /// Machines with accelerators are few and slow to come by. Work that needs none may use them, but only so far
 /// that a job that does need them can still have the room: at once, or by stopping lower work.
 bool Leader::sparesAccelerators(const Job& job, const Machine& machine) const {
     const auto* type = machine.kind;
-    if (!type || type->gpus <= 0 || job.spec.gpus > 0) return true;
+    if (!type || type->gpus <= 0 || job.spec.gpus > 0 || heldBackFor(job, kHeldBack)) return true;
     const bool service = job.spec.kind == Kind::service;
     // A replica stays for as long as its service does, and would hold the dear machine for all that time.
     if (service && now_ - job.run->waitingSince < kPlainOnly && plainToBeHad(job)) return false;
     const auto found = acceleratorNeeds_.find(machine.type);
-    if (found == acceleratorNeeds_.end()) return job.spec.priority < Priority::high || service;
+    if (found == acceleratorNeeds_.end())
+        return job.spec.priority < Priority::high || service || boundToAccelerators(job);
     const auto& [need, priority] = found->second;
     if (job.spec.priority < priority && !service) return true;
     auto room = bookkeeping::sizeOf(*type) - bookkeeping::needOf(job.spec) - machine.plainUse[4];
@@ -787,7 +798,7 @@
     // The oldest goes first, or one after the other might be younger.
     const bool older = there != bespoken_.end() && job.run->acceptedAt < there->second.job->run->acceptedAt;
     if (older || bespoken_.empty() || (job.run->overdue && there == bespoken_.end()))
-        bespoken_[zone] = {&job, now_ + kBespoken};
+        bespoken_[zone] = {&job, now_ + kBespoken, now_};
 }
 
 /// A gang that waits for machines like this one has bespoken the zone.
@@ -796,6 +807,8 @@
     return std::any_of(bespoken_.begin(), bespoken_.end(), [&](const auto& entry) {
         const auto& [zone, by] = entry;
         if (by.until <= now_ || by.job == &job || (!zone.empty() && machine.zone != zone)) return false;
+        const bool othersTurn = (now_ - by.since) % (kBespokenTurn + kOthersTurn) >= kBespokenTurn;
+        if (othersTurn && heldBackFor(job, kBrieflyWaited)) return false;
         const auto& spec = by.job->spec;
         if (job.spec.priority < spec.priority) return false;
         if (spec.gpus > 0 ? job.spec.gpus <= 0 : job.spec.kind != Kind::gang) return false;
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -52,10 +52,23 @@
     });
 }
 
+/// It needs no accelerators and may run nowhere else: its owner allows no machine without them, or none such
+/// is large enough.
+bool Leader::boundToAccelerators(const Job& job) const {
+    const auto& s = job.spec;
+    return s.gpus <= 0 && std::none_of(types_.begin(), types_.end(), [&](const auto& entry) {
+               const auto& [name, type] = entry;
+               return type.gpus <= 0 && bookkeeping::sizeOf(type).covers(bookkeeping::needOf(s)) &&
+                      std::any_of(type.zones.begin(), type.zones.end(),
+                                  [&](const auto& zone) { return allows(job, name, zone, false); });
+           });
+}
+
 /// Arrays that need no accelerators do not rent machines that have them, unless a processor costs there
 /// at most twice what it costs on an ordinary plain machine.
 bool Leader::worthIt(const Job& job, const MachineType& type, bool spot) const {
-    if (type.gpus <= 0 || job.spec.gpus > 0 || job.spec.kind != Kind::array) return true;
+    if (type.gpus <= 0 || job.spec.gpus > 0 || job.spec.kind != Kind::array || boundToAccelerators(job))
+        return true;
     double plain = 0;
     for (const auto& [name, other] : types_)
         if (other.gpus <= 0 && other.cpus > 0 &&
@@ -157,8 +170,9 @@
             if (bin.reservedFor && bin.reservedFor != job) return;
             const auto fits = std::min({bin.room.times(need), waiting, zoneRoom(bin.zone)});
             if (fits == 0) return;
-            // Work without accelerators fills machines that have them, and is no reason to keep one.
-            bin.used |= spec.gpus > 0 || types_.at(bin.type).gpus <= 0;
+            // Work without accelerators fills machines that have them, and is no reason to keep one, unless
+            // its owner allows it no others.
+            bin.used |= spec.gpus > 0 || types_.at(bin.type).gpus <= 0 || boundToAccelerators(*job);
             zones[bin.zone] += fits;
             waiting -= fits;
             bin.room -= {need.cpus * fits, need.gpus * fits, need.memoryGb * fits};
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -816,3 +816,100 @@
     }
     EXPECT_TRUE(released.contains("m1"));
 }
+
+namespace {
+
+/// Seconds until the job's first task starts on one of the machines, with everything else as it is.
+double waits(Bench& b, const std::string& job,
+             const std::map<std::string, std::vector<TaskReport>>& machines) {
+    for (int second = 0; second < 150; ++second) {
+        b.now += 700ms;
+        b.tell(Tick{});
+        for (const auto& [id, running] : machines)
+            for (const auto& name : b.report(id, running))
+                if (name.starts_with(job + "/")) return second;
+        b.now += 300ms - 200ms * static_cast<int>(machines.size());
+    }
+    return 150;
+}
+
+}  // namespace
+
+// Whatever speaks for keeping room free, nothing waits for 90 s beside room that it fits in.
+TEST(Leader, WorkBoundToMachinesWithAcceleratorsIsNotHeldBackForEver) {
+    for (const bool needed : {false, true}) {
+        Bench b;
+        b.roster("m1", "gpu");
+        b.lead();
+        std::vector<TaskReport> running;
+        if (needed) {
+            auto gang = make("wk-1", 1, 8, Kind::gang);
+            gang.gpus = 1;
+            gang.priority = protocol::Priority::high;
+            b.job(gang);
+            ASSERT_EQ(b.report("m1"), Names{"wk-1/0"});
+            running.push_back(b.task("wk-1/0", TaskState::running));
+            gang.id = "wk-3";
+            gang.cpus = 14;
+            b.job(gang);
+        }
+        auto plain = make("wk-2", 1, 4);
+        plain.types = Names{"gpu"};
+        plain.priority = protocol::Priority::high;
+        b.job(plain);
+        EXPECT_LT(waits(b, "wk-2", {{"m1", running}}), 80);
+    }
+}
+
+// An array that its owner bound to machines with accelerators, and that needs none, was not worth renting one
+// for and never began; an idle one was given back beside it.
+TEST(Leader, MachinesAreRentedForArraysThatMayRunNowhereElse) {
+    for (const bool small : {true, false}) {
+        Bench b;
+        b.lead();
+        auto spec = make("wk-1", 1, small ? 4 : 12);  // the latter fits no machine without accelerators
+        if (small) spec.types = Names{"gpu"};
+        b.job(spec);
+        std::string type;
+        for (int i = 0; i < 30; ++i)
+            for (const auto& action : b.tick())
+                if (const auto* rent = std::get_if<Rent>(&action)) type = rent->request.type;
+        EXPECT_EQ(type, "gpu");
+    }
+}
+
+TEST(Leader, AJobThatFailedOnTheOnlyMachineWithRoomTriesItAgain) {
+    Bench b;
+    b.roster("m1");
+    b.lead();
+    b.job(make("wk-1", 1, 4));
+    ASSERT_EQ(b.report("m1"), Names{"wk-1/0"});
+    b.report("m1", {{b.last.at("wk-1/0"), TaskState::exited, protocol::ExitReason::error, false}});
+    EXPECT_LT(waits(b, "wk-1", {{"m1", {}}}), 80);
+}
+
+TEST(Leader, AZoneBespokenForAGangIsNotKeptFromOthersForEver) {
+    Bench b;
+    b.settings.zones = {"z"};
+    std::map<std::string, std::vector<TaskReport>> machines;
+    for (const char* id : {"m1", "m2", "m3"}) b.roster(id, "gpu");
+    b.lead();
+    const auto gang = [&](const std::string& id, std::uint32_t tasks) {
+        auto spec = make(id, tasks, 14, Kind::gang);
+        spec.gpus = 2;
+        spec.oneZone = true;
+        spec.priority = protocol::Priority::high;
+        b.job(spec);
+    };
+    gang("wk-1", 1);
+    gang("wk-2", 1);
+    for (const char* id : {"m1", "m2", "m3"}) {
+        machines[id];
+        for (const auto& name : b.report(id)) machines[id].push_back(b.task(name, TaskState::running));
+    }
+    ASSERT_TRUE(machines["m3"].empty());
+    gang("wk-3", 3);  // the other two are busy for good
+    EXPECT_EQ(waits(b, "wk-3", machines), 150);
+    gang("wk-4", 1);
+    EXPECT_LT(waits(b, "wk-4", machines), 80);
+}
