--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -136,6 +136,7 @@
     }
     runFor(1500ms);  // the others come to know this leader and each other
     own.outage = true;
+    runFor(1200ms);  // too short to tell a refusal from an outage by
     EXPECT_EQ(ask(two.listen, std::string(protocol::paths::kSubmissions) + "/wk-1/cancel").status, 200);
     stub.outage = true;
     bool stopped = false;
