A start that is stopped at once is no beginning

Cause: a job that was passed over for 120 s goes ahead of all but production until it has begun, and one start counted as that. As the newest task on its machine it is the cheapest to stop, so urgent work often stopped it within seconds. The job's place among the overdue was spent then, and so was its fetch by the pacing; under a lasting overload it waited on.

Ruled out: room that nobody takes (the fleet was full, what was free was reserved for moments or leaving), machines refused or deaf, team limits.

Now a job all of whose tasks were stopped before one ran for 30 s has not begun, and the task with which an overdue job begins is not stopped for urgent work in its first 30 s; production may still stop it, last.

--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -41,6 +41,8 @@
 
     // Pacing by the design: launched (m), paced fetches (md) and their expected number (Md).
     std::uint32_t launched = 0, paced = 0;
+    // The first task that was started since the job was overdue and had not begun.
+    std::optional<std::uint32_t> opener;
     double pacedTotal = 0;
     bool admitted = false;
 
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -410,6 +410,12 @@
             break;
     }
     if (job.final != Final::open) return;
+    if (job.run->opener == placement.task) job.run->opener.reset();
+    // Stopped again at once, it has not begun: were its place among the overdue spent, it might wait for
+    // ever.
+    if (why == ExitReason::stopped && job.run->liveTotal == 0 && job.doneCount == 0 &&
+        job.run->unstored.empty() && isNew(placement))
+        job.run->launched = job.run->paced = 0;
     if (job.run->waiting > 0) job.run->waitingSince = now_;
     if (job.spec.kind == Kind::gang) {
         // Without one of its tasks this attempt comes to nothing, unless it had not begun and another can
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -216,6 +216,8 @@
     bool paceAllows(const Job& job, const Machine& machine);
     std::uint32_t cachedRoom(Job& job);
     bool yields(const Placement& placement, const Job& job) const;
+    bool isNew(const Placement& placement) const;
+    bool opens(const Placement& placement) const;
     bool waitsForImage(Job& job);
     Resources mostRoom(const Machine& machine, const Job& job) const;
     void refreshPacing();
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -24,6 +24,7 @@
 constexpr auto kBespokenTurn = 60s;       // a zone is kept for a gang for so long,
 constexpr auto kOthersTurn = 30s;         // then what has waited has its turn there, and so on
 constexpr auto kBrieflyWaited = 20s;
+constexpr auto kLasting = 30s;  // a start that is stopped sooner is none to its users
 constexpr std::size_t kSickJobs = 2;
 constexpr auto kPlainOnly = 12s;    // how long a replica waits for a machine without accelerators
 constexpr auto kLookAgain = 250ms;  // how long a look at the other machines serves a job
@@ -344,11 +345,23 @@
     return run.cachedRoom;
 }
 
+/// It has not run long enough to count as a start.
+bool Leader::isNew(const Placement& placement) const {
+    return placement.runningSince == Time{} || now_ - placement.runningSince < kLasting;
+}
+
+/// The job was passed over for long and begins with this task. As the newest it would lose least of all, so
+/// that it would be stopped each time and the job would never begin.
+bool Leader::opens(const Placement& placement) const {
+    return placement.job->run->opener == placement.task && isNew(placement);
+}
+
 /// The work on a machine that has to yield to the job.
 bool Leader::yields(const Placement& placement, const Job& job) const {
     const auto& spec = placement.job->spec;
     if (placement.job == &job || spec.kind == Kind::service || (spec.kind == Kind::gang && spec.tasks > 1))
         return false;
+    if (job.spec.priority != Priority::production && opens(placement)) return false;
     if (spec.priority < job.spec.priority) return true;
     // Any other team's borrowed work yields to a guarantee.
     const auto* team = settings_.team(spec.team);
@@ -400,6 +413,7 @@
     const std::uint64_t attempt = (token_ << 32) + ++attempts_;
     auto& placement = fleet_.place(machine, job, *task, attempt, PlaceState::sent, now_);
     placement.sentSequence = machine.sequence;
+    if (job.run->overdue && job.run->launched == 0 && job.doneCount == 0) job.run->opener = *task;
     ++job.run->launched;
     if (job.spec.kind == Kind::gang) job.run->gangAttempt = attempt;
     if (machine.reservedFor == &job) fleet_.reserve(machine, nullptr);
@@ -638,6 +652,7 @@
         double lost = p.state == PlaceState::running ? Seconds(now_ - p.runningSince).count() : 0;
         if (spec.gpus > 0 && job.spec.gpus <= 0) lost += 1000;  // hard to place anew
         if (spec.checkpoint > Seconds(0)) lost = std::min(lost, spec.save.count() + 5);
+        if (opens(p)) lost += 1000;
         victims.emplace_back(lost * std::max(spec.cpus, 0.1) + 1, &p);
     }
     std::sort(victims.begin(), victims.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -517,6 +517,50 @@
     EXPECT_LT(beginsAfter(b, machines, "wk-1", small), 180);
 }
 
+// Seen on a day of long tasks: what began after it was passed over was the cheapest to stop, and a start that
+// was stopped at once spent its place among the overdue. It then waited for 440 s.
+TEST(Leader, AStartThatIsStoppedAtOnceIsNoBeginning) {
+    Bench b;
+    b.roster("m1");
+    b.lead();
+    b.job(make("wk-1", 2, 4));
+    std::map<protocol::Attempt, int> running, stopped;  // seconds so far, and the last seen
+    int number = 10, longest = 0, stops = 0;
+    for (int second = 0; second < 240; ++second) {
+        if (second >= 5) {  // from then on there is more urgent work than room
+            auto high = make("wk-" + std::to_string(number++), 1, 4);
+            high.priority = protocol::Priority::high;
+            b.job(high);
+        }
+        for (int i = 0; i < 5; ++i) b.tick();
+        std::vector<TaskReport> tasks;
+        for (const auto& [attempt, ran] : stopped)
+            tasks.push_back({attempt, TaskState::exited, protocol::ExitReason::stopped, false});
+        stopped.clear();
+        for (auto& [attempt, ran] : running) {
+            const bool done = attempt.job != "wk-1" && ran >= 20;
+            if (attempt.job == "wk-1") longest = std::max(longest, ran);
+            tasks.push_back({attempt, done ? TaskState::exited : TaskState::running,
+                             done ? protocol::ExitReason::done : protocol::ExitReason::none, false});
+            ran = done ? -1 : ran + 1;
+        }
+        std::erase_if(running, [](const auto& entry) { return entry.second < 0; });
+        for (const auto& action : b.tell(ReportArrived{1, b.message("m1", tasks, 5)})) {
+            const auto* answer = std::get_if<AnswerReport>(&action);
+            if (!answer) continue;
+            for (const auto& order : answer->orders) {
+                if (order.op == Op::start) running[order.attempt] = 0;
+                if (order.op != Op::stop || !running.erase(order.attempt)) continue;
+                stopped[order.attempt] = 0;
+                stops += order.attempt.job == "wk-1";
+            }
+        }
+    }
+    EXPECT_GE(stops, 2);  // it made way while it was not overdue
+    EXPECT_GE(longest, 30);
+    EXPECT_LT(stops, 8);  // and was not stopped again and again after that
+}
+
 TEST(Leader, AGangOfManyBeginsAmongSmallerOnes) {
     Bench b;
     const std::vector<std::string> machines{"m1", "m2", "m3", "m4"};
