--- a/src/bookkeeping/fleet.cpp
+++ b/src/bookkeeping/fleet.cpp
@@ -126,7 +126,7 @@
             total -= need;
     };
     const bool service = spec.kind == protocol::Kind::service;
-    const auto priority = static_cast<std::size_t>(spec.priority);
+    const auto priority = static_cast<std::size_t>(job.priority());
     change(machine.used);
     change(teamUse_[spec.team]);
     if (spec.gpus <= 0) change(machine.plainUse[service ? 4 : priority]);
@@ -180,6 +180,14 @@
     }
 }
 
+void Fleet::setPriority(Job& job, protocol::Priority priority) {
+    if (job.run->priority == priority) return;
+    const auto places = placesOf(job);
+    for (const auto& [machine, placement] : places) account(*machine, job, false);
+    job.run->priority = priority;
+    for (const auto& [machine, placement] : places) account(*machine, job, true);
+}
+
 Resources Fleet::teamUse(const std::string& team) const {
     const auto found = teamUse_.find(team);
     return found == teamUse_.end() ? Resources{} : found->second;
--- a/src/bookkeeping/fleet.h
+++ b/src/bookkeeping/fleet.h
@@ -157,6 +157,9 @@
     /// Machines possibly holding a task of the job.
     std::vector<std::pair<Machine*, Placement*>> placesOf(const Job& job);
 
+    /// The job's priority and what is counted by it.
+    void setPriority(Job& job, protocol::Priority priority);
+
     void setSettled(Machine& machine, bool settled);
     void setRoster(Machine& machine, RosterState roster);
     /// Rostered machines, by shape, that an earlier leader's tasks may be on.
--- a/src/bookkeeping/jobs.cpp
+++ b/src/bookkeeping/jobs.cpp
@@ -59,6 +59,7 @@
     run = std::make_unique<Run>(spec.tasks);
     run->inherited = inherited;
     run->waitingSince = now;
+    run->priority = urgency;
     run->waiting = final == Final::open ? spec.tasks - doneCount : 0;
 }
 
@@ -79,12 +80,18 @@
     return out;
 }
 
-void Mirror::applyJob(const std::string& id, const msgpack::object& value, std::uint64_t version) {
+bool Mirror::NewestFirst::operator()(const Job* a, const Job* b) const {
+    return a->accepted != b->accepted ? a->accepted > b->accepted : a->spec.id > b->spec.id;
+}
+
+void Mirror::applyJob(const std::string& id, const msgpack::object& value, std::uint64_t version,
+                      std::vector<Change>& changes) {
     auto* known = find(id);
     if (known && known->version >= version) return;
     auto record = storage::decodeJob(value);
     if (record.spec.id != id) throw protocol::Malformed("a job under another's key");
-    if (!known) {
+    const bool fresh = !known;
+    if (fresh) {
         auto job = std::make_unique<Job>();
         job->spec = std::move(record.spec);
         job->accepted = version;
@@ -93,28 +100,142 @@
     }
     known->acceptedMs = record.acceptedMs;
     known->chunkTasks = record.chunkTasks;
-    if (record.final != Final::open) return close(*known, record.final, record.done, version);
+    known->endedMs = record.endedMs;
+    if (record.final != Final::open) return close(*known, record.final, record.done, version, changes);
     known->version = version;
+    if (!fresh) return;
     open_.insert(known);
     if (const auto ahead = cancelledAhead_.find(id); ahead != cancelledAhead_.end())
-        close(*known, Final::cancelled, 0, ahead->second);
+        return close(*known, Final::cancelled, 0, ahead->second, changes);
+    enter(*known, changes);
+}
+
+/// An open job that was not known: what it waits for, and whether it is cancelled with one of these.
+void Mirror::enter(Job& job, std::vector<Change>& changes) {
+    job.readyMs = job.acceptedMs;
+    job.urgency = job.spec.priority;
+    if (job.spec.deadline)
+        job.dueMs = job.acceptedMs + static_cast<std::uint64_t>(job.spec.deadline->count() * 1000);
+    bool cancelled = false;
+    for (const auto& id : job.spec.dependencies) {
+        const auto* needed = find(id);
+        if (needed && needed->final == Final::done) {
+            job.readyMs = std::max(job.readyMs, needed->endedMs);
+            continue;
+        }
+        ++job.openDependencies;
+        if (needed && needed->final == Final::cancelled)
+            cancelled = true;
+        else
+            dependents_[id].push_back(&job);
+    }
+    if (!job.spec.dependencies.empty() || dependents_.contains(job.spec.id)) staleUrgency_.insert(&job);
+    if (!cancelled) return;
+    end(job, Final::cancelled, 0);
+    job.derived = true;
+    cancelDependents(job, changes);
 }
 
-void Mirror::close(Job& job, Final final, std::uint32_t done, std::uint64_t version) {
-    if (final == Final::cancelled && job.final != Final::cancelled) cancelled_.push_back(&job);
+/// What the job's record says, or will say once it is read.
+void Mirror::close(Job& job, Final final, std::uint32_t done, std::uint64_t version,
+                   std::vector<Change>& changes) {
+    const auto before = job.final;
+    if (final == Final::cancelled && (before != Final::cancelled || job.derived)) cancelled_.push_back(&job);
+    job.derived = false;
     cancelledAhead_.erase(job.spec.id);
     job.version = version;
+    end(job, final, done);
+    if (before != Final::open) return;
+    if (final == Final::done)
+        freeDependents(job, changes);
+    else
+        cancelDependents(job, changes);
+}
+
+void Mirror::end(Job& job, Final final, std::uint32_t done) {
     job.final = final;
     job.doneCount = done;
     job.done = {};
     job.chunkVersions = {};
     open_.erase(&job);
+    staleUrgency_.erase(&job);
     if (job.run) {
         job.run->waiting = 0;
         job.run->unstored.clear();
     }
 }
 
+/// All that need the job, directly or through others, are cancelled with it. Nothing of this is stored: it
+/// follows from the one record, so that no node can see half of it.
+void Mirror::cancelDependents(Job& job, std::vector<Change>& changes) {
+    std::vector<Job*> ended{&job};
+    while (!ended.empty()) {
+        auto& next = *ended.back();
+        ended.pop_back();
+        staleDependencies(next);
+        const auto found = dependents_.find(next.spec.id);
+        if (found == dependents_.end()) continue;
+        const auto dependents = std::move(found->second);
+        dependents_.erase(found);
+        for (auto* dependent : dependents) {
+            if (dependent->final != Final::open) continue;
+            end(*dependent, Final::cancelled, 0);
+            dependent->derived = true;
+            changes.push_back({ChangeKind::job, dependent->spec.id});
+            ended.push_back(dependent);
+        }
+    }
+}
+
+void Mirror::freeDependents(const Job& job, std::vector<Change>& changes) {
+    const auto found = dependents_.find(job.spec.id);
+    if (found == dependents_.end()) return;
+    for (auto* dependent : found->second) {
+        if (dependent->final != Final::open) continue;
+        dependent->readyMs = std::max(dependent->readyMs, job.endedMs);
+        if (--dependent->openDependencies == 0) changes.push_back({ChangeKind::job, dependent->spec.id});
+    }
+    dependents_.erase(found);
+}
+
+/// What the job needs is no longer, or not yet, needed by it.
+void Mirror::staleDependencies(const Job& job) {
+    for (const auto& id : job.spec.dependencies)
+        if (auto* needed = find(id); needed && needed->final == Final::open) staleUrgency_.insert(needed);
+}
+
+void Mirror::settleUrgency() {
+    while (!staleUrgency_.empty()) {
+        auto& job = **staleUrgency_.begin();
+        staleUrgency_.erase(staleUrgency_.begin());
+        if (job.final != Final::open) continue;
+        auto urgency = job.spec.priority;
+        std::optional<std::uint64_t> due;
+        if (job.spec.deadline)
+            due = job.acceptedMs + static_cast<std::uint64_t>(job.spec.deadline->count() * 1000);
+        if (const auto found = dependents_.find(job.spec.id); found != dependents_.end())
+            for (const auto* dependent : found->second) {
+                if (dependent->final != Final::open) continue;
+                urgency = std::max(urgency, dependent->urgency);
+                if (!dependent->dueMs) continue;
+                const auto work = static_cast<std::uint64_t>(dependent->spec.estimate.count() * 1000);
+                due = std::min(due.value_or(*dependent->dueMs),
+                               *dependent->dueMs - std::min(work, *dependent->dueMs));
+            }
+        if (urgency == job.urgency && due == job.dueMs && job.urgencyTold) continue;
+        job.urgency = urgency;
+        job.dueMs = due;
+        job.urgencyTold = true;
+        staleDependencies(job);
+    }
+}
+
+void Mirror::noteDone(Job& job, std::uint64_t version, std::uint64_t endedMs, std::vector<Change>& changes) {
+    if (job.final != Final::open) return;
+    job.endedMs = endedMs;
+    close(job, Final::done, job.spec.tasks, version, changes);
+}
+
 void Mirror::noteCancelled(const std::string& id, std::uint64_t version, std::vector<Change>& changes) {
     auto* job = find(id);
     if (!job) {
@@ -123,7 +244,7 @@
         return;
     }
     if (job->final != Final::open) return;
-    close(*job, Final::cancelled, job->doneCount, version);
+    close(*job, Final::cancelled, job->doneCount, version, changes);
     changes.push_back({ChangeKind::job, id});
 }
 
@@ -162,7 +283,7 @@
             const auto slash = rest.find('/');
             const auto id = rest.substr(0, slash);
             if (slash == std::string::npos) {
-                applyJob(id, *change.value, change.version);
+                applyJob(id, *change.value, change.version, changes);
             } else {
                 auto* job = find(id);
                 std::size_t chunk = 0;
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -15,6 +15,7 @@
 namespace burlpoint::bookkeeping {
 
 using protocol::JobSpec;
+using protocol::Priority;
 using protocol::Seconds;
 using storage::Final;
 using transport::Clock;
@@ -47,10 +48,11 @@
     std::uint64_t gangAttempt = 0;       // the attempt under way, 0: none
     std::set<std::string> machinesLeft;  // that a task of this attempt has gone from
     const protocol::Team* team = nullptr;
-    std::optional<Seconds> tightWait;  // the shortest wait aim of its class
-    double place = 0;                  // within its rank, the lower the sooner
-    Time notBefore{};                  // back-off after failures
-    Time acceptedAt{};                 // by this node's clock, as far as clocks agree
+    std::optional<Seconds> tightWait;      // the shortest wait aim of its class
+    double place = 0;                      // within its rank, the lower the sooner
+    Time notBefore{};                      // back-off after failures
+    Priority priority = Priority::normal;  // its own, or that of a job that needs it
+    Time readyAt{};                        // accepted and free to start, as far as clocks agree
     Time waitingSince{};
     Time nextBits{};                            // when its finished tasks are stored next
     std::map<std::string, Time> errorMachines;  // where a task of it failed since its last success
@@ -67,14 +69,23 @@
     JobSpec spec;
     Final final = Final::open;
     std::uint64_t acceptedMs = 0;
+    std::uint64_t readyMs = 0;  // when it was accepted, or the last job that it needs was done
+    std::uint64_t endedMs = 0;  // when it was done itself
     std::uint32_t chunkTasks = 1;
     std::uint64_t version = 0;   // of its record
     std::uint64_t accepted = 0;  // revision at which it was first seen: the order of arrival
     std::vector<bool> done;      // stored bits; empty until needed and once the job is over
     std::uint32_t doneCount = 0;
     std::vector<std::uint64_t> chunkVersions;
+    std::uint32_t openDependencies = 0;       // not stored as done, as far as is known
+    bool derived = false;                     // cancelled with one that it needs, not by its own record
+    bool urgencyTold = false;                 // to the jobs that it needs
+    Priority urgency = Priority::normal;      // the highest of its own and of those that need it
+    std::optional<std::uint64_t> dueMs = {};  // so that its deadline and theirs can be met
     std::unique_ptr<Run> run;
 
+    bool ready() const { return openDependencies == 0; }
+    Priority priority() const { return run ? run->priority : urgency; }
     std::size_t chunks() const { return (spec.tasks + chunkTasks - 1) / chunkTasks; }
     bool isDone(std::uint32_t task) const {
         return final == Final::done || (task < done.size() && done[task]);
@@ -120,9 +131,14 @@
     bool apply(const protocol::KeyChange& change, std::vector<Change>& changes);
     /// After all keys were read anew: what was not among them is gone.
     void dropUnread(const std::set<std::string>& read, std::vector<Change>& changes);
+    /// The job's end was stored at `version`.
+    void noteDone(Job& job, std::uint64_t version, std::uint64_t endedMs, std::vector<Change>& changes);
+    /// Brings priorities and times due up to date after jobs have come or gone that need others.
+    void settleUrgency();
     /// A confirmed cancellation that no read has shown yet: `version` is that of the record which tells it.
     void noteCancelled(const std::string& id, std::uint64_t version, std::vector<Change>& changes);
-    /// Cancelled jobs in the order in which this node learned of them; it only grows.
+    /// Jobs cancelled by their users, in the order in which this node learned of them; it only grows. Those
+    /// that need one of them are cancelled with it, which each node sees for itself.
     const std::vector<const Job*>& cancelled() const { return cancelled_; }
 
     Job* find(const std::string& id);
@@ -139,12 +155,25 @@
     std::uint64_t revision = 0;
 
   private:
-    void applyJob(const std::string& id, const msgpack::object& value, std::uint64_t version);
-    void close(Job& job, Final final, std::uint32_t done, std::uint64_t version);
+    struct NewestFirst {
+        bool operator()(const Job* a, const Job* b) const;
+    };
+    void applyJob(const std::string& id, const msgpack::object& value, std::uint64_t version,
+                  std::vector<Change>& changes);
+    void enter(Job& job, std::vector<Change>& changes);
+    void close(Job& job, Final final, std::uint32_t done, std::uint64_t version,
+               std::vector<Change>& changes);
+    void end(Job& job, Final final, std::uint32_t done);
+    void cancelDependents(Job& job, std::vector<Change>& changes);
+    void freeDependents(const Job& job, std::vector<Change>& changes);
+    void staleDependencies(const Job& job);
 
     std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
     std::set<Job*> open_;
     std::vector<const Job*> cancelled_;
+    std::unordered_map<std::string, std::vector<Job*>> dependents_;  // of jobs that are not done
+    // A job is accepted after all that it needs, so that in this order each is looked at once.
+    std::set<Job*, NewestFirst> staleUrgency_;
     std::map<std::string, std::uint64_t> cancelledAhead_;  // of jobs that are not known yet
 };
 
--- a/src/coordination/frontdesk.cpp
+++ b/src/coordination/frontdesk.cpp
@@ -143,16 +143,25 @@
         return status(spec.id, reply);
     }
     if (!sync_.synced() || mirror_.types.empty()) return reply(comeBack(503, "not able to decide yet"));
-    const auto why = neverRuns(spec, settings_, mirror_.types);
-    if (!why) return enqueue(std::move(spec), reply);
-    // Not even then may a job be turned down that another node has accepted.
-    sync_.fresh([this, id = spec.id, why = *why, reply](bool ok) {
+    if (!whyNever(spec)) return enqueue(std::move(spec), reply);
+    // Not even then may a job be turned down that another node has accepted, nor for needing one that another
+    // node has accepted a moment ago.
+    sync_.fresh([this, spec = std::move(spec), reply](bool ok) mutable {
         if (!ok) return reply(comeBack(503, "the state service does not answer"));
-        if (const auto* job = mirror_.find(id)) return answerState(*job, reply);
-        reply(respond(422, protocol::errorReply(why)));
+        if (const auto* job = mirror_.find(spec.id)) return answerState(*job, reply);
+        if (const auto why = whyNever(spec)) return reply(respond(422, protocol::errorReply(*why)));
+        enqueue(std::move(spec), reply);
     });
 }
 
+/// Why the job can never run as far as is known here, or nothing.
+std::optional<std::string> FrontDesk::whyNever(const JobSpec& spec) const {
+    if (auto why = neverRuns(spec, settings_, mirror_.types)) return why;
+    for (const auto& id : spec.dependencies)
+        if (!mirror_.find(id)) return "needs " + id + ", which was never accepted";
+    return std::nullopt;
+}
+
 void FrontDesk::enqueue(JobSpec spec, const Reply& reply) {
     // What cannot be stored soon is turned away at once, with the time to come back.
     const double rate = settings_.stateWriteRps * kShare;
--- a/src/coordination/frontdesk.h
+++ b/src/coordination/frontdesk.h
@@ -38,6 +38,7 @@
     };
 
     void submit(const transport::Request& request, const transport::Reply& reply);
+    std::optional<std::string> whyNever(const protocol::JobSpec& spec) const;
     void enqueue(protocol::JobSpec spec, const transport::Reply& reply);
     void serveQueues();
     void store(Waiting waiting);
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -66,7 +66,7 @@
     for (const auto& type : mirror.types) types_[type.name] = type;
     for (const auto& [id, job] : mirror.jobs()) {
         job->run.reset();
-        if (job->final == Final::open) adoptJob(*job, true);
+        if (job->final == Final::open && job->ready()) adoptJob(*job, true);
     }
     for (const auto& [id, stored] : mirror.roster) {
         auto& machine = identify(id, stored.record.type, stored.record.zone, stored.record.spot);
@@ -105,17 +105,21 @@
     for (const auto& objective : settings_.objectives)
         if (objective.kind == "wait" && objective.jobClass == job.spec.jobClass)
             job.run->tightWait = std::min(job.run->tightWait.value_or(objective.within), objective.within);
-    const std::chrono::milliseconds age(static_cast<std::int64_t>(beganMs_) -
-                                        static_cast<std::int64_t>(job.acceptedMs));
-    job.run->acceptedAt = std::min(now_, began_ - age);
-    spdlog::debug("job {} {} of {} tasks, accepted {:.3f} s ago", job.spec.id, job.spec.jobClass,
-                  job.spec.tasks, Seconds(now_ - job.run->acceptedAt).count());
+    job.run->readyAt = std::min(now_, clockOf(job.readyMs));
+    spdlog::debug("job {} {} of {} tasks, ready for {:.3f} s", job.spec.id, job.spec.jobClass, job.spec.tasks,
+                  Seconds(now_ - job.run->readyAt).count());
     // An earlier leader may have stored the last bits and not the end of the job.
     if (job.doneCount == job.spec.tasks) unstored_.insert(&job);
     open_.push_back(&job);
     orderStale_ = true;
 }
 
+/// When it was that time of day, by this node's steady clock.
+Time Leader::clockOf(std::uint64_t dayMs) const {
+    return began_ +
+           std::chrono::milliseconds(static_cast<std::int64_t>(dayMs) - static_cast<std::int64_t>(beganMs_));
+}
+
 /// The roster entry of a machine that has not reported yet has no address. It is a note for the next leader
 /// and no task is given under it: were it otherwise, each take-over would wait for all machines that are
 /// booting.
@@ -607,13 +611,21 @@
 
 // --- users and the state service --------------------------------------------------------------------------
 
+void Leader::jobsChanged(const std::vector<bookkeeping::Change>& changes) {
+    JobsChanged command;
+    for (const auto& change : changes) command.ids.push_back(change.id);
+    on(command);
+}
+
 void Leader::on(JobsChanged& command) {
     for (const auto& id : command.ids) {
         auto* job = mirror_.find(id);
         if (!job) continue;
         orderStale_ = true;
         if (job->final == Final::open) {
-            if (!job->run) adoptJob(*job, false);
+            // One that waited for others cannot be on a machine: an earlier leader would have seen them
+            // stored as done, and so would this one as it began.
+            if (!job->run && job->ready()) adoptJob(*job, false);
             continue;
         }
         std::erase(open_, job);
@@ -654,10 +666,14 @@
         if (!room()) break;
         if (!endsWithOneWrite(*job)) continue;
         // Whatever bits are missing, the record that says "done" stands for all of them.
+        const auto endedMs =
+            beganMs_ + static_cast<std::uint64_t>(
+                           std::chrono::duration_cast<std::chrono::milliseconds>(now_ - began_).count());
         put(keys::job(job->spec.id),
-            storage::encodeJob({job->spec, Final::done, job->acceptedMs, job->spec.tasks, job->chunkTasks}),
+            storage::encodeJob(
+                {job->spec, Final::done, job->acceptedMs, job->spec.tasks, job->chunkTasks, endedMs}),
             job->version);
-        finalWrites_.push_back(job);
+        finalWrites_.emplace_back(job, endedMs);
     }
     if (typesUnstored_ && room()) {
         for (const auto& [name, type] : types_) typesWrite_.push_back(type);
@@ -730,17 +746,16 @@
             if (write.job->run->unstored.empty() && write.job->doneCount < write.job->spec.tasks)
                 unstored_.erase(write.job);
         }
-        for (auto* job : finalWrites_) {
+        std::vector<bookkeeping::Change> changes;
+        for (const auto& [job, endedMs] : finalWrites_) {
             if (job->final != Final::open) continue;
-            job->final = Final::done;
-            job->doneCount = job->spec.tasks;
-            job->version = result.revision;
-            job->run->waiting = 0;
-            job->run->unstored.clear();
+            mirror_.noteDone(*job, result.revision, endedMs, changes);
             unstored_.erase(job);
             std::erase(open_, job);
             orderStale_ = true;
         }
+        // Only now may what needs these jobs start: until its end was stored a cancellation could still win.
+        jobsChanged(changes);
         if (!typesWrite_.empty()) {
             mirror_.types = typesWrite_;
             mirror_.typesVersion = result.revision;
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -182,6 +182,9 @@
     void noteUnheeded(Machine& machine);
     void forget(Machine& machine);
     void adoptJob(Job& job, bool inherited);
+    Time clockOf(std::uint64_t dayMs) const;
+    Time dueAt(const Job& job) const { return clockOf(*job.dueMs); }
+    void jobsChanged(const std::vector<bookkeeping::Change>& changes);
     std::vector<Order> compose(Machine& machine, const Report& report);
     std::vector<Order> stopOrders(const Machine& machine) const;
     void sendUrgent();
@@ -266,8 +269,8 @@
     std::set<std::string> rosterAdd_, rosterDrop_;
     std::set<std::string> rosterDeleted_;  // entries whose deletion was sent and that were not written since
     bool typesUnstored_ = false;
-    std::vector<DoneWrite> doneWrites_;  // of the write under way
-    std::vector<Job*> finalWrites_;
+    std::vector<DoneWrite> doneWrites_;                        // of the write under way
+    std::vector<std::pair<Job*, std::uint64_t>> finalWrites_;  // and the time of day of their ends
     std::vector<std::pair<std::string, storage::MachineRecord>> rosterWrites_;
     std::vector<std::string> rosterDeletes_;
     std::vector<MachineType> typesWrite_;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -91,8 +91,8 @@
         const auto* holder = machine.reservedFor;
         // Room that work was stopped for is not for other work of no higher priority, whatever its rank:
         // guaranteed tasks would fill it again and again, to be stopped once more.
-        const bool kept = rankOf(*holder) >= rankOf(job) ||
-                          (!machine.holding && holder->spec.priority >= job.spec.priority);
+        const bool kept =
+            rankOf(*holder) >= rankOf(job) || (!machine.holding && holder->priority() >= job.priority());
         if (holder->run && holder->run->waiting > 0 && kept) {
             const auto need = bookkeeping::needOf(holder->spec);
             room -= {need.cpus * machine.reserved, need.gpus * machine.reserved,
@@ -105,7 +105,7 @@
 /// Everything but the room: may one more task of the job start on this machine now?
 bool Leader::mayStart(const Job& job, const Machine& machine) const {
     const auto& run = *job.run;
-    if (job.final != Final::open || run.waiting == 0 || run.notBefore > now_) return false;
+    if (job.final != Final::open || !job.ready() || run.waiting == 0 || run.notBefore > now_) return false;
     if (!allows(job, machine.type, machine.zone, machine.spot) || !zoneAllows(job, machine.zone))
         return false;
     if (!sparesAccelerators(job, machine) || bespokenAgainst(job, machine)) return false;
@@ -125,9 +125,9 @@
     // A replica stays for as long as its service does, and would hold the dear machine for all that time.
     if (service && now_ - job.run->waitingSince < kPlainOnly && plainToBeHad(job)) return false;
     const auto found = acceleratorNeeds_.find(machine.type);
-    if (found == acceleratorNeeds_.end()) return job.spec.priority < Priority::high || service;
+    if (found == acceleratorNeeds_.end()) return job.priority() < Priority::high || service;
     const auto& [need, priority] = found->second;
-    if (job.spec.priority < priority && !service) return true;
+    if (job.priority() < priority && !service) return true;
     auto room = bookkeeping::sizeOf(*type) - bookkeeping::needOf(job.spec) - machine.plainUse[4];
     for (auto p = static_cast<std::size_t>(priority); p < 4; ++p) room -= machine.plainUse[p];
     if (room.covers(need)) return true;
@@ -170,11 +170,11 @@
         if (job.spec.types &&
             std::find(job.spec.types->begin(), job.spec.types->end(), name) == job.spec.types->end())
             continue;
-        auto [at, fresh] = acceleratorNeeds_.try_emplace(name, need, job.spec.priority);
+        auto [at, fresh] = acceleratorNeeds_.try_emplace(name, need, job.priority());
         auto& [most, priority] = at->second;
         most = {std::max(most.cpus, need.cpus), std::max(most.gpus, need.gpus),
                 std::max(most.memoryGb, need.memoryGb)};
-        priority = std::min(priority, job.spec.priority);
+        priority = std::min(priority, job.priority());
     }
 }
 
@@ -184,6 +184,7 @@
 void Leader::refreshOrder() {
     if (!orderStale_ || now_ < nextOrder_) return;
     orderStale_ = false;
+    mirror_.settleUrgency();
     nextOrder_ = now_ + 100ms;
     std::sort(open_.begin(), open_.end(),
               [](const Job* a, const Job* b) { return a->accepted < b->accepted; });
@@ -194,6 +195,7 @@
     for (auto* job : open_) {
         auto& run = *job->run;
         const auto& spec = job->spec;
+        fleet_.setPriority(*job, job->urgency);
         auto& demand = teams[spec.team];
         const auto unfinished = spec.tasks - job->doneCount;
         demand += {spec.cpus * unfinished, spec.gpus * unfinished, 0};
@@ -201,10 +203,10 @@
         // "A value of 0 means none": with no guarantee of accelerators, work that needs them has none.
         run.guaranteed = team && (team->cpus > 0 || team->gpus > 0) && demand.cpus <= team->cpus + 1e-6 &&
                          demand.gpus <= team->gpus + 1e-6;
-        const bool production = spec.priority == Priority::production;
+        const bool production = run.priority == Priority::production;
         run.rank = production       ? kProductionRank
                    : run.guaranteed ? kGuaranteedRank
-                                    : static_cast<int>(spec.priority);
+                                    : static_cast<int>(run.priority);
         if (!run.admitted) admit(*job);
         noteAccelerators(*job);
         if (run.waiting == 0) continue;
@@ -213,9 +215,11 @@
         // Within a rank by arrival. Where deadlines count, what is soonest through goes first, so that as
         // many jobs as possible meet theirs, and what can no longer meet its own goes last.
         run.place = last / 2;
-        const Seconds age = now_ - run.acceptedAt;
-        if (spec.deadline)
-            run.place = *spec.deadline - age < spec.estimate * 0.8
+        // A deadline handed down by a job that needs this one is never past saving: more than this job hangs
+        // on it.
+        const Seconds age = now_ - run.readyAt;
+        if (job->dueMs)
+            run.place = spec.deadline && Seconds(dueAt(*job) - now_) < spec.estimate * 0.8
                             ? last
                             : run.waiting * spec.cpus * spec.estimate.count();
         // But nothing is passed over for ever: what has waited for long goes first, by arrival.
@@ -338,10 +342,10 @@
     const auto& spec = placement.job->spec;
     if (placement.job == &job || spec.kind == Kind::service || (spec.kind == Kind::gang && spec.tasks > 1))
         return false;
-    if (spec.priority < job.spec.priority) return true;
+    if (placement.job->priority() < job.priority()) return true;
     // Any other team's borrowed work yields to a guarantee.
     const auto* team = settings_.team(spec.team);
-    return job.run->guaranteed && job.spec.priority < Priority::production && spec.team != job.spec.team &&
+    return job.run->guaranteed && job.priority() < Priority::production && spec.team != job.spec.team &&
            team && fleet_.teamUse(spec.team).cpus > team->cpus && !placement.job->run->guaranteed;
 }
 
@@ -369,7 +373,7 @@
     auto room = roomOn(machine, job);
     // A guarantee may be given back by work of any priority.
     const auto below =
-        job.run->guaranteed ? machine.stoppable.size() : static_cast<std::size_t>(job.spec.priority);
+        job.run->guaranteed ? machine.stoppable.size() : static_cast<std::size_t>(job.priority());
     for (std::size_t p = 0; p < below; ++p) room += machine.stoppable[p];
     return room;
 }
@@ -569,7 +573,7 @@
 Seconds Leader::patienceOf(const Job& job) const {
     Seconds patience = settings_.report * 1.5;
     // Neither replicas' room nor whole machines come free by waiting.
-    const bool hurried = job.spec.priority == Priority::production || job.spec.gpus > 0;
+    const bool hurried = job.priority() == Priority::production || job.spec.gpus > 0;
     if (hurried) patience = Seconds(0.2);
     if (const auto& wait = job.run->tightWait)
         patience = hurried || *wait < settings_.report * 3 ? std::min(patience, *wait * 0.1) : *wait * 0.35;
@@ -600,7 +604,7 @@
         }
         auto* job = jobs[at];
         const auto& run = *job->run;
-        if (job->spec.priority <= Priority::normal && !run.guaranteed) continue;
+        if (job->priority() <= Priority::normal && !run.guaranteed) continue;
         if (job->final != Final::open || run.waiting == 0 || run.notBefore > now_) continue;
         if (Seconds(now_ - run.waitingSince) < patienceOf(*job)) continue;
         const bool gang = job->spec.kind == Kind::gang && job->spec.tasks > 1;
@@ -782,22 +786,22 @@
         own->second.until = now_ + kBespoken;
         return;
     }
-    if (now_ - job.run->acceptedAt <= policy_.longestPassedOver / 3) return;
+    if (now_ - job.run->readyAt <= policy_.longestPassedOver / 3) return;
     const auto there = bespoken_.find(zone);
     // The oldest goes first, or one after the other might be younger.
-    const bool older = there != bespoken_.end() && job.run->acceptedAt < there->second.job->run->acceptedAt;
+    const bool older = there != bespoken_.end() && job.run->readyAt < there->second.job->run->readyAt;
     if (older || bespoken_.empty() || (job.run->overdue && there == bespoken_.end()))
         bespoken_[zone] = {&job, now_ + kBespoken};
 }
 
 /// A gang that waits for machines like this one has bespoken the zone.
 bool Leader::bespokenAgainst(const Job& job, const Machine& machine) const {
-    if (bespoken_.empty() || !machine.kind || job.spec.priority == Priority::production) return false;
+    if (bespoken_.empty() || !machine.kind || job.priority() == Priority::production) return false;
     return std::any_of(bespoken_.begin(), bespoken_.end(), [&](const auto& entry) {
         const auto& [zone, by] = entry;
         if (by.until <= now_ || by.job == &job || (!zone.empty() && machine.zone != zone)) return false;
         const auto& spec = by.job->spec;
-        if (job.spec.priority < spec.priority) return false;
+        if (job.priority() < by.job->priority()) return false;
         if (spec.gpus > 0 ? job.spec.gpus <= 0 : job.spec.kind != Kind::gang) return false;
         return bookkeeping::sizeOf(*machine.kind).covers(bookkeeping::needOf(spec));
     });
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -113,9 +113,12 @@
         if (spec.kind == Kind::array && spec.estimate > Seconds(0)) {
             // One machine after another runs these tasks: enough of them at once to be through in time.
             Seconds horizon = policy_.backlogHorizon;
-            if (spec.deadline) {
+            if (spec.deadline && spec.dependencies.empty()) {
                 const Seconds waited = now_ - job->run->waitingSince;
                 horizon = std::max(*spec.deadline * 0.5 - waited, spec.estimate);
+            } else if (job->dueMs) {
+                // Of a pipeline, what is left of the time until it has to be through.
+                horizon = std::max(std::min(horizon, Seconds(dueAt(*job) - now_) * 0.5), spec.estimate);
             }
             const double rounds = std::max(1.0, horizon / spec.estimate);
             waiting = static_cast<std::uint32_t>(std::ceil(waiting / rounds));
--- a/src/coordination/sync.cpp
+++ b/src/coordination/sync.cpp
@@ -62,6 +62,7 @@
         loading_ = false;
         // What changed while the pages were read follows from the first page's revision on.
         mirror_.revision = loadRevision_;
+        mirror_.settleUrgency();
         poll();
         fresh([](bool) {});
     });
@@ -75,6 +76,7 @@
             spdlog::error("the value of {} in the state service is malformed", entry.key);
     }
     mirror_.revision = std::max(mirror_.revision, page.revision);
+    mirror_.settleUrgency();
     if (!changes.empty()) changed_(changes);
 }
 
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -120,11 +120,16 @@
     s.checkpoint = Seconds(f.amount("logbookS"));
     s.save = Seconds(f.amount("stowS"));
     if (const auto deadline = f.maybeAmount("sailingS")) s.deadline = Seconds(*deadline);
+    for (auto& id : f.texts("towlines")) {
+        if (!isJobId(id)) throw Malformed("field towlines is invalid");
+        const auto known = std::find(s.dependencies.begin(), s.dependencies.end(), id);
+        if (known == s.dependencies.end()) s.dependencies.push_back(std::move(id));
+    }
     return s;
 }
 
 void packSpec(Packer& p, const JobSpec& s, std::size_t extraFields) {
-    p.map(20 + extraFields);
+    p.map(20 + extraFields + !s.dependencies.empty());
     p.field("uid", s.id).field("berth", s.jobClass).field("crew", s.team);
     p.field("rig", wordFor(kKinds, s.kind)).field("tide", wordFor(kPriorities, s.priority));
     p.field("hands", s.tasks).field("cores", s.cpus).field("accelerators", s.gpus).field("ramGb", s.memoryGb);
@@ -134,6 +139,7 @@
     p.field("voyageS", s.estimate.count()).field("logbookS", s.checkpoint.count());
     p.field("stowS", s.save.count());
     s.deadline ? p.field("sailingS", s.deadline->count()) : p.nil("sailingS");
+    if (!s.dependencies.empty()) p.field("towlines", s.dependencies);
 }
 
 std::string jobReply(const std::string& id, JobState state) {
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -37,6 +37,7 @@
     bool oneZone = false, spread = false, spot = false;
     Seconds estimate{0}, checkpoint{0}, save{0};
     std::optional<Seconds> deadline;
+    std::vector<std::string> dependencies;  // jobs that have to be done before any task of this one starts
     bool operator==(const JobSpec&) const = default;
 };
 
--- a/src/storage/records.cpp
+++ b/src/storage/records.cpp
@@ -18,9 +18,10 @@
 
 std::string encodeJob(const JobRecord& r) {
     Packer p;
-    protocol::packSpec(p, r.spec, 4);
+    protocol::packSpec(p, r.spec, 5);
     p.field("final", static_cast<unsigned>(r.final)).field("accepted_ms", r.acceptedMs);
-    return p.field("tasks_done", r.done).field("chunk_tasks", r.chunkTasks).take();
+    p.field("tasks_done", r.done).field("chunk_tasks", r.chunkTasks);
+    return p.field("ended_ms", r.endedMs).take();
 }
 
 JobRecord decodeJob(const msgpack::object& value) {
@@ -35,6 +36,7 @@
     const auto chunk = f.integer("chunk_tasks");
     if (chunk < 1 || chunk > 1u << 30) throw Malformed("field chunk_tasks is invalid");
     r.chunkTasks = static_cast<std::uint32_t>(chunk);
+    r.endedMs = f.integerOr("ended_ms", 0);
     return r;
 }
 
--- a/src/storage/records.h
+++ b/src/storage/records.h
@@ -32,6 +32,7 @@
     std::uint64_t acceptedMs = 0;  // time of day
     std::uint32_t done = 0;        // tasks done, of a job that is over
     std::uint32_t chunkTasks = 1;  // tasks per bitmap chunk, fixed when the job is accepted
+    std::uint64_t endedMs = 0;     // time of day at which it was done; 0 in records of versions before
     bool operator==(const JobRecord&) const = default;
 };
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -39,6 +39,8 @@
     s.checkpoint = Seconds(amount());
     s.save = Seconds(amount());
     if (*rc::gen::arbitrary<bool>()) s.deadline = Seconds(amount());
+    for (int i = *rc::gen::inRange(0, 4); i > 0; --i)
+        s.dependencies.push_back("wk-" + std::to_string(i) + std::to_string(*rc::gen::inRange(0, 1000)));
     return s;
 }
 
--- a/tests/frontdesk_test.cpp
+++ b/tests/frontdesk_test.cpp
@@ -67,7 +67,8 @@
 };
 
 std::string body(const std::string& id, double cpus = 1, const std::string& team = "team",
-                 std::uint32_t tasks = 2, protocol::Kind kind = protocol::Kind::array) {
+                 std::uint32_t tasks = 2, protocol::Kind kind = protocol::Kind::array,
+                 std::vector<std::string> dependencies = {}) {
     protocol::JobSpec spec;
     spec.id = id;
     spec.jobClass = spec.image = "x";
@@ -75,11 +76,16 @@
     spec.cpus = cpus;
     spec.tasks = tasks;
     spec.kind = kind;
+    spec.dependencies = std::move(dependencies);
     Packer p;
     protocol::packSpec(p, spec);
     return p.take();
 }
 
+std::string after(const std::string& id, std::vector<std::string> dependencies) {
+    return body(id, 1, "team", 2, protocol::Kind::array, std::move(dependencies));
+}
+
 struct FrontDeskTest : testing::Test {
     asio::io_context io{1};
     StateStub stub{io};
@@ -348,3 +354,60 @@
     ASSERT_EQ(d.mirror.cancelled().size(), 1u);
     EXPECT_EQ(d.mirror.cancelled()[0]->version, stub.store.revision);
 }
+
+// Whether a job was accepted is asked of the store, however short ago and by whichever node that was.
+TEST_F(FrontDeskTest, AJobMayNeedOnlyWhatWasAccepted) {
+    Desk a(io, stub), b(io, stub, "two");
+    a.until([&] { return a.sync.synced() && b.sync.synced(); });
+    EXPECT_EQ(a.ask("POST", "/submissions", after("wk-1", {"wk-1"})).status, 422);
+    EXPECT_EQ(a.ask("POST", "/submissions", after("wk-2", {"wk-1"})).status, 422);
+    for (int i = 0; i < 20; ++i) {
+        const auto first = "wk-" + std::to_string(10 + 2 * i), next = "wk-" + std::to_string(11 + 2 * i);
+        EXPECT_EQ(a.ask("POST", "/submissions", body(first)).status, 201);
+        EXPECT_EQ(b.ask("POST", "/submissions", after(next, {first})).status, 201);
+        EXPECT_EQ(a.ask("POST", "/submissions", after(next, {"wk-9"})).status, 200);  // a repeat
+        EXPECT_EQ(a.bearing(next), "pending");
+    }
+    stub.outage = true;
+    const auto answer = a.ask("POST", "/submissions", after("wk-3", {"wk-4"}));
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_GE(answer.retryAfter, 1s);
+}
+
+// One record cancels all that need the job: on every node, for those submitted later, and after restarts.
+TEST_F(FrontDeskTest, WhatNeedsACancelledJobIsCancelledWithIt) {
+    Desk a(io, stub), b(io, stub, "two");
+    a.until([&] { return a.sync.synced() && b.sync.synced(); });
+    for (const auto& job : {body("wk-1"), after("wk-2", {"wk-1"}), body("wk-9"),
+                            after("wk-3", {"wk-9", "wk-2"}), after("wk-4", {"wk-9"})})
+        EXPECT_EQ(a.ask("POST", "/submissions", job).status, 201);
+    EXPECT_EQ(b.bearing("wk-3"), "pending");
+    const auto before = stub.store.revision;
+    EXPECT_EQ(a.ask("POST", "/submissions/wk-1/cancel").status, 200);
+    EXPECT_EQ(stub.store.revision, before + 1);
+    Desk c(io, stub, "three");
+    c.until([&] { return c.sync.synced(); });
+    for (auto* desk : {&a, &b, &c}) {
+        EXPECT_EQ(desk->bearing("wk-2"), "cancelled");
+        EXPECT_EQ(desk->bearing("wk-3"), "cancelled");
+        EXPECT_EQ(desk->bearing("wk-4"), "pending");
+        EXPECT_EQ(desk->bearing("wk-9"), "pending");
+    }
+    EXPECT_EQ(b.ask("POST", "/submissions", after("wk-5", {"wk-3"})).status, 201);
+    EXPECT_EQ(a.bearing("wk-5"), "cancelled");
+    EXPECT_EQ(a.ask("POST", "/submissions/wk-5/cancel").status, 200);
+    // Once it is done there is nothing to cancel, and what needs it goes on.
+    auto record =
+        storage::decodeJob(protocol::unpackBody(stub.store.values.at(storage::keys::job("wk-9")).data).get());
+    record.final = storage::Final::done;
+    std::vector<std::string> failed;
+    stub.store.transact({}, {{storage::keys::job("wk-9"), storage::encodeJob(record), 0}}, failed);
+    stub.wake();
+    EXPECT_EQ(b.ask("POST", "/submissions/wk-9/cancel").status, 200);
+    EXPECT_EQ(b.bearing("wk-9"), "done");
+    EXPECT_EQ(b.bearing("wk-4"), "pending");
+    EXPECT_TRUE(b.mirror.find("wk-4")->ready());
+    // In an outage a node answers what it knows to be final.
+    stub.outage = true;
+    EXPECT_EQ(b.bearing("wk-3"), "cancelled");
+}
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -713,3 +713,130 @@
     b.tick();
     EXPECT_EQ(b.report("m1", running["m1"]).size() + b.report("m2", running["m2"]).size(), 2u);  // the gang
 }
+
+// A task seen done is not a job stored as done: until that is confirmed a cancellation may still win.
+TEST(Leader, NothingStartsBeforeWhatItNeedsIsStoredAsDone) {
+    Bench b;
+    b.roster("m1");
+    b.lead();
+    b.job(make("wk-1", 1, 4));
+    auto next = make("wk-2", 1, 4);
+    next.dependencies = {"wk-1"};
+    b.job(next);
+    ASSERT_EQ(b.report("m1"), Names{"wk-1/0"});
+    auto done = b.task("wk-1/0", TaskState::exited);
+    done.why = protocol::ExitReason::done;
+    bool writing = false;
+    b.now += 200ms;
+    for (const auto& action : b.tell(ReportArrived{1, b.message("m1", {done}, 5)}))
+        writing |= std::holds_alternative<WriteState>(action);
+    EXPECT_TRUE(writing);
+    EXPECT_EQ(b.report("m1", {done}), Names{});
+    // No answer: whether it was carried out is not known.
+    b.tell(StateWritten{});
+    EXPECT_EQ(b.report("m1", {done}), Names{});
+    writing = false;
+    for (const auto& action : b.tell(MirrorRefreshed{true}))
+        writing |= std::holds_alternative<WriteState>(action);
+    ASSERT_TRUE(writing);
+    EXPECT_EQ(b.report("m1", {done}), Names{});
+    storage::TxnResult stored;
+    stored.status = storage::TxnStatus::applied;
+    stored.revision = ++b.revision;
+    b.tell(StateWritten{stored});
+    EXPECT_EQ(b.mirror.find("wk-1")->final, storage::Final::done);
+    EXPECT_EQ(b.report("m1", {done}), Names{"wk-2/0"});
+}
+
+// A take-over knows what is ready, and since when, from the store alone.
+TEST(Leader, ANewLeaderKnowsWhatIsReadyFromTheStore) {
+    Bench b;
+    b.roster("m1");
+    auto first = make("wk-1", 2, 2);
+    b.job(first);
+    for (int i = 2; i < 4; ++i) {
+        auto next = make("wk-" + std::to_string(i), 1, 2);
+        next.dependencies = {i == 2 ? "wk-1" : "wk-2"};
+        b.job(next);
+    }
+    const auto bits = storage::encodeBits({true, true}, 0, storage::chunkTasks(8));
+    std::vector<bookkeeping::Change> changes;
+    auto handle = protocol::unpackBody(bits);
+    b.mirror.apply({storage::keys::doneChunk("wk-1", 0), &handle.get(), ++b.revision}, changes);
+    b.leader.reset();
+    b.leader = std::make_unique<Leader>(b.settings, b.policy, b.mirror, 5, b.now, 100'000);
+    // All its bits are stored, and its end is not.
+    EXPECT_EQ(b.report("m1"), Names{});
+    const auto value =
+        storage::encodeJob({first, storage::Final::done, 0, 2, storage::chunkTasks(8), 60'000});
+    handle = protocol::unpackBody(value);
+    b.mirror.apply({storage::keys::job("wk-1"), &handle.get(), ++b.revision}, changes);
+    b.leader.reset();
+    b.leader = std::make_unique<Leader>(b.settings, b.policy, b.mirror, 5, b.now, 100'000);
+    EXPECT_EQ(b.report("m1"), Names{"wk-2/0"});
+    EXPECT_EQ(b.mirror.find("wk-2")->run->readyAt, b.now - 200ms - 40s);
+    EXPECT_EQ(b.mirror.find("wk-3")->run, nullptr);
+}
+
+// While it waits for others a job holds no part of its team's guarantee or limit, and is no backlog.
+TEST(Leader, AJobThatWaitsForOthersHoldsNothing) {
+    Bench b;
+    b.settings.teams.push_back({"guaranteed", 4, 4, 0, 0});
+    b.roster("m1");
+    b.lead();
+    auto first = make("wk-1", 1, 1), waits = make("wk-2", 4, 1), other = make("wk-3", 3, 1);
+    for (auto* job : {&first, &waits, &other}) job->team = "guaranteed";
+    waits.dependencies = {"wk-1"};
+    for (const auto& job : {first, waits, other}) b.job(job);
+    EXPECT_EQ(b.report("m1").size(), 4u);
+    EXPECT_TRUE(b.mirror.find("wk-3")->run->guaranteed);
+    bool rents = false;
+    for (int i = 0; i < 20; ++i)
+        for (const auto& action : b.tick()) rents |= std::holds_alternative<Rent>(action);
+    EXPECT_FALSE(rents);
+}
+
+// A job is as urgent as the last one of its pipeline, also if that comes later, and no longer once that one
+// is cancelled; what is counted by priority follows.
+TEST(Leader, AJobHasTheUrgencyOfWhatNeedsIt) {
+    Bench b;
+    b.roster("m1");
+    b.lead();
+    auto first = make("wk-2", 4, 4), rival = make("wk-1", 2, 4), last = make("wk-3", 1, 1);
+    first.priority = protocol::Priority::low;
+    rival.priority = protocol::Priority::normal;
+    last.priority = protocol::Priority::high;
+    last.dependencies = {"wk-2"};
+    last.deadline = protocol::Seconds(300);
+    b.job(rival);
+    b.job(first);
+    EXPECT_EQ(b.report("m1"), (Names{"wk-1/0", "wk-1/1"}));
+    b.job(last);
+    b.roster("m2");
+    b.leader.reset();
+    b.lead();
+    b.tick();
+    EXPECT_EQ(b.mirror.find("wk-2")->run->priority, protocol::Priority::high);
+    EXPECT_EQ(*b.mirror.find("wk-2")->dueMs, 270'000u);
+    b.report("m1", {b.task("wk-1/0", TaskState::running), b.task("wk-1/1", TaskState::running)});
+    EXPECT_EQ(b.report("m2"), (Names{"wk-2/0", "wk-2/1"}));
+    // The rest of it has to yield nothing: the rival's tasks stop for it.
+    bool stops = false;
+    for (int i = 0; i < 100 && !stops; ++i) {
+        b.report("m2", {b.task("wk-2/0", TaskState::running), b.task("wk-2/1", TaskState::running)});
+        for (const auto& action : b.tick())
+            if (const auto* orders = std::get_if<SendOrders>(&action))
+                for (const auto& order : orders->orders)
+                    stops |= order.op == Op::stop && order.attempt.job == "wk-1";
+        b.report("m1", {b.task("wk-1/0", TaskState::running), b.task("wk-1/1", TaskState::running)});
+    }
+    EXPECT_TRUE(stops);
+    EXPECT_EQ(LeaderProbe::recount(*b.leader), "");
+    std::vector<bookkeeping::Change> changes;
+    b.mirror.noteCancelled("wk-3", ++b.revision, changes);
+    b.tell(JobsChanged{{"wk-3"}});
+    for (int i = 0; i < 3; ++i) b.tick();
+    EXPECT_EQ(b.mirror.find("wk-2")->run->priority, protocol::Priority::low);
+    EXPECT_EQ(b.mirror.find("wk-2")->dueMs, std::nullopt);
+    EXPECT_EQ(LeaderProbe::recount(*b.leader), "");
+}
--- /dev/null
+++ b/tests/pipeline_test.cpp
@@ -0,0 +1,240 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+#include "bookkeeping/jobs.h"
+
+using namespace burlpoint;
+using namespace burlpoint::bookkeeping;
+using protocol::Fields;
+using protocol::Packer;
+using storage::JobRecord;
+
+namespace {
+
+std::string idOf(std::size_t n) { return "wk-" + std::to_string(100 + n); }
+
+/// A stored change of one key, and the mirrors that it is applied to.
+struct Stored {
+    std::string key, value;
+    std::uint64_t version = 0;
+
+    void to(Mirror& mirror) const {
+        const auto handle = protocol::unpackBody(value);
+        std::vector<Change> changes;
+        ASSERT_TRUE(mirror.apply({key, &handle.get(), version}, changes));
+    }
+};
+
+JobSpec spec(std::size_t n, std::vector<std::string> needs = {}) {
+    JobSpec s;
+    s.id = idOf(n);
+    s.jobClass = s.team = s.image = "x";
+    s.tasks = 2;
+    s.dependencies = std::move(needs);
+    return s;
+}
+
+Stored record(const JobSpec& s, Final final, std::uint64_t version, std::uint64_t endedMs = 0) {
+    return {storage::keys::job(s.id), storage::encodeJob({s, final, 1000 * version, 0, 4, endedMs}), version};
+}
+
+/// What a record of the version before holds, by hand: the fields that it wrote and no other.
+std::string recordOfBefore(const std::string& id, unsigned final) {
+    Packer p;
+    p.map(24).field("uid", id).field("berth", "c").field("crew", "t").field("rig", "sweep");
+    p.field("tide", "low").field("hands", 3u).field("cores", 1.5).field("accelerators", 0.0);
+    p.field("ramGb", 2.0).field("cargo", "i").field("pullGb", 1.0).nil("hulls").nil("quay");
+    p.field("together", false).field("apart", false).field("driftwood", true).field("voyageS", 15.0);
+    p.field("logbookS", 0.0).field("stowS", 0.0).nil("sailingS").field("final", final);
+    return p.field("accepted_ms", 7000u).field("tasks_done", 0u).field("chunk_tasks", 16384u).take();
+}
+
+}  // namespace
+
+// A graph of jobs, its records read in any order and its ends coming in between, against the definition: a
+// job is ready when all that it needs are done, cancelled when one of them is, and as urgent as what needs
+// it.
+RC_GTEST_PROP(Pipeline, TheMirrorFollowsTheDefinition, ()) {
+    const auto count = *rc::gen::inRange<std::size_t>(1, 14);
+    std::vector<JobSpec> specs;
+    std::vector<Final> finals(count, Final::open);  // as recorded
+    std::vector<std::uint64_t> ended(count, 0);
+    for (std::size_t n = 0; n < count; ++n) {
+        std::vector<std::string> needs;
+        for (std::size_t m = 0; m < n; ++m)
+            if (*rc::gen::inRange(0, 3) == 0) needs.push_back(idOf(m));
+        auto s = spec(n, needs);
+        s.priority = *rc::gen::element(Priority::low, Priority::normal, Priority::high);
+        s.estimate = protocol::Seconds(*rc::gen::inRange(0, 50));
+        if (*rc::gen::inRange(0, 3) == 0) s.deadline = protocol::Seconds(*rc::gen::inRange(1, 500));
+        specs.push_back(s);
+    }
+    const auto over = [&](std::size_t n) -> bool {  // cancelled, with what it needs or by itself
+        std::vector<bool> out(count);
+        for (std::size_t k = 0; k <= n; ++k) {
+            out[k] = finals[k] == Final::cancelled;
+            for (std::size_t m = 0; m < k; ++m)
+                out[k] = out[k] || (out[m] && std::count(specs[k].dependencies.begin(),
+                                                         specs[k].dependencies.end(), idOf(m)));
+        }
+        return out[n];
+    };
+    const auto ready = [&](std::size_t n) {
+        return std::all_of(specs[n].dependencies.begin(), specs[n].dependencies.end(), [&](const auto& id) {
+            const auto m = std::stoul(id.substr(3)) - 100;
+            return finals[m] == Final::done;
+        });
+    };
+    std::uint64_t version = 100;
+    const auto agrees = [&](Mirror& mirror) {
+        mirror.settleUrgency();
+        std::vector<Priority> urgency(count);
+        std::vector<std::optional<std::uint64_t>> due(count);
+        for (std::size_t n = count; n-- > 0;) {
+            auto* job = mirror.find(idOf(n));
+            const bool cancelled = over(n);
+            RC_ASSERT((job->final == Final::cancelled) == cancelled);
+            RC_ASSERT((job->final == Final::done) == (finals[n] == Final::done));
+            if (job->final != Final::open) continue;
+            RC_ASSERT(job->ready() == ready(n));
+            auto readyMs = job->acceptedMs;
+            for (const auto& id : specs[n].dependencies)
+                readyMs = std::max(readyMs, ended[std::stoul(id.substr(3)) - 100]);
+            if (job->ready()) RC_ASSERT(job->readyMs == readyMs);
+            urgency[n] = specs[n].priority;
+            if (specs[n].deadline)
+                due[n] = job->acceptedMs + static_cast<std::uint64_t>(specs[n].deadline->count() * 1000);
+            for (std::size_t k = n + 1; k < count; ++k) {
+                const auto& needs = specs[k].dependencies;
+                if (std::find(needs.begin(), needs.end(), idOf(n)) == needs.end() || over(k) ||
+                    finals[k] == Final::done)
+                    continue;
+                urgency[n] = std::max(urgency[n], urgency[k]);
+                if (!due[k]) continue;
+                const auto work = static_cast<std::uint64_t>(specs[k].estimate.count() * 1000);
+                due[n] = std::min(due[n].value_or(*due[k]), *due[k] - std::min(work, *due[k]));
+            }
+            RC_ASSERT(job->urgency == urgency[n]);
+            RC_ASSERT(job->dueMs == due[n]);
+        }
+    };
+    Mirror live;  // reads each change as it comes
+    for (std::size_t n = 0; n < count; ++n) {
+        record(specs[n], Final::open, n + 1).to(live);
+        if (*rc::gen::inRange(0, 2) == 0) live.settleUrgency();
+    }
+    for (std::size_t step = 0; step < 2 * count; ++step) {
+        const auto n = *rc::gen::inRange<std::size_t>(0, count);
+        if (finals[n] != Final::open || over(n)) continue;
+        const bool ends = ready(n) && *rc::gen::inRange(0, 4) != 0;
+        finals[n] = ends ? Final::done : Final::cancelled;
+        ended[n] = ends ? 500'000 + step : 0;
+        record(specs[n], finals[n], ++version, ended[n]).to(live);
+        agrees(live);
+        Mirror
+            late;  // a process that starts now and reads all keys, in the order of their names or any other
+        std::vector<std::size_t> order(count);
+        for (std::size_t k = 0; k < count; ++k) order[k] = k;
+        for (std::size_t k = count; k > 1; --k)
+            std::swap(order[k - 1], order[*rc::gen::inRange<std::size_t>(0, k)]);
+        for (const auto k : order)
+            record(specs[k], finals[k], finals[k] == Final::open ? k + 1 : 101 + k, ended[k]).to(late);
+        agrees(late);
+    }
+}
+
+// A chain that would overflow the stack if it were followed by recursion, and a fan whose members come and
+// go.
+TEST(Pipeline, LongChainsAndWideFans) {
+    constexpr std::size_t kLong = 200'000;
+    Mirror mirror;
+    for (std::size_t n = 0; n < kLong; ++n)
+        record(spec(n, n ? std::vector{idOf(n - 1)} : std::vector<std::string>{}), Final::open, n + 1)
+            .to(mirror);
+    auto last = spec(kLong, {idOf(kLong - 1)});
+    last.priority = Priority::high;
+    record(last, Final::open, kLong + 1).to(mirror);
+    mirror.settleUrgency();
+    EXPECT_EQ(mirror.find(idOf(0))->urgency, Priority::high);
+    record(spec(0), Final::cancelled, kLong + 2).to(mirror);
+    EXPECT_EQ(mirror.find(idOf(kLong))->final, Final::cancelled);
+    EXPECT_EQ(mirror.cancelled().size(), 1u);  // one record stands for them all
+
+    Mirror fan;
+    record(spec(0), Final::open, 1).to(fan);
+    for (std::size_t n = 1; n < 20'000; ++n) record(spec(n, {idOf(0)}), Final::open, n + 1).to(fan);
+    auto urgent = spec(20'000, {idOf(0)});
+    urgent.priority = Priority::high;
+    record(urgent, Final::open, 20'001).to(fan);
+    fan.settleUrgency();
+    EXPECT_EQ(fan.find(idOf(0))->urgency, Priority::high);
+    record(urgent, Final::cancelled, 20'002).to(fan);
+    fan.settleUrgency();
+    EXPECT_EQ(fan.find(idOf(0))->urgency, Priority::normal);
+    record(spec(0), Final::done, 20'003, 5).to(fan);
+    EXPECT_TRUE(fan.find(idOf(19'999))->ready());
+}
+
+// The field's forms: none in three ways, a list of ids, and anything else.
+TEST(Pipeline, TheFieldIsCheckedLikeTheRest) {
+    const auto decoded = [](const std::function<void(Packer&)>& field) {
+        Packer p;
+        const auto plain = recordOfBefore("wk-1", 0);
+        const auto handle = protocol::unpackBody(plain);
+        p.map(handle.get().via.map.size + 1);
+        for (const auto& pair : handle.get().via.map) p.value(pair.key).value(pair.val);
+        p.key("towlines");
+        field(p);
+        const auto body = p.take();
+        return protocol::decodeSpec(protocol::unpackBody(body).get()).dependencies;
+    };
+    using Ids = std::vector<std::string>;
+    EXPECT_EQ(decoded([](Packer& p) { p.nilValue(); }), Ids{});
+    EXPECT_EQ(decoded([](Packer& p) { p.list(0); }), Ids{});
+    EXPECT_EQ(decoded([](Packer& p) { p.value(Ids{"wk-2", "wk-3", "wk-2"}); }), (Ids{"wk-2", "wk-3"}));
+    EXPECT_THROW(decoded([](Packer& p) { p.value("wk-2"); }), protocol::Malformed);
+    EXPECT_THROW(decoded([](Packer& p) { p.value(Ids{"wk-2", "m-3"}); }), protocol::Malformed);
+    EXPECT_THROW(decoded([](Packer& p) { p.list(1).value(7); }), protocol::Malformed);
+    EXPECT_THROW(decoded([](Packer& p) { p.map(0); }), protocol::Malformed);
+}
+
+// Both versions read what the other wrote.
+TEST(Pipeline, RecordsStayReadableBothWays) {
+    const auto old = recordOfBefore("wk-1", 1);
+    const auto read = storage::decodeJob(protocol::unpackBody(old).get());
+    EXPECT_EQ(read.final, Final::done);
+    EXPECT_TRUE(read.spec.dependencies.empty());
+    EXPECT_EQ(read.endedMs, 0u);
+    Mirror mirror;
+    Stored{storage::keys::job("wk-1"), old, 5}.to(mirror);
+    auto next = spec(0, {"wk-1"});
+    record(next, Final::open, 6).to(mirror);
+    EXPECT_TRUE(mirror.find(next.id)->ready());  // since it was accepted, as far as can be known
+    EXPECT_EQ(mirror.find(next.id)->readyMs, 6000u);
+
+    // The rules by which the version before reads: each of its fields by name, others passed over.
+    next.cpus = 1.5;
+    next.memoryGb = 2;
+    next.imageGb = 1;
+    next.estimate = protocol::Seconds(15);
+    const auto value = storage::encodeJob({next, Final::done, 9, 2, 4, 77});
+    const auto handle = protocol::unpackBody(value);
+    const Fields f(handle.get());
+    const auto former = protocol::unpackBody(recordOfBefore("wk-1", 0));
+    for (const auto& pair : former.get().via.map) {
+        const std::string_view name(pair.key.via.str.ptr, pair.key.via.str.size);
+        const auto* field = f.find(name);
+        if (name == "hulls" || name == "quay" || name == "sailingS") {
+            EXPECT_EQ(field, nullptr) << name;
+            continue;
+        }
+        ASSERT_NE(field, nullptr) << name;
+        EXPECT_EQ(field->type, pair.val.type) << name;
+    }
+    EXPECT_EQ(f.integer("final"), 1u);
+    EXPECT_EQ(f.integer("accepted_ms"), 9u);
+    EXPECT_EQ(f.integer("chunk_tasks"), 4u);
+}
--- a/tests/world.h
+++ b/tests/world.h
@@ -34,7 +34,7 @@
             for (const auto& [key, place] : m->places) {
                 const auto& spec = place.job->spec;
                 const auto need = bookkeeping::needOf(spec);
-                const auto priority = static_cast<std::size_t>(spec.priority);
+                const auto priority = static_cast<std::size_t>(place.job->priority());
                 const bool service = spec.kind == protocol::Kind::service;
                 used += need;
                 teams[spec.team] += need;
