State service: keep to its next limits and follow what it answers

The settings may hold limits that the state service will have from some moment on, without notice. A larger value or transaction then gets 400, which counted as an ended lease and was repeated unchanged for ever, and changes beyond the rate get 429, which the rate did not follow.

Writes now keep to the smaller of both limits from the start, counted as JSON. A chunk of a bitmap that was chosen for the old limit goes into parts under keys of their own, which the version before passes over; why that takes no bit from it and breaks no rule stands at donePart(). New jobs get chunks for the smaller limit, a record beyond it is refused with 422 unless the job was accepted before, and the last record of such a job goes without what nobody needs any more.

A 400 for size is told from an ended lease. The leader then writes half as much at once, cuts bitmaps further, and lets a value that is too large alone wait aside; it grows again after a pause. Rates fall by a share with each second's refusals and rise again by steps, after the first refusal no higher than the announced rate: either it is in force, or the higher one is shared by too many.

--- a/src/bookkeeping/jobs.cpp
+++ b/src/bookkeeping/jobs.cpp
@@ -23,6 +23,32 @@
     if (chunk < chunkVersions.size()) chunkVersions[chunk] = std::max(chunkVersions[chunk], newVersion);
 }
 
+BitRange Job::rangeOf(std::uint32_t task, std::size_t mostBytes) const {
+    const std::size_t tasks = spec.tasks, chunk = task / chunkTasks, first = chunk * chunkTasks;
+    const auto end = std::min(first + chunkTasks, tasks);
+    if ((end - first + 3) / 4 + 2 <= mostBytes) return {first, end, chunk};  // digits and quotes
+    const std::size_t size = storage::chunkTasks(static_cast<double>(mostBytes) / 1024);
+    const auto from = task / size * size;
+    return {from, std::min(from + size, tasks), std::nullopt};
+}
+
+std::string Job::keyOf(const BitRange& range) const {
+    return range.chunk ? keys::doneChunk(spec.id, *range.chunk)
+                       : keys::donePart(spec.id, range.first, range.end);
+}
+
+std::uint64_t Job::versionOf(const BitRange& range) const {
+    if (range.chunk) return chunkVersion(*range.chunk);
+    const auto found = partVersions.find(range);
+    return found == partVersions.end() ? 0 : found->second;
+}
+
+void Job::setVersion(const BitRange& range, std::uint64_t newVersion) {
+    if (range.chunk) return setChunkVersion(*range.chunk, newVersion);
+    auto& known = partVersions[range];
+    known = std::max(known, newVersion);
+}
+
 bool Job::finish(std::uint32_t task) {
     if (isFinished(task)) return false;
     if (run->live[task] == 0) --run->waiting;
@@ -102,6 +128,7 @@
     known->doneCount = record.done;
     known->done = {};
     known->chunkVersions = {};
+    known->partVersions = {};
     open_.erase(known);
     if (known->run) {
         known->run->waiting = 0;
@@ -109,6 +136,33 @@
     }
 }
 
+/// `key` is a chunk's number, or the range of a part as "first-end". False: neither, or nothing new.
+bool Mirror::applyBits(Job& job, std::string_view key, const msgpack::object& value, std::uint64_t version) {
+    if (job.final != Final::open) return false;
+    const char* end = key.data() + key.size();
+    BitRange range;
+    const auto [stop, error] = std::from_chars(key.data(), end, range.first);
+    if (error != std::errc()) return false;
+    if (stop == end) {
+        const auto chunk = range.first;
+        if (chunk >= job.chunks()) return false;
+        range = {chunk * job.chunkTasks, std::min<std::size_t>((chunk + 1) * job.chunkTasks, job.spec.tasks),
+                 chunk};
+    } else {
+        if (*stop != '-') return false;
+        const auto [last, wrong] = std::from_chars(stop + 1, end, range.end);
+        if (wrong != std::errc() || last != end || range.first >= range.end || range.end > job.spec.tasks)
+            return false;
+    }
+    if (version <= job.versionOf(range)) return false;
+    std::vector<bool> bits(job.spec.tasks);
+    storage::decodeBits(value, bits, range.first, range.end - range.first);
+    for (auto task = range.first; task < range.end; ++task)
+        if (bits[task]) job.setDone(static_cast<std::uint32_t>(task));
+    job.setVersion(range, version);
+    return true;
+}
+
 bool Mirror::apply(const protocol::KeyChange& change, std::vector<Change>& changes) {
     const std::string& key = change.key;
     try {
@@ -147,18 +201,8 @@
                 applyJob(id, *change.value, change.version);
             } else {
                 auto* job = find(id);
-                std::size_t chunk = 0;
-                const char* end = rest.data() + rest.size();
-                const auto [stop, error] = std::from_chars(rest.data() + slash + 1, end, chunk);
-                if (!job || job->final != Final::open || error != std::errc() || stop != end) return true;
-                if (chunk >= job->chunks() || change.version <= job->chunkVersion(chunk)) return true;
-                std::vector<bool> bits(job->spec.tasks);
-                const auto first = chunk * job->chunkTasks;
-                storage::decodeBits(*change.value, bits, first, job->chunkTasks);
-                for (auto task = first; task < std::min<std::size_t>(first + job->chunkTasks, bits.size());
-                     ++task)
-                    if (bits[task]) job->setDone(static_cast<std::uint32_t>(task));
-                job->setChunkVersion(chunk, change.version);
+                const auto bits = std::string_view(rest).substr(slash + 1);
+                if (!job || !applyBits(*job, bits, *change.value, change.version)) return true;
             }
             changes.push_back({ChangeKind::job, id});
         }
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -62,6 +62,13 @@
     Time cachedRoomUntil{}, imageWaitUntil{};
 };
 
+/// What one value of a job's bitmap covers: tasks [first, end), a whole chunk or a part of one.
+struct BitRange {
+    std::size_t first = 0, end = 0;
+    std::optional<std::size_t> chunk;
+    auto operator<=>(const BitRange&) const = default;
+};
+
 /// A job as stored, and while this node leads, its run.
 struct Job {
     JobSpec spec;
@@ -73,6 +80,7 @@
     std::vector<bool> done;      // stored bits; empty until needed and once the job is over
     std::uint32_t doneCount = 0;
     std::vector<std::uint64_t> chunkVersions;
+    std::map<BitRange, std::uint64_t> partVersions;
     std::unique_ptr<Run> run;
 
     std::size_t chunks() const { return (spec.tasks + chunkTasks - 1) / chunkTasks; }
@@ -88,6 +96,12 @@
     std::uint64_t chunkVersion(std::size_t chunk) const {
         return chunk < chunkVersions.size() ? chunkVersions[chunk] : 0;
     }
+    /// Under which key a task's bit is stored when values may have `mostBytes`: that of its chunk if the
+    /// chunk is within that, else that of a part.
+    BitRange rangeOf(std::uint32_t task, std::size_t mostBytes) const;
+    std::string keyOf(const BitRange& range) const;
+    std::uint64_t versionOf(const BitRange& range) const;
+    void setVersion(const BitRange& range, std::uint64_t version);
     /// Adds stored bits; the counts follow.
     void setDone(std::uint32_t task);
     void setChunkVersion(std::size_t chunk, std::uint64_t version);
@@ -136,6 +150,8 @@
 
   private:
     void applyJob(const std::string& id, const msgpack::object& value, std::uint64_t version);
+    static bool applyBits(Job& job, std::string_view key, const msgpack::object& value,
+                          std::uint64_t version);
 
     std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
     std::set<Job*> open_;
--- a/src/coordination/frontdesk.cpp
+++ b/src/coordination/frontdesk.cpp
@@ -34,6 +34,7 @@
 // node would turn users away whenever it has much to store.
 constexpr double kShare = 0.3;
 constexpr std::size_t kMostQueued = 400;
+constexpr char kTooLarge[] = "larger than the state service takes";
 
 Response respond(int status, std::string body = {}) {
     Response r;
@@ -81,7 +82,7 @@
       mirror_(mirror),
       sync_(sync),
       timer_(io),
-      writes_(settings.stateWriteRps * kShare, Clock::now()) {}
+      writes_(settings.stateWriteRps * kShare, Clock::now(), settings.leastWriteRps() * kShare) {}
 
 bool FrontDesk::handle(const Request& request, const Reply& reply) {
     const std::string& path = request.path;
@@ -143,10 +144,16 @@
         return status(spec.id, reply);
     }
     if (!sync_.synced() || mirror_.types.empty()) return reply(comeBack(503, "not able to decide yet"));
-    const auto why = neverRuns(spec, settings_, mirror_.types);
+    auto why = neverRuns(spec, settings_, mirror_.types);
+    // Nothing of it may be left out and nothing be kept elsewhere, so it can never run here: 422.
+    if (!why && !storage::jobFits(spec, settings_.valueBytes())) why = kTooLarge;
     if (!why) return enqueue(std::move(spec), reply);
-    // Not even then may a job be turned down that another node has accepted.
-    sync_.fresh([this, id = spec.id, why = *why, reply](bool ok) {
+    turnDown(spec.id, *why, reply);
+}
+
+/// Not even a job that can't run may be turned down if another node has accepted it.
+void FrontDesk::turnDown(const std::string& id, const std::string& why, const Reply& reply) {
+    sync_.fresh([this, id, why, reply](bool ok) {
         if (!ok) return reply(comeBack(503, "the state service does not answer"));
         if (const auto* job = mirror_.find(id)) return answerState(*job, reply);
         reply(respond(422, protocol::errorReply(why)));
@@ -155,7 +162,7 @@
 
 void FrontDesk::enqueue(JobSpec spec, const Reply& reply) {
     // What cannot be stored soon is turned away at once, with the time to come back.
-    const double rate = settings_.stateWriteRps * kShare;
+    const double rate = writes_.rate(Clock::now());
     const Seconds expected(static_cast<double>(queued_) / rate);
     if (queued_ >= kMostQueued || expected > kLongestWait) {
         const auto after = std::chrono::ceil<std::chrono::seconds>(std::min<Seconds>(expected, 30s));
@@ -206,7 +213,7 @@
     ++storing_;
     const auto key = keys::job(waiting.spec.id);
     const storage::JobRecord record{waiting.spec, Final::open, transport::timeOfDayMs(), 0,
-                                    storage::chunkTasks(settings_.valueKb)};
+                                    storage::chunkTasks(settings_.leastValueKb())};
     state_.transact({{key, 0}}, {{key, storage::encodeJob(record), 0}}, kStoreTimeout,
                     [this, waiting = std::move(waiting)](const TxnResult& result) {
                         --storing_;
@@ -218,6 +225,12 @@
                             case TxnStatus::conflict:  // accepted before, perhaps by another node
                                 status(id, waiting.reply);
                                 break;
+                            case TxnStatus::tooLarge:  // for a limit lower than the settings say
+                                turnDown(id, kTooLarge, waiting.reply);
+                                break;
+                            case TxnStatus::tooMany:
+                                writes_.refused(Clock::now());
+                                [[fallthrough]];
                             case TxnStatus::refused:
                                 if (Clock::now() - waiting.since < kLongestWait / 2) {
                                     queues_[waiting.spec.team].push_front(waiting);
@@ -246,11 +259,14 @@
     const auto key = keys::job(id);
     const storage::JobRecord record{job->spec, Final::cancelled, job->acceptedMs, job->doneCount,
                                     job->chunkTasks};
+    // The last try goes without all that can be spared, should the service take less than the settings say.
+    const auto most = tries > 1 ? settings_.valueBytes() : 0;
     // Conditional on the record: a job becomes either done or cancelled, whichever is stored first.
-    state_.transact({{key, job->version}}, {{key, storage::encodeJob(record), 0}}, kStoreTimeout,
+    state_.transact({{key, job->version}}, {{key, storage::encodeFinal(record, most), 0}}, kStoreTimeout,
                     [this, id, reply, tries](const TxnResult& result) {
                         if (result.status == TxnStatus::applied)
                             return reply(respond(200, protocol::jobReply(id, JobState::cancelled)));
+                        if (result.status == TxnStatus::tooLarge && tries > 1) return cancel(id, reply, 1);
                         if (result.status == TxnStatus::conflict && tries > 1)
                             return cancel(id, reply, tries - 1);
                         reply(comeBack(503, "the state service does not answer"));
--- a/src/coordination/frontdesk.h
+++ b/src/coordination/frontdesk.h
@@ -38,6 +38,7 @@
     };
 
     void submit(const transport::Request& request, const transport::Reply& reply);
+    void turnDown(const std::string& id, const std::string& why, const transport::Reply& reply);
     void enqueue(protocol::JobSpec spec, const transport::Reply& reply);
     void serveQueues();
     void store(Waiting waiting);
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -27,7 +27,11 @@
 constexpr Seconds kKeptFor{5};            // machines of a stopped gang, beyond its save and reports
 constexpr auto kFirstReports = 1500ms;    // within this after a take-over most workers report by themselves
 constexpr std::size_t kMostProbes = 100;  // at a time
-constexpr auto kPaused = 3s;              // without a tick this node did not lead in the meantime
+constexpr std::size_t kMostBytes = 48 * 1024;  // of the 64 KiB that a transaction may have
+constexpr std::size_t kLeastBytes = 512, kLeastBitBytes = 16, kLeastFinalBytes = 128;
+constexpr auto kGrowthPause = 10s, kLongestGrowthPause = 320s;
+constexpr auto kSetAside = 30s;
+constexpr auto kPaused = 3s;  // without a tick this node did not lead in the meantime
 
 Clock::duration ticks(Seconds s) { return std::chrono::duration_cast<Clock::duration>(s); }
 
@@ -60,7 +64,11 @@
       began_(now),
       beganMs_(dayMs),
       now_(now),
-      writeBudget_(settings.stateWriteRps * 0.6, now),
+      writeBudget_(settings.stateWriteRps * 0.6, now, settings.leastWriteRps() * 0.6),
+      mostOps_(settings.leastTxnOps()),
+      mostBytes_(kMostBytes),
+      mostBitBytes_(settings.valueBytes()),
+      mostFinalBytes_(settings.valueBytes()),
       lastReport_(now),
       cloudBudget_(settings.cloudRps * 0.8, now) {
     for (const auto& type : mirror.types) types_[type.name] = type;
@@ -625,16 +633,23 @@
 void Leader::maybeWrite() {
     if (writing_ || refreshing_ || now_ < nextWrite_) return;
     const auto most = std::min<std::size_t>(
-        settings_.txnOps, static_cast<std::size_t>(std::max(0.0, writeBudget_.available(now_))));
-    constexpr std::size_t kBytes = 48 * 1024;  // of the 64 KiB that a transaction may have
+        mostOps_, static_cast<std::size_t>(std::max(0.0, writeBudget_.available(now_))));
+    std::erase_if(setAside_, [this](const auto& entry) { return entry.second <= now_; });
     WriteState write;
     write.conditions.push_back({keys::kToken, mirror_.tokenVersion});
     std::size_t bytes = 0;
-    const auto room = [&] { return write.writes.size() < most && bytes < kBytes; };
+    bool full = false;
+    const auto room = [&] { return write.writes.size() < most && !full; };
+    // A condition for each write and one for the token: four times the writes are allowed.
     const auto put = [&](const std::string& key, std::optional<std::string> value, std::uint64_t version) {
-        bytes += value ? value->size() + 200 : 200;
+        if (setAside_.contains(key)) return false;
+        const auto size = (value ? protocol::jsonBytes(*value) : 0) + 2 * key.size() + 120;
+        full = !write.writes.empty() && bytes + size > mostBytes_;
+        if (full) return false;
+        bytes += size;
         write.conditions.push_back({key, version});
         write.writes.push_back({key, std::move(value), 0});
+        return true;
     };
 
     const auto enter = [&](bool reported) {
@@ -643,10 +658,12 @@
             auto* machine = fleet_.find(id);
             if ((machine->session > 0) != reported) continue;
             const auto stored = mirror_.roster.find(id);
+            auto record = recordOf(*machine);
+            if (!put(keys::machine(id), storage::encodeMachine(record),
+                     stored == mirror_.roster.end() ? 0 : stored->second.version))
+                continue;
             if (machine->roster == RosterState::absent) fleet_.setRoster(*machine, RosterState::writing);
-            rosterWrites_.emplace_back(id, recordOf(*machine));
-            put(keys::machine(id), storage::encodeMachine(rosterWrites_.back().second),
-                stored == mirror_.roster.end() ? 0 : stored->second.version);
+            rosterWrites_.emplace_back(id, std::move(record));
         }
     };
     enter(true);
@@ -654,28 +671,28 @@
         if (!room()) break;
         if (!endsWithOneWrite(*job)) continue;
         // Whatever bits are missing, the record that says "done" stands for all of them.
-        put(keys::job(job->spec.id),
-            storage::encodeJob({job->spec, Final::done, job->acceptedMs, job->spec.tasks, job->chunkTasks}),
-            job->version);
-        finalWrites_.push_back(job);
+        const storage::JobRecord record{job->spec, Final::done, job->acceptedMs, job->spec.tasks,
+                                        job->chunkTasks};
+        if (put(keys::job(job->spec.id), storage::encodeFinal(record, mostFinalBytes_), job->version))
+            finalWrites_.push_back(job);
     }
     if (typesUnstored_ && room()) {
         for (const auto& [name, type] : types_) typesWrite_.push_back(type);
-        put(keys::kTypes, protocol::encodeMachineTypes(typesWrite_), mirror_.typesVersion);
+        if (!put(keys::kTypes, protocol::encodeMachineTypes(typesWrite_), mirror_.typesVersion))
+            typesWrite_.clear();
     }
     for (auto* job : unstored_) {
         if (!room() || now_ < job->run->nextBits || endsWithOneWrite(*job)) continue;
-        std::map<std::size_t, std::vector<std::uint32_t>> chunks;
-        for (const auto task : job->run->unstored) chunks[task / job->chunkTasks].push_back(task);
-        for (auto& [chunk, tasks] : chunks) {
+        std::map<bookkeeping::BitRange, std::vector<std::uint32_t>> ranges;
+        for (const auto task : job->run->unstored) ranges[job->rangeOf(task, mostBitBytes_)].push_back(task);
+        for (auto& [range, tasks] : ranges) {
             if (!room()) break;
             auto bits = job->done;
             bits.resize(job->spec.tasks);
             for (const auto task : tasks) bits[task] = true;
-            put(keys::doneChunk(job->spec.id, chunk),
-                storage::encodeBits(bits, chunk * job->chunkTasks, job->chunkTasks),
-                job->chunkVersion(chunk));
-            doneWrites_.push_back({job, chunk, std::move(tasks)});
+            if (put(job->keyOf(range), storage::encodeBits(bits, range.first, range.end - range.first),
+                    job->versionOf(range)))
+                doneWrites_.push_back({job, range, std::move(tasks)});
         }
         job->run->nextBits = now_ + kBitsPause;
     }
@@ -683,13 +700,16 @@
     std::erase_if(rosterDrop_, [&](const auto& id) { return !mirror_.roster.contains(id); });
     for (const auto& id : rosterDrop_) {
         if (!room()) break;
-        put(keys::machine(id), std::nullopt, mirror_.roster[id].version);
+        if (!put(keys::machine(id), std::nullopt, mirror_.roster[id].version)) continue;
         rosterDeletes_.push_back(id);
         rosterDeleted_.insert(id);
     }
     if (write.writes.empty()) return;
     writeBudget_.force(static_cast<double>(write.writes.size()), now_);
     writing_ = true;
+    writingBytes_ = bytes;
+    writingKeys_.clear();
+    for (const auto& w : write.writes) writingKeys_.push_back(w.key);
     actions_.push_back(std::move(write));
 }
 
@@ -719,6 +739,7 @@
             rosterAdd_.erase(id);
     }
     if (applied) {
+        writeMore();
         for (const auto& id : rosterDeletes_) {
             mirror_.roster.erase(id);
             rosterDrop_.erase(id);
@@ -726,7 +747,7 @@
         for (auto& write : doneWrites_) {
             if (write.job->final != Final::open) continue;
             for (const auto task : write.tasks) write.job->setDone(task);
-            write.job->setChunkVersion(write.chunk, result.revision);
+            write.job->setVersion(write.range, result.revision);
             if (write.job->run->unstored.empty() && write.job->doneCount < write.job->spec.tasks)
                 unstored_.erase(write.job);
         }
@@ -749,8 +770,11 @@
     } else if (result.status == TxnStatus::conflict &&
                std::find(result.failed.begin(), result.failed.end(), keys::kToken) != result.failed.end()) {
         actions_.push_back(Resign{"another node raised the token"});
-    } else if (result.status == TxnStatus::refused) {
+    } else if (result.status == TxnStatus::tooLarge) {
+        writeLess();
+    } else if (result.status == TxnStatus::refused || result.status == TxnStatus::tooMany) {
         nextWrite_ = now_ + 500ms;
+        if (result.status == TxnStatus::tooMany) writeBudget_.refused(now_);
     } else {
         // Changed by a user's cancellation, or of unknown outcome: see what is stored, then try again.
         refreshing_ = true;
@@ -763,6 +787,35 @@
     rosterDeletes_.clear();
 }
 
+/// The last write was too large for the service. All that it held is still to be stored, in smaller pieces;
+/// what is too large alone is a bitmap, which can be cut further, or a last record that can go without more,
+/// or waits aside while the rest goes on.
+void Leader::writeLess() {
+    growthPause_ = std::clamp<Clock::duration>(growthPause_ * 2, kGrowthPause, kLongestGrowthPause);
+    nextGrowth_ = now_ + growthPause_;
+    for (auto& write : doneWrites_) write.job->run->nextBits = now_;
+    if (writingKeys_.size() > 1) {
+        mostOps_ = writingKeys_.size() / 2;
+        mostBytes_ = std::max(kLeastBytes, writingBytes_ / 2);
+    } else if (!doneWrites_.empty() && mostBitBytes_ > kLeastBitBytes) {
+        // Below the value that was refused: a small job's chunk may have been well within the bound.
+        const auto& range = doneWrites_.front().range;
+        const auto bytes = (range.end - range.first + 3) / 4 + 2;
+        mostBitBytes_ = std::max(kLeastBitBytes, std::min(mostBitBytes_, bytes) / 2);
+    } else if (!finalWrites_.empty() && mostFinalBytes_ > kLeastFinalBytes) {
+        mostFinalBytes_ = std::min(mostFinalBytes_, writingBytes_) / 2;
+    } else {
+        setAside_[writingKeys_.front()] = now_ + kSetAside;
+    }
+}
+
+void Leader::writeMore() {
+    if (now_ < nextGrowth_) return;
+    mostOps_ = std::min<std::size_t>(mostOps_ * 2, settings_.leastTxnOps());
+    mostBytes_ = std::min(mostBytes_ * 2, kMostBytes);
+    nextGrowth_ = now_ + growthPause_;
+}
+
 void Leader::on(MirrorRefreshed& command) {
     if (!command.ok) {
         actions_.push_back(RefreshMirror{});
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -133,7 +133,7 @@
 
     struct DoneWrite {
         Job* job;
-        std::size_t chunk;
+        bookkeeping::BitRange range;
         std::vector<std::uint32_t> tasks;
     };
     struct PendingRental {
@@ -191,6 +191,8 @@
     bool mayHoldTasks(const std::string& id) const;
     void keepRoster(Machine& machine);
     void maybeWrite();
+    void writeLess();
+    void writeMore();
     void dump() const;
     bool endsWithOneWrite(const Job& job) const;
 
@@ -260,6 +262,13 @@
 
     // the state service
     storage::RateBudget writeBudget_;
+    // What a transaction may have. Lowered when the service says that one was too large, and raised again.
+    std::size_t mostOps_, mostBytes_, mostBitBytes_, mostFinalBytes_;
+    Clock::duration growthPause_{};
+    Time nextGrowth_{};
+    std::map<std::string, Time> setAside_;  // keys whose value is too large alone, until when
+    std::vector<std::string> writingKeys_;  // of the write under way
+    std::size_t writingBytes_ = 0;
     bool writing_ = false, refreshing_ = false;
     Time nextWrite_{};
     std::set<Job*> unstored_;  // with done tasks whose bits are to be stored
--- a/src/protocol/pack.h
+++ b/src/protocol/pack.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <charconv>
 #include <cmath>
 #include <cstdint>
 #include <msgpack.hpp>
@@ -119,6 +120,44 @@
     }
 }
 
+/// At most how long a value is as JSON, the form in which size limits are counted: with a space after each
+/// separator and everything beyond ASCII escaped, as some writers do.
+inline std::size_t jsonBytes(const msgpack::object& value) {
+    std::size_t bytes = 2;
+    switch (value.type) {
+        case msgpack::type::MAP:
+            for (const auto& pair : value.via.map) bytes += jsonBytes(pair.key) + jsonBytes(pair.val) + 4;
+            return bytes;
+        case msgpack::type::ARRAY:
+            for (const auto& element : value.via.array) bytes += jsonBytes(element) + 2;
+            return bytes;
+        case msgpack::type::STR:
+            for (const char c : std::string_view(value.via.str.ptr, value.via.str.size)) {
+                const auto byte = static_cast<unsigned char>(c);
+                if (byte < 0x20 || byte == 0x7f)
+                    bytes += 6;
+                else if (byte < 0x80)
+                    bytes += c == '"' || c == '\\' || c == '/' ? 2 : 1;
+                else if (byte >= 0xc0)  // the first byte of a character; two escapes for the longest
+                    bytes += byte >= 0xf0 ? 12 : 6;
+            }
+            return bytes;
+        case msgpack::type::POSITIVE_INTEGER:
+            return std::to_string(value.via.u64).size();
+        case msgpack::type::NEGATIVE_INTEGER:
+            return std::to_string(value.via.i64).size();
+        case msgpack::type::FLOAT32:
+        case msgpack::type::FLOAT64: {
+            char digits[40];
+            const auto end = std::to_chars(digits, digits + sizeof digits, value.via.f64).ptr;
+            return static_cast<std::size_t>(end - digits) + 2;
+        }
+        default:
+            return 5;
+    }
+}
+inline std::size_t jsonBytes(std::string_view packed) { return jsonBytes(unpackBody(packed).get()); }
+
 /// Writes MessagePack; a map or list is opened with its size, then its parts follow.
 class Packer {
   public:
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -46,6 +46,9 @@
         }
         return out;
     }
+    std::optional<Section> maybeSection(const char* key) const {
+        return table_[key] ? std::optional(section(key)) : std::nullopt;
+    }
     std::string text(const char* key) const {
         const auto value = table_[key].value_exact<std::string>();
         if (!value || value->empty()) throw BadSettings(path(key) + ": a text is needed");
@@ -154,6 +157,10 @@
     s.stateWriteRps = state.number("write_rps", 1, kMany);
     s.valueKb = state.number("value_kb", 1, 1e6);
     s.txnOps = static_cast<unsigned>(state.number("txn_ops", 2, 1e6));
+    if (const auto next = state.maybeSection("next"))  // a limit that it does not name stays
+        s.nextState = {next->numberOr("write_rps", 1, kMany, s.stateWriteRps),
+                       next->numberOr("value_kb", 1, 1e6, s.valueKb),
+                       static_cast<unsigned>(next->numberOr("txn_ops", 2, 1e6, s.txnOps))};
     const auto cloud = cluster.section("cloud");
     s.cloudRps = cloud.number("rps", 0.01, kMany);
     s.listLag = Seconds(cloud.number("list_lag_s", 0, kDay));
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <map>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -32,6 +34,12 @@
     double share = 0;
 };
 
+/// Limits of the state service.
+struct StateLimits {
+    double writeRps = 0, valueKb = 0;
+    unsigned txnOps = 0;
+};
+
 /// The platform's settings, one file per node.
 struct Settings {
     std::string name, zone, listen, peerListen;
@@ -44,12 +52,21 @@
     Seconds report{3}, lease{30}, gangWait{40}, gangPeer{8}, cancel{45};
     double stateRps = 100, stateWriteRps = 20, valueKb = 8;
     unsigned txnOps = 16;
+    std::optional<StateLimits> nextState;  // in force from some moment on, without notice
     double cloudRps = 2;
     Seconds listLag{10};
     double coreShare = 1, memoryMb = 100;
     unsigned maxConnections = 1000;
 
     const Team* team(const std::string& name) const;
+    // What is written keeps from the start to the smaller of the limits now and next: nothing tells when the
+    // next ones begin, and what is stored by then stays.
+    double leastValueKb() const { return nextState ? std::min(valueKb, nextState->valueKb) : valueKb; }
+    unsigned leastTxnOps() const { return nextState ? std::min(txnOps, nextState->txnOps) : txnOps; }
+    double leastWriteRps() const {
+        return nextState ? std::min(stateWriteRps, nextState->writeRps) : stateWriteRps;
+    }
+    std::size_t valueBytes() const { return static_cast<std::size_t>(leastValueKb() * 1024); }
 };
 
 /// The operators' own settings (XML). Each has a default that suits both first deployments.
--- a/src/storage/records.cpp
+++ b/src/storage/records.cpp
@@ -13,6 +13,9 @@
 std::string doneChunk(const std::string& id, std::size_t chunk) {
     return kJobs + id + "/" + std::to_string(chunk);
 }
+std::string donePart(const std::string& id, std::size_t first, std::size_t end) {
+    return doneChunk(id, first).append("-").append(std::to_string(end));
+}
 std::string machine(const std::string& id) { return kMachines + id; }
 }  // namespace keys
 
@@ -23,6 +26,23 @@
     return p.field("tasks_done", r.done).field("chunk_tasks", r.chunkTasks).take();
 }
 
+std::string encodeFinal(JobRecord record, std::size_t mostBytes) {
+    auto value = encodeJob(record);
+    if (protocol::jsonBytes(value) <= mostBytes) return value;
+    record.spec.types.reset();
+    value = encodeJob(record);
+    if (protocol::jsonBytes(value) <= mostBytes) return value;
+    record.spec.zone.reset();
+    for (auto* text : {&record.spec.jobClass, &record.spec.team, &record.spec.image}) text->assign(1, '-');
+    return encodeJob(record);
+}
+
+bool jobFits(const protocol::JobSpec& spec, std::size_t mostBytes) {
+    constexpr std::uint64_t kLate = 99'999'999'999'999;  // a time of day with a digit more than today's
+    const auto value = encodeJob({spec, Final::cancelled, kLate, spec.tasks, 1u << 30});
+    return protocol::jsonBytes(value) <= mostBytes;
+}
+
 JobRecord decodeJob(const msgpack::object& value) {
     const Fields f(value);
     JobRecord r;
--- a/src/storage/records.h
+++ b/src/storage/records.h
@@ -21,6 +21,18 @@
 inline constexpr char kMachines[] = "bp/machine/";
 std::string job(const std::string& id);
 std::string doneChunk(const std::string& id, std::size_t chunk);
+/// Tasks [first, end) of a bitmap whose chunk is too large for the state service's next limits. The key names
+/// the whole range, so that a part of another size never takes the place of one with more bits.
+///
+/// Versions that know only chunks read this key as no number and pass over it, without a fault. To them the
+/// job merely has fewer bits than are stored, as if these had yet to be written, so nothing that they do on
+/// that can break a rule or lose a bit: a task that they start once more exits with "done" as soon as it has
+/// its image, they call the job done only after they have seen each of its tasks done, which then is true,
+/// and the chunks that they write are other keys. Nor may the bits go under a chunk's key: those versions
+/// place a value's first digit at the chunk's first task, so no value within the limit reaches the chunk's
+/// later tasks, and a smaller `chunk_tasks` in the record would misplace whatever a node reads between the
+/// two.
+std::string donePart(const std::string& id, std::size_t first, std::size_t end);
 std::string machine(const std::string& id);
 }  // namespace keys
 
@@ -49,6 +61,11 @@
 // Each encode function returns a packed value; each decode function throws protocol::Malformed.
 std::string encodeJob(const JobRecord& record);
 JobRecord decodeJob(const msgpack::object& value);
+/// A record of a job that is over. If it would take more than `mostBytes` as JSON, it goes without what is of
+/// no use any more: a job accepted under a higher limit must come to its end under a lower one.
+std::string encodeFinal(JobRecord record, std::size_t mostBytes);
+/// The record of an accepted job, at its longest, is within `mostBytes`.
+bool jobFits(const protocol::JobSpec& spec, std::size_t mostBytes);
 std::string encodeLeader(const LeaderRecord& record);
 LeaderRecord decodeLeader(const msgpack::object& value);
 std::string encodeToken(std::uint64_t token);
--- a/src/storage/store.cpp
+++ b/src/storage/store.cpp
@@ -1,5 +1,7 @@
 #include "storage/store.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 namespace burlpoint::storage {
@@ -15,15 +17,30 @@
 constexpr Duration kLeaseTimeout{1500};
 constexpr Duration kPageTimeout{4000};
 constexpr unsigned kPageEntries = 500;
+constexpr double kSlower = 0.7;                     // of the rate, after a refusal
+constexpr double kFaster = 0.02;                    // of the highest rate, a second
+constexpr auto kOneSign = std::chrono::seconds(1);  // refusals within this are one and the same excess
+constexpr char kNoSuchLease[] = "no such lease";
 }  // namespace
 
 void RateBudget::refill(Time now) {
     if (now > at_) {
-        level_ = std::min(rate_, level_ + rate_ * std::chrono::duration<double>(now - at_).count());
+        const auto seconds = std::chrono::duration<double>(now - at_).count();
+        rate_ = std::min(lowered_ ? std::min(top_, next_) : top_, rate_ + top_ * kFaster * seconds);
+        // Room for one change at least: below that a low rate would never let anything through.
+        level_ = std::min(std::max(1.0, rate_), level_ + rate_ * seconds);
         at_ = now;
     }
 }
 
+void RateBudget::refused(Time now) {
+    refill(now);
+    level_ = std::min(level_, 0.0);  // the service has nothing saved up
+    if (lowered_ && now - *lowered_ < kOneSign) return;
+    lowered_ = now;
+    rate_ = std::max(least_, std::min(rate_, next_) * kSlower);
+}
+
 bool RateBudget::take(double n, double reserve, Time now) {
     refill(now);
     if (level_ < n + reserve) return false;
@@ -38,30 +55,52 @@
     if (status == 200 || status == 404 || status == 409) lastAnswer_ = Clock::now();
 }
 
+/// Why a transaction was not carried out, with a word about the first of each kind of limit met.
+TxnStatus StateClient::refusal(const Outcome& outcome, std::size_t writes, std::size_t bytes) {
+    if (outcome.status == 429) {
+        if (!std::exchange(saidTooMany_, true))
+            spdlog::info("the state service refuses changes as too many; writing slows down");
+        return TxnStatus::tooMany;
+    }
+    if (outcome.status != 400) return TxnStatus::refused;
+    std::string why;
+    try {
+        const auto handle = protocol::unpackBody(outcome.body);
+        why = protocol::Fields(handle.get()).maybeText("error").value_or("");
+    } catch (const Malformed&) {
+        // No reason given. A lease that has ended is always named.
+    }
+    if (why == kNoSuchLease) return TxnStatus::noLease;
+    if (!std::exchange(saidTooLarge_, true))
+        spdlog::error("the state service does not take {} changes of {} bytes: {}", writes, bytes,
+                      why.empty() ? "400" : why);
+    return TxnStatus::tooLarge;
+}
+
 void StateClient::transact(const std::vector<KeyCondition>& conditions, const std::vector<KeyWrite>& writes,
                            Duration timeout, TxnDone done) {
     requests_.force(1, Clock::now());
-    http_.request(
-        address_, "POST", protocol::paths::kTransaction, protocol::encodeTransaction(conditions, writes),
-        timeout, [this, done = std::move(done)](Outcome outcome) {
-            answered(outcome.status);
-            TxnResult result;
-            try {
-                if (outcome.status == 200 || outcome.status == 409) {
-                    auto reply = protocol::decodeTransactionReply(outcome.body);
-                    result.status = outcome.status == 200 ? TxnStatus::applied : TxnStatus::conflict;
-                    result.revision = reply.revision;
-                    result.failed = std::move(reply.failed);
-                } else if (outcome.status == 400) {
-                    result.status = TxnStatus::noLease;
-                } else if (outcome.status != 0) {
-                    result.status = TxnStatus::refused;
-                }
-            } catch (const Malformed&) {
-                result = {};
-            }
-            done(std::move(result));
-        });
+    auto body = protocol::encodeTransaction(conditions, writes);
+    const auto bytes = body.size();
+    http_.request(address_, "POST", protocol::paths::kTransaction, std::move(body), timeout,
+                  [this, count = writes.size(), bytes, done = std::move(done)](Outcome outcome) {
+                      answered(outcome.status);
+                      TxnResult result;
+                      try {
+                          if (outcome.status == 200 || outcome.status == 409) {
+                              auto reply = protocol::decodeTransactionReply(outcome.body);
+                              result.status =
+                                  outcome.status == 200 ? TxnStatus::applied : TxnStatus::conflict;
+                              result.revision = reply.revision;
+                              result.failed = std::move(reply.failed);
+                          } else if (outcome.status != 0) {
+                              result.status = refusal(outcome, count, bytes);
+                          }
+                      } catch (const Malformed&) {
+                          result = {};
+                      }
+                      done(std::move(result));
+                  });
 }
 
 void StateClient::read(const std::string& target, Duration timeout, bool isWatch, PageDone done) {
--- a/src/storage/store.h
+++ b/src/storage/store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,26 +13,39 @@
 using transport::Duration;
 using transport::Time;
 
-/// A bucket of requests or changes: `rate` a second, at most a second's worth saved up.
+/// A bucket of requests or changes: `rate` a second, at most a second's worth saved up. Where the service's
+/// limit is not known for sure, the rate follows what is answered: down by a share with each refusal, slowly
+/// up again by steady steps, so that users of one limit settle around it without knowing of each other.
 class RateBudget {
   public:
-    RateBudget(double rate, Time now) : rate_(rate), level_(rate), at_(now) {}
+    /// `next`: the limit that the service announces for later. From the first refusal on it is the highest
+    /// rate gone back to: either the lower limit is in force, or the higher one is shared by too many
+    /// already.
+    RateBudget(double rate, Time now, double next = 1e9)
+        : top_(rate), next_(next), least_(rate / 8), rate_(rate), level_(rate), at_(now) {}
     /// Takes `n` if at least `reserve` remains afterwards for what matters more.
     bool take(double n, double reserve, Time now);
     double available(Time now) { return refill(now), level_; }
     /// For what must not wait: taken in any case, later callers wait the longer.
     void force(double n, Time now) { refill(now), level_ -= n; }
+    /// The service refused changes as too many.
+    void refused(Time now);
+    double rate(Time now) { return refill(now), rate_; }
 
   private:
     void refill(Time now);
+    double top_, next_, least_;
     double rate_, level_;
     Time at_;
+    std::optional<Time> lowered_;
 };
 
 enum class TxnStatus {
     applied,
     conflict,  // not executed: a key had another version
     refused,   // not executed, for now
+    tooMany,   // not executed: more changes than the service takes at present
+    tooLarge,  // not executed: a value or the whole is larger than the service takes
     noLease,   // not executed: the lease has ended
     unknown    // may have been executed, or may yet be
 };
@@ -70,11 +84,13 @@
   private:
     void read(const std::string& target, Duration timeout, bool isWatch, PageDone done);
     void answered(int status);
+    TxnStatus refusal(const transport::Outcome& outcome, std::size_t writes, std::size_t bytes);
 
     transport::Client& http_;
     std::string address_;
     RateBudget requests_;
     Time lastAnswer_;
+    bool saidTooLarge_ = false, saidTooMany_ = false;
 };
 
 }  // namespace burlpoint::storage
--- a/tests/frontdesk_test.cpp
+++ b/tests/frontdesk_test.cpp
@@ -23,9 +23,11 @@
 
 /// A node's users' side and election, against the stand-in.
 struct Desk {
-    Desk(asio::io_context& context, const StateStub& stub, const std::string& name = "one")
+    Desk(asio::io_context& context, const StateStub& stub, const std::string& name = "one",
+         protocol::Seconds leadership = protocol::Seconds(0))
         : io(context),
           config(settings(name)),
+          policy{leadership},
           state(http, stub.address(), 1000, 1, Clock::now()),
           sync(io, state, mirror, [](const auto&) {}),
           desk(io, config, state, mirror, sync),
@@ -303,3 +305,124 @@
     EXPECT_EQ(c.token, 0u);
     while (!c.token) c.election.tick(Clock::now() + 10s), io.run_one_for(5ms);
 }
+
+// A record beyond the smaller of both limits is refused before anything is stored, unless the job was
+// accepted under the higher one; and chunks are chosen for the smaller.
+TEST_F(FrontDeskTest, WhatTheNextLimitsWouldNotTakeIsRefusedAtOnce) {
+    Desk d(io, stub);
+    d.config.nextState = protocol::StateLimits{28, 2, 10};
+    d.until([&] { return d.sync.synced(); });
+    const auto longTexts = [](const std::string& id) {
+        protocol::JobSpec spec;
+        spec.id = id;
+        spec.jobClass = spec.image = "x";
+        spec.team = "team";
+        spec.cpus = 1;
+        spec.types = std::vector<std::string>(14, std::string(180, 'h'));
+        spec.types->push_back("m");
+        return spec;
+    };
+    const auto packed = [](const protocol::JobSpec& spec) {
+        Packer p;
+        protocol::packSpec(p, spec);
+        return p.take();
+    };
+    EXPECT_EQ(d.ask("POST", "/submissions", packed(longTexts("wk-1"))).status, 422);
+    EXPECT_FALSE(stub.store.values.contains(storage::keys::job("wk-1")));
+    std::vector<std::string> failed;
+    const auto spec = longTexts("wk-2");
+    stub.store.transact(
+        {}, {{storage::keys::job("wk-2"), storage::encodeJob({spec, storage::Final::open, 0, 0, 4}), 0}},
+        failed);
+    EXPECT_EQ(d.ask("POST", "/submissions", packed(spec)).status, 200);
+    EXPECT_EQ(d.ask("POST", "/submissions", body("wk-3")).status, 201);
+    const auto handle = protocol::unpackBody(stub.store.values.at(storage::keys::job("wk-3")).data);
+    EXPECT_EQ(storage::decodeJob(handle.get()).chunkTasks, storage::chunkTasks(2));
+    // Accepted under the higher limit, it is cancelled under the lower one.
+    stub.store.limits.valueBytes = 2048;
+    EXPECT_EQ(d.ask("POST", "/submissions/wk-2/cancel").status, 200);
+    EXPECT_EQ(d.bearing("wk-2"), "cancelled");
+}
+
+// Limits lower than the settings say: nothing that was accepted is lost, and nothing is called accepted that
+// was not stored.
+TEST_F(FrontDeskTest, LimitsThatNobodyAnnounced) {
+    Desk d(io, stub);
+    d.until([&] { return d.sync.synced(); });
+    auto spec = protocol::JobSpec{};
+    spec.id = "wk-1";
+    spec.jobClass = spec.image = "x";
+    spec.team = "team";
+    spec.types = std::vector<std::string>{std::string(150, 'h'), "m"};
+    Packer p;
+    protocol::packSpec(p, spec);
+    EXPECT_EQ(d.ask("POST", "/submissions", p.take()).status, 201);
+    stub.store.limits.valueBytes = 500;
+    const auto again = [&](const std::string& id) {
+        auto other = spec;
+        other.id = id;
+        Packer q;
+        protocol::packSpec(q, other);
+        return d.ask("POST", "/submissions", q.take()).status;
+    };
+    EXPECT_EQ(again("wk-2"), 422);
+    EXPECT_EQ(again("wk-1"), 200);
+    EXPECT_EQ(d.bearing("wk-2"), "404");
+    EXPECT_EQ(d.ask("POST", "/submissions/wk-1/cancel").status, 200);
+    EXPECT_EQ(d.bearing("wk-1"), "cancelled");
+}
+
+// Changes beyond the rate are told from other refusals; the user comes back, and then it is stored.
+TEST_F(FrontDeskTest, ChangesBeyondTheRateAreTriedAgain) {
+    Desk d(io, stub);
+    d.until([&] { return d.sync.synced(); });
+    stub.store.limits.changes = 0;
+    const auto refused = d.ask("POST", "/submissions", body("wk-1"));
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_GE(refused.retryAfter, 1s);
+    EXPECT_GT(stub.store.tooMany, 1u);
+    EXPECT_LT(stub.store.tooMany, 8u);  // it slows down
+    EXPECT_EQ(d.bearing("wk-1"), "404");
+    stub.store.limits.changes = 5;
+    EXPECT_EQ(d.ask("POST", "/submissions", body("wk-1")).status, 201);
+}
+
+// The service's refusals of a transaction, told apart.
+TEST_F(FrontDeskTest, RefusalsOfATransactionAreToldApart) {
+    Desk d(io, stub);
+    const auto status = [&](const protocol::KeyWrite& write) {
+        std::optional<storage::TxnStatus> out;
+        d.state.transact({}, {write}, 1s, [&](const storage::TxnResult& result) { out = result.status; });
+        d.until([&] { return out.has_value(); });
+        return *out;
+    };
+    const auto value = Packer().value("0123456789").take();
+    stub.store.limits = {32, 12, 1};
+    EXPECT_EQ(status({"bp/x", value, 99}), storage::TxnStatus::noLease);
+    EXPECT_EQ(status({"bp/x", Packer().value("0123456789a").take(), 0}), storage::TxnStatus::tooLarge);
+    EXPECT_EQ(status({"bp/x", value, 0}), storage::TxnStatus::applied);
+    EXPECT_EQ(status({"bp/x", value, 0}), storage::TxnStatus::tooMany);
+    stub.outage = true;
+    EXPECT_EQ(status({"bp/x", value, 0}), storage::TxnStatus::refused);
+}
+
+// While no change is taken, a leader stays one; a candidate goes on trying and wins as soon as changes are.
+TEST_F(FrontDeskTest, LeadershipsOutlastRefusedChanges) {
+    Desk a(io, stub, "one", protocol::Seconds(1));
+    while (!a.token) a.election.tick(Clock::now()), io.run_one_for(5ms);
+    const auto unrenewed = Clock::now() + 1s;
+    stub.store.limits = {32, 2048, 0};
+    const auto token = a.token;
+    while (Clock::now() < unrenewed) a.election.tick(Clock::now()), io.run_one_for(5ms);
+    EXPECT_EQ(a.token, token);
+    EXPECT_TRUE(a.election.valid(Clock::now()));
+    Desk b(io, stub, "two", protocol::Seconds(1));
+    b.until([&] { return b.sync.synced(); });
+    a.election.resign(Clock::now(), true);
+    const auto before = stub.store.tooMany;
+    while (stub.store.tooMany < before + 3) b.election.tick(Clock::now()), io.run_one_for(5ms);
+    EXPECT_EQ(b.token, 0u);
+    stub.store.limits.changes = 2;
+    while (!b.token) b.election.tick(Clock::now()), io.run_one_for(5ms);
+    EXPECT_GT(b.token, token);
+}
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -54,15 +54,32 @@
     return out;
 }
 
+/// Limits of the state service that drop at some second.
+struct Drop {
+    int at = -1;  // never
+    bool told = false;
+    tests::StoreLimits limits;  // changes: a second
+};
+
 /// Jobs come and are cancelled while everything fails; then it calms down and the rest must get done.
-void live(std::uint64_t seed, World::Faults faults, Seconds time) {
+void live(std::uint64_t seed, World::Faults faults, Seconds time, Drop drop = {}) {
     World world(seed, faults);
+    if (drop.told)
+        world.settings.nextState =
+            protocol::StateLimits{drop.limits.changes, static_cast<double>(drop.limits.valueBytes) / 1024,
+                                  static_cast<unsigned>(drop.limits.ops)};
     int jobs = 0;
+    int elapsed = 0;
+    const auto second = [&] {  // and what the service takes in it
+        if (drop.at >= 0 && elapsed >= drop.at) world.store.limits = drop.limits;
+        ++elapsed;
+        world.run(Seconds(1));
+    };
     const int steps = static_cast<int>(time.count());
-    for (int second = 0; second < steps && world.broken.empty(); ++second) {
+    while (elapsed < steps && world.broken.empty()) {
         if (jobs < 40 && world.below(4) == 0) world.submit(randomJob(world, ++jobs));
         if (jobs > 0 && world.below(25) == 0) world.cancel("wk-" + std::to_string(1 + world.below(jobs)));
-        world.run(Seconds(1));
+        second();
     }
     RC_ASSERT(joined(world.broken) == "");
     RC_ASSERT(world.starts > 0u);
@@ -70,12 +87,14 @@
     for (const auto& [id, spec] : world.jobs())
         if (spec.kind == Kind::service) world.cancel(id);
     for (int i = 0; i < 30; ++i) {
-        world.run(Seconds(10));
+        for (int j = 0; j < 10; ++j) second();
         bool over = true;
         for (const auto& [id, spec] : world.jobs()) over &= world.finalOf(id) != storage::Final::open;
         if (over) break;
     }
-    world.run(world.settings.cancel);
+    for (int j = 0; j < world.settings.cancel.count(); ++j) second();
+    if (drop.at >= 0) RC_ASSERT(world.store.tooMany + (drop.told ? 1 : world.store.tooLarge) > 0u);
+    RC_ASSERT(!drop.told || world.store.tooLarge == 0u);
     RC_ASSERT(joined(world.broken) == "");
     for (const auto& [id, spec] : world.jobs()) {
         const auto final = world.finalOf(id);
@@ -122,3 +141,9 @@
     faults.crash = 0.03;
     live(seed(), faults, Seconds(120));
 }
+
+// The state service lowers its limits at some moment, announced in the settings or not, under all else.
+RC_GTEST_PROP(History, RulesHoldAcrossLoweredLimits, ()) {
+    const bool told = *rc::gen::arbitrary<bool>();
+    live(seed(), {}, Seconds(100), {*rc::gen::inRange(5, 90), told, {told ? 3u : 2u, 1024, 3}});
+}
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -100,6 +100,41 @@
     EXPECT_TRUE(names(complaint("area = \"north\"", "area = "), "line "));
 }
 
+// The state service's next limits may be absent, and each of them too; what is there is checked.
+TEST(Settings, TheStateServicesNextLimits) {
+    const auto without = parseSettings(kGood);
+    EXPECT_FALSE(without.nextState);
+    EXPECT_EQ(without.leastValueKb(), 8);
+    EXPECT_EQ(without.leastTxnOps(), 32u);
+    EXPECT_EQ(without.leastWriteRps(), 40);
+    const std::string at = "[cluster.cloud]", table = "[cluster.state.next]\n";
+    const auto with = [&](const std::string& next) {
+        auto text = kGood;
+        return parseSettings(text.replace(text.find(at), at.size(), next + "\n" + at));
+    };
+    const auto lower = with(table + "write_rps = 28.0\nvalue_kb = 2.0\ntxn_ops = 10");
+    EXPECT_EQ(lower.stateWriteRps, 40);
+    EXPECT_EQ(lower.leastValueKb(), 2);
+    EXPECT_EQ(lower.valueBytes(), 2048u);
+    EXPECT_EQ(lower.leastTxnOps(), 10u);
+    EXPECT_EQ(lower.leastWriteRps(), 28);
+    const auto higher = with(table + "write_rps = 50.0\nvalue_kb = 9.0\ntxn_ops = 40\nnew = 1");
+    EXPECT_EQ(higher.leastValueKb(), 8);
+    EXPECT_EQ(higher.leastTxnOps(), 32u);
+    EXPECT_EQ(higher.leastWriteRps(), 40);
+    const auto some = with(table + "value_kb = 2.0");
+    EXPECT_EQ(some.leastValueKb(), 2);
+    EXPECT_EQ(some.leastTxnOps(), 32u);
+    const auto wrong = [&](const std::string& next) { return complaint(at, next + "\n" + at); };
+    EXPECT_TRUE(names(wrong("[cluster.state]\nnext = 1"), "line "));  // the table twice
+    EXPECT_TRUE(names(complaint("txn_ops = 32", "txn_ops = 32\nnext = 1"), "cluster.state.next: a table"));
+    EXPECT_TRUE(names(wrong(table + "write_rps = 0"), "cluster.state.next.write_rps: must lie"));
+    EXPECT_TRUE(names(wrong(table + "value_kb = \"2\""), "cluster.state.next.value_kb: a number"));
+    EXPECT_TRUE(names(wrong(table + "value_kb = 0.5"), "cluster.state.next.value_kb: must lie"));
+    EXPECT_TRUE(names(wrong(table + "txn_ops = 1"), "cluster.state.next.txn_ops: must lie"));
+    EXPECT_TRUE(names(wrong(table + "txn_ops = nan"), "cluster.state.next.txn_ops: must lie"));
+}
+
 TEST(Settings, OperatorsFileNamesTheElementThatIsWrong) {
     EXPECT_EQ(parsePolicy("<burlpoint/>").idleKeep, Policy{}.idleKeep);
     EXPECT_EQ(parsePolicy("<burlpoint><idle-keep-s>7.5</idle-keep-s></burlpoint>").idleKeep, Seconds(7.5));
--- a/tests/state_stub.h
+++ b/tests/state_stub.h
@@ -9,10 +9,18 @@
 #include <vector>
 
 #include "protocol/messages.h"
+#include "storage/store.h"
 #include "transport/http.h"
 
 namespace burlpoint::tests {
 
+/// What the stand-in takes, until a test lowers it. Changes are counted per step of the test, which sets
+/// `changes` anew; there is no clock in it.
+struct StoreLimits {
+    std::size_t ops = 1'000'000, valueBytes = 64 * 1024;
+    double changes = 1e9;
+};
+
 /// A small stand-in for the state service, from PROTOCOL: keys with versions, conditional transactions, a log
 /// of changes. Leases are ended by the test. The history test uses the store alone; others talk to it by
 /// HTTP.
@@ -41,6 +49,18 @@
         for (const auto& w : writes) change(w.key, w.value, w.lease);
         return revision;
     }
+    /// Why a transaction is not even looked at, if so: its size first, then the rate.
+    std::optional<storage::TxnStatus> refusal(const std::vector<protocol::KeyCondition>& conditions,
+                                              const std::vector<protocol::KeyWrite>& writes) {
+        bool large = writes.size() > limits.ops || conditions.size() > 4 * limits.ops ||
+                     protocol::jsonBytes(protocol::encodeTransaction(conditions, writes)) > 64 * 1024;
+        for (const auto& w : writes) large |= w.value && protocol::jsonBytes(*w.value) > limits.valueBytes;
+        if (large) return ++tooLarge, storage::TxnStatus::tooLarge;
+        const auto count = static_cast<double>(writes.size());
+        if (count > limits.changes) return ++tooMany, storage::TxnStatus::tooMany;
+        limits.changes -= count;
+        return std::nullopt;
+    }
     void endLease(std::uint64_t lease) {
         leases.erase(lease);
         std::vector<std::string> keys;
@@ -55,6 +75,8 @@
     std::vector<Event> log;
     std::map<std::uint64_t, bool> leases;
     std::uint64_t revision = 0;
+    StoreLimits limits;
+    std::size_t tooLarge = 0, tooMany = 0;  // refusals so far
 
   private:
     void change(const std::string& key, const std::optional<std::string>& data, std::uint64_t lease) {
@@ -157,6 +179,14 @@
                 writes.push_back({w.text("write"), p.take(), w.integerOr("mooring", 0)});
             }
         });
+        const auto refuse = [&](int status, const char* why) {
+            answer(status, Packer().map(1).field("error", why).take());
+        };
+        for (const auto& w : writes)
+            if (w.lease && !store.leases.contains(w.lease)) return refuse(400, "no such lease");
+        if (const auto refusal = store.refusal(conditions, writes))
+            return *refusal == storage::TxnStatus::tooLarge ? refuse(400, "too large")
+                                                            : refuse(429, "too many changes");
         std::vector<std::string> failed;
         const auto revision = store.transact(conditions, writes, failed);
         wake();
--- a/tests/world.h
+++ b/tests/world.h
@@ -356,6 +356,10 @@
         const auto token = tenant_->token;
         const auto write = [this](const coordination::WriteState& w) {
             storage::TxnResult result;
+            if (const auto refusal = store.refusal(w.conditions, w.writes)) {
+                result.status = *refusal;
+                return result;
+            }
             result.revision = store.transact(w.conditions, w.writes, result.failed);
             lastFailed_ = result.failed.empty() ? "" : result.failed.front();
             result.status = result.revision ? storage::TxnStatus::applied : storage::TxnStatus::conflict;
