--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -355,3 +355,72 @@
     m.met = [](const World& world) { return world.met.heldReports; };
     hold(m);
 }
+
+// --- jobs that need others, while the same troubles meet ---
+
+namespace {
+
+Meeting pipelines(const std::function<std::size_t(const World&)>& met) {
+    Meeting m;
+    m.make = partOfAGraph;
+    m.met = met;
+    m.prepare = [](World& world) { world.longestRun = Seconds(6); };
+    return m;
+}
+std::size_t freedStarts(const World& world) { return world.met.freedStarts; }
+std::size_t derivedCancellations(const World& world) { return world.met.derived; }
+
+void askAll(World& world) {
+    for (const auto& [id, spec] : world.jobs()) world.ask(id);
+}
+
+}  // namespace
+
+// The end of what a job needs meets leaders that come and go, and transactions that are carried out late.
+TEST(History, WhatIsFreedStartsOnlyAfterItsDependenciesAreStored) {
+    auto m = pipelines(freedStarts);
+    m.faults.afterwards = 0.1;
+    m.faults.error = 0.02;
+    m.script = [](World& world, int second) {
+        if (second % 9 == 4) world.endLeader(between(world, 0.1, 4));
+        if (second % 5 == 0) askAll(world);
+    };
+    hold(m);
+}
+
+// Jobs are cancelled at the moment at which their last task ends, and while no leader hears of it.
+TEST(History, WhatNeedsACancelledJobNeverStartsAndIsCancelledOnEveryNode) {
+    auto m = pipelines(derivedCancellations);
+    m.faults.afterwards = 0.05;
+    m.script = [](World& world, int second) {
+        for (const auto& [id, spec] : world.jobs()) {
+            const bool ending =
+                spec.kind != Kind::service && world.allDone(id) && world.finalOf(id) == storage::Final::open;
+            if (ending && world.below(2) == 0) {
+                world.cancel(id);
+                break;
+            }
+        }
+        if (second % 17 == 8) world.refuseLeader(Seconds(6));
+        if (second % 23 == 11) world.endLeader(between(world, 0.1, 6));
+        if (second % 31 == 20) world.storeOutage(between(world, 2, 15));
+        askAll(world);
+    };
+    hold(m);
+}
+
+// Outages and lowered limits together.
+TEST(History, PipelinesGoOnAcrossOutagesAndLoweredLimits) {
+    auto m = pipelines(freedStarts);
+    m.prepare = [](World& world) {
+        world.longestRun = Seconds(6);
+        world.lowerLimits(Seconds(20 + world.below(50)), {3, 1024, 4});
+        if (world.below(2) == 0) world.settings.nextState = protocol::StateLimits{4, 1, 3};
+    };
+    m.script = [](World& world, int second) {
+        if (second % 30 == 12) world.storeOutage(between(world, 2, 20));
+        if (second % 19 == 6) world.endLeader(between(world, 0.1, 6));
+        if (second % 5 == 0) askAll(world);
+    };
+    hold(m);
+}
