--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -341,6 +341,21 @@
     EXPECT_FALSE(c.resigned);
 }
 
+// Long records that end at once go into as many transactions as 64 KiB for each demand.
+TEST(Limits, TransactionsKeepToTheirBytes) {
+    Cluster c;
+    c.settings.stateWriteRps = 200;
+    for (int i = 0; i < 40; ++i) c.accept(withLongTexts("wk-" + std::to_string(100 + i)), 8);
+    c.lead();
+    for (int i = 0; i < 40; ++i) {
+        c.store.limits.changes = 0;  // they gather
+        c.report("wk-" + std::to_string(100 + i), {0, 1});
+    }
+    c.run(20);
+    for (const auto& [id, job] : c.mirror.jobs()) EXPECT_EQ(c.finalOf(id), Final::done);
+    EXPECT_EQ(c.store.tooLarge, 0u);
+}
+
 // Ends that come at once are written no faster than the service takes them, or none would ever be taken.
 TEST(Limits, TheLeaderWritesAsFastAsChangesAreTaken) {
     Cluster c;
