--- a/tests/histories.h
+++ b/tests/histories.h
@@ -93,6 +93,12 @@
     for (int second = 0; second < steps && world.broken.empty(); ++second) {
         if (jobs < mostJobs && world.below(4) == 0) world.submit(make(world, ++jobs));
         if (jobs > 0 && world.below(25) == 0) world.cancel("wk-" + std::to_string(1 + world.below(jobs)));
+        if (jobs > 0) {  // users ask and repeat themselves all the time
+            const auto id = "wk-" + std::to_string(1 + second % jobs);
+            world.ask(id);
+            if (const auto known = world.jobs().find(id); known != world.jobs().end() && second % 3 == 0)
+                world.submit(JobSpec(known->second));
+        }
         if (script) script(world, second);
         world.run(Seconds(1));
     }
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -94,7 +94,12 @@
     m.prepare = longTasks;
     m.script = [](World& world, int second) {
         if (second % 25 != 20) return;
-        half(world, [&](const std::string& id) { world.cut(id, between(world, 3, 40)); });
+        half(world, [&](const std::string& id) {
+            if (world.below(2) == 0)
+                world.cut(id, between(world, 3, 40));
+            else
+                world.deafen(id, between(world, 3, 40));
+        });
         world.endLeader(between(world, 0.2, 6));
     };
     hold(m);
--- a/tests/world.h
+++ b/tests/world.h
@@ -237,6 +237,7 @@
     void hang(const std::string& id, Seconds time) { workers_.at(id).hungUntil = now_ + ticks(time); }
     void cut(const std::string& id, Seconds time) { workers_.at(id).cutUntil = now_ + ticks(time); }
     void mute(const std::string& id, Seconds time) { workers_.at(id).muteUntil = now_ + ticks(time); }
+    void deafen(const std::string& id, Seconds time) { workers_.at(id).deafUntil = now_ + ticks(time); }
     void lose(const std::string& id) {
         workers_.at(id).dead = true;
         workers_.at(id).tasks.clear();
