--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -878,6 +878,30 @@
     }
 }
 
+// Kept from a machine for a while for the sake of work with accelerators, such a job still needs it: given
+// back in the meantime, it would be rented and given back again and again.
+TEST(Leader, AnIdleMachineIsKeptForWorkThatMayRunNowhereElse) {
+    Bench b;
+    b.roster("m1", "gpu");
+    b.lead();
+    auto gang = make("wk-1", 1, 14, Kind::gang);
+    gang.gpus = 1;
+    gang.priority = protocol::Priority::normal;
+    b.job(gang);
+    ASSERT_EQ(b.report("m1"), Names{"wk-1/0"});
+    b.report("m1", {{b.last.at("wk-1/0"), TaskState::exited, protocol::ExitReason::done, false}});
+    auto plain = make("wk-2", 1, 4);
+    plain.types = Names{"gpu"};
+    plain.priority = protocol::Priority::high;
+    b.job(plain);
+    bool started = false;
+    for (int second = 0; second < 80 && !started; ++second) {
+        started = b.report("m1") == Names{"wk-2/0"};
+        for (const auto& action : b.tick(800ms)) EXPECT_FALSE(std::holds_alternative<Release>(action));
+    }
+    EXPECT_TRUE(started);
+}
+
 TEST(Leader, AJobThatFailedOnTheOnlyMachineWithRoomTriesItAgain) {
     Bench b;
     b.roster("m1");
