A leader that stays without workers does so only if it never heard any, and not for long

Cause: one leadership in four stays where nobody hears a machine, so that not all make way for ever. That of a node whose own network is cut would have stayed as well, after it had heard workers, and for good once their leases were over.

--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -27,6 +27,7 @@
 constexpr Seconds kKeptFor{5};            // machines of a stopped gang, beyond its save and reports
 constexpr auto kFirstReports = 1500ms;    // within this after a take-over most workers report by themselves
 constexpr std::size_t kMostProbes = 100;  // at a time
+constexpr auto kStayedFor = 20s;          // beyond the leases: lost machines are given back and others rented
 constexpr auto kPaused = 3s;              // without a tick this node did not lead in the meantime
 
 Clock::duration ticks(Seconds s) { return std::chrono::duration_cast<Clock::duration>(s); }
@@ -188,6 +189,7 @@
     }
     machine.overtaken = 0;
     lastReport_ = now_;
+    anyReport_ = true;
     machine.lastReport = now_;
     if (!machine.settled && behind) {
         // It has not taken our token, so no answer of ours to an earlier report has renewed its lease.
@@ -613,10 +615,16 @@
     // Nobody reports here any more: more likely this node's network than all machines at once. Where each
     // node has found the same in turn, they are gone: the next stays until their leases are over, or the
     // nodes would make way for each other for ever.
-    const bool staysAllTheSame = token_ % (settings_.peers.size() + 2) == 0;
-    if (reporting == 0 && silent >= 2 && !staysAllTheSame && now_ - lastReport_ > patience + 4s &&
-        now_ - began_ > patience + 6s)
-        actions_.push_back(Resign{"no worker reaches this node", true});
+    // But one that has heard workers and does so no more makes way, and so does the one that stayed if even
+    // new machines are not heard.
+    const bool staysAllTheSame = !anyReport_ && token_ % (settings_.peers.size() + 2) == 0;
+    if (reporting == 0 && silent >= 2 && now_ - lastReport_ > patience + 4s &&
+        now_ - began_ > patience + 6s) {
+        if (!staysAllTheSame) actions_.push_back(Resign{"no worker reaches this node", true});
+        stayed_ = staysAllTheSame;
+    }
+    if (stayed_ && !anyReport_ && now_ - began_ > leaseBound(settings_) + kStayedFor)
+        actions_.push_back(Resign{"no worker has reached this node", true});
 }
 
 // --- users and the state service --------------------------------------------------------------------------
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -300,6 +300,7 @@
     // machines
     Time lastTick_{};
     Time nextSilence_{}, nextPreempt_{}, nextPlan_{}, nextDump_{}, nextList_{}, nextTypes_{}, lastReport_{};
+    bool anyReport_ = false, stayed_ = false;  // a worker reached this leader; it leads though none does
     bool listing_ = false;
     storage::RateBudget cloudBudget_;
     std::deque<PendingRental> rentalsPending_;
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -771,6 +771,26 @@
     EXPECT_LE(resigned, 3);
 }
 
+// That leader stays only if it never heard anybody, and not for ever: its own network may be cut.
+TEST(Leader, TheLeaderThatStaysWithoutWorkersMakesWayInTheEnd) {
+    for (const bool heard : {false, true}) {
+        Bench b;
+        b.settings.peers = {{"two", "z", ""}, {"three", "y", ""}};
+        for (const char* id : {"m1", "m2", "m3", "m4"}) b.roster(id);
+        b.leader = std::make_unique<Leader>(b.settings, b.policy, b.mirror, 8, b.now, 0);
+        if (heard) b.report("m1", {}, 8);
+        int seconds = 0;
+        for (bool leads = true; leads && seconds < 120; ++seconds)
+            for (const auto& action : b.tick(1s)) leads &= !std::holds_alternative<Resign>(action);
+        if (heard) {
+            EXPECT_LT(seconds, 15);
+        } else {
+            EXPECT_GT(seconds, 25);  // longer than the leases and the time to rent anew
+            EXPECT_LT(seconds, 50);
+        }
+    }
+}
+
 // Its reports reach no controller and commands reach it. What is cancelled stops by command; the lease runs
 // out all the same, and then the machine is given back.
 TEST(Leader, AMuteMachineIsStoppedByCommandAndGivenBackAfterItsLease) {
