--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -178,7 +178,9 @@
         const bool answer = machine.reports && !behind;
         if (answer)
             machine.leaseUntil = std::max(machine.leaseUntil, machine.newestAt + leaseBound(settings_));
-        actions_.push_back(AnswerReport{command.request, answer, {}});
+        // As it may renew the lease, it brings what is to stop.
+        actions_.push_back(
+            AnswerReport{command.request, answer, answer ? stopOrders(machine) : std::vector<Order>{}});
         if (++machine.overtaken >= 2) probe(machine);
         return;
     }
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -746,6 +746,31 @@
     EXPECT_EQ(stopped, (std::set<std::string>{"wk-1/0", "wk-1/1"}));  // of others its list may be old news
 }
 
+// The same holds for the answer to a report that a direct command's answer has overtaken.
+TEST(Leader, TheAnswerToAnOvertakenReportStopsWhatIsCancelled) {
+    Bench b;
+    b.roster("m1");
+    b.lead();
+    auto spec = make("wk-1", 1, 2);
+    b.job(spec);
+    ASSERT_EQ(b.report("m1"), Names{"wk-1/0"});
+    const std::vector<TaskReport> running{b.task("wk-1/0", TaskState::running)};
+    const auto overtaken = b.message("m1", running, 5);
+    b.tell(WorkerAnswered{"m1", b.message("m1", running, 5), {}});
+    const auto value = storage::encodeJob({spec, storage::Final::cancelled, 0, 0, storage::chunkTasks(8)});
+    const auto handle = protocol::unpackBody(value);
+    std::vector<bookkeeping::Change> changes;
+    b.mirror.apply({storage::keys::job("wk-1"), &handle.get(), ++b.revision}, changes);
+    b.tell(JobsChanged{{"wk-1"}});
+    std::size_t stops = 0;
+    for (const auto& action : b.tell(ReportArrived{1, overtaken}))
+        if (const auto* answer = std::get_if<AnswerReport>(&action)) {
+            EXPECT_TRUE(answer->accepted);
+            for (const auto& order : answer->orders) stops += order.op == Op::stop;
+        }
+    EXPECT_EQ(stops, 1u);
+}
+
 // Every machine of the roster is gone. A leader that hears nobody makes way for one that may be better
 // placed, before the leases are over; when each of them did, they made way for ever and nothing was rented.
 TEST(Leader, WhenNobodyHearsAnyMachineSomeLeaderStaysUntilTheLeasesAreOver) {
