--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -790,6 +790,31 @@
     EXPECT_EQ(stopped, (std::set<std::string>{"wk-1/0", "wk-1/1"}));  // of others its list may be old news
 }
 
+// The same holds for the answer to a report that a direct command's answer has overtaken.
+TEST(Leader, TheAnswerToAnOvertakenReportStopsWhatIsCancelled) {
+    Bench b;
+    b.roster("m1");
+    b.lead();
+    auto spec = make("wk-1", 1, 2);
+    b.job(spec);
+    ASSERT_EQ(b.report("m1"), Names{"wk-1/0"});
+    const std::vector<TaskReport> running{b.task("wk-1/0", TaskState::running)};
+    const auto overtaken = b.message("m1", running, 5);
+    b.tell(WorkerAnswered{"m1", b.message("m1", running, 5), {}});
+    const auto value = storage::encodeJob({spec, storage::Final::cancelled, 0, 0, storage::chunkTasks(8)});
+    const auto handle = protocol::unpackBody(value);
+    std::vector<bookkeeping::Change> changes;
+    b.mirror.apply({storage::keys::job("wk-1"), &handle.get(), ++b.revision}, changes);
+    b.tell(JobsChanged{{"wk-1"}});
+    std::size_t stops = 0;
+    for (const auto& action : b.tell(ReportArrived{1, overtaken}))
+        if (const auto* answer = std::get_if<AnswerReport>(&action)) {
+            EXPECT_TRUE(answer->accepted);
+            for (const auto& order : answer->orders) stops += order.op == Op::stop;
+        }
+    EXPECT_EQ(stops, 1u);
+}
+
 // Every machine of the roster is gone. A leader that hears nobody makes way for one that may be better
 // placed, before the leases are over; when each of them did, they made way for ever and nothing was rented.
 TEST(Leader, WhenNobodyHearsAnyMachineSomeLeaderStaysUntilTheLeasesAreOver) {
@@ -815,6 +840,26 @@
     EXPECT_LE(resigned, 3);
 }
 
+// That leader stays only if it never heard anybody, and not for ever: its own network may be cut.
+TEST(Leader, TheLeaderThatStaysWithoutWorkersMakesWayInTheEnd) {
+    for (const bool heard : {false, true}) {
+        Bench b;
+        b.settings.peers = {{"two", "z", ""}, {"three", "y", ""}};
+        for (const char* id : {"m1", "m2", "m3", "m4"}) b.roster(id);
+        b.leader = std::make_unique<Leader>(b.settings, b.policy, b.mirror, 8, b.now, 0);
+        if (heard) b.report("m1", {}, 8);
+        int seconds = 0;
+        for (bool leads = true; leads && seconds < 120; ++seconds)
+            for (const auto& action : b.tick(1s)) leads &= !std::holds_alternative<Resign>(action);
+        if (heard) {
+            EXPECT_LT(seconds, 15);
+        } else {
+            EXPECT_GT(seconds, 25);  // longer than the leases and the time to rent anew
+            EXPECT_LT(seconds, 50);
+        }
+    }
+}
+
 // Its reports reach no controller and commands reach it. What is cancelled stops by command; the lease runs
 // out all the same, and then the machine is given back.
 TEST(Leader, AMuteMachineIsStoppedByCommandAndGivenBackAfterItsLease) {
@@ -922,6 +967,30 @@
     }
 }
 
+// Kept from a machine for a while for the sake of work with accelerators, such a job still needs it: given
+// back in the meantime, it would be rented and given back again and again.
+TEST(Leader, AnIdleMachineIsKeptForWorkThatMayRunNowhereElse) {
+    Bench b;
+    b.roster("m1", "gpu");
+    b.lead();
+    auto gang = make("wk-1", 1, 14, Kind::gang);
+    gang.gpus = 1;
+    gang.priority = protocol::Priority::normal;
+    b.job(gang);
+    ASSERT_EQ(b.report("m1"), Names{"wk-1/0"});
+    b.report("m1", {{b.last.at("wk-1/0"), TaskState::exited, protocol::ExitReason::done, false}});
+    auto plain = make("wk-2", 1, 4);
+    plain.types = Names{"gpu"};
+    plain.priority = protocol::Priority::high;
+    b.job(plain);
+    bool started = false;
+    for (int second = 0; second < 80 && !started; ++second) {
+        started = b.report("m1") == Names{"wk-2/0"};
+        for (const auto& action : b.tick(800ms)) EXPECT_FALSE(std::holds_alternative<Release>(action));
+    }
+    EXPECT_TRUE(started);
+}
+
 TEST(Leader, AJobThatFailedOnTheOnlyMachineWithRoomTriesItAgain) {
     Bench b;
     b.roster("m1");
