A leader that may have missed cancellations starts nothing

Cause: a leader cut off from the state service and its peers is entitled until its tenure ends, up to 8 s.

Ruled out: a shorter tenure, which would hand over at every hiccup; a read before each answer, which would make each report wait for the store.

Now a report's answer brings starts only while a read that the store answered was sent less than 1.5 s ago, or by the promises of all peers, which tell the cancellations. Leases are renewed as before, so what runs goes on. A leader reads every 0.4 s if nothing else does.

--- a/src/coordination/election.h
+++ b/src/coordination/election.h
@@ -51,6 +51,8 @@
     bool valid(transport::Time now) const {
         return leading_ && ((tenure_.valid(now) && now - sync_.asOf() < blind_) || promised(now));
     }
+    /// Does this leader know what was cancelled until a moment ago? Without that it starts nothing.
+    bool informed(transport::Time now) const { return now - sync_.asOf() < kInformed || promised(now); }
     /// How long a leader may act on its own, without an answer of the state service to anything but the
     /// renewal of its lease: then the workers' leases are over well within the time a cancellation has.
     static transport::Duration longestBlind(const protocol::Settings& settings);
@@ -68,6 +70,7 @@
     std::uint64_t givenUp() const { return givenUp_; }
 
   private:
+    static constexpr transport::Duration kInformed{1500};
     bool promised(transport::Time now) const;
     void attempt(transport::Time now);
     void takeOver(std::uint64_t lease, transport::Time sent);
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -221,7 +221,7 @@
     merge(machine, report, true);
     // Its entry is written as it comes up, before it has taken the token and can be given tasks.
     if (machine.heard || (expected && machine.settled)) keepRoster(machine);
-    actions_.push_back(AnswerReport{command.request, true, compose(machine, report)});
+    actions_.push_back(AnswerReport{command.request, true, compose(machine, report, command.informed)});
     urgent_.erase(machine.id);  // the response has its stops
 }
 
@@ -488,7 +488,7 @@
     }
 }
 
-std::vector<Order> Leader::compose(Machine& machine, const Report& report) {
+std::vector<Order> Leader::compose(Machine& machine, const Report& report, bool informed) {
     std::vector<Order> orders;
     if (!machine.heard) {
         // This answer renews the lease. Without stops, what is cancelled would go on for one lease more with
@@ -514,7 +514,9 @@
         }
     }
     for (auto& order : stopOrders(machine)) orders.push_back(std::move(order));
-    if (usable(machine)) schedule(machine, orders);
+    // A leader cut off from the store is entitled for some seconds yet, in which others may tell users that
+    // jobs are cancelled: what runs goes on, and nothing new starts.
+    if (informed && usable(machine)) schedule(machine, orders);
     return orders;
 }
 
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -37,6 +37,7 @@
 struct ReportArrived {
     std::uint64_t request = 0;
     Report report;
+    bool informed = true;  // what was cancelled until a moment ago is known here
 };
 using Counters = std::pair<std::uint64_t, std::uint64_t>;  // session and sequence of a worker's message
 struct WorkerAnswered {  // to SendOrders; no report: it could not be reached
@@ -185,7 +186,7 @@
     Time clockOf(std::uint64_t dayMs) const;
     Time dueAt(const Job& job) const { return clockOf(*job.dueMs); }
     void jobsChanged(const std::vector<bookkeeping::Change>& changes);
-    std::vector<Order> compose(Machine& machine, const Report& report);
+    std::vector<Order> compose(Machine& machine, const Report& report, bool informed);
     std::vector<Order> stopOrders(const Machine& machine) const;
     void sendUrgent();
     void recall(Machine& machine);
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -161,9 +161,10 @@
     const auto now = Clock::now();
     election_.tick(now);
     if (leader_ && election_.valid(now)) lead(Tick{});
-    const bool old = leader_ && now - sync_.asOf() > 1500ms;  // a leader must know what is cancelled
+    // A leader must know what is cancelled.
+    const bool old = leader_ && now - sync_.asOf() > 400ms;
     if (now >= nextHeartbeat_ && (old || now - state_.lastAnswer() > 800ms)) {
-        nextHeartbeat_ = now + 800ms;
+        nextHeartbeat_ = now + (leader_ ? 400ms : 800ms);
         sync_.fresh([](bool) {});
     }
     // Refused by the state service alone, this node cannot lead for long: better that a peer does it at once.
@@ -218,6 +219,7 @@
         return call.reply(respond(400, protocol::errorReply(error.what())));
     }
     command.request = ++requests_;
+    command.informed = election_.informed(Clock::now());
     reports_[command.request] = std::move(call.reply);
     lead(std::move(command));
 }
--- a/tests/frontdesk_test.cpp
+++ b/tests/frontdesk_test.cpp
@@ -325,6 +325,10 @@
         a.config, a.policy, a.state, a.mirror, a.sync, [&](std::uint64_t t) { a.token = t; }, [] {});
     while (!a.token) election.tick(Clock::now()), io.run_one_for(5ms);
     EXPECT_TRUE(election.valid(Clock::now()));
+    EXPECT_TRUE(election.informed(Clock::now()));
+    // It is entitled for longer than it may start anything.
+    EXPECT_FALSE(election.informed(a.sync.asOf() + 1900ms));
+    EXPECT_TRUE(election.valid(a.sync.asOf() + 1500ms));
     stub.readsFail = true;
     int rounds = 0;
     for (; election.valid(Clock::now()) && rounds < 1000; ++rounds)
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -1153,3 +1153,27 @@
     EXPECT_EQ(b.mirror.find("wk-2")->dueMs, std::nullopt);
     EXPECT_EQ(LeaderProbe::recount(*b.leader), "");
 }
+
+// Seen on days with a leader cut off from the state service and its peers: jobs cancelled through another
+// node were started in the seconds that its tenure lasted yet.
+TEST(Leader, ALeaderThatMayHaveMissedCancellationsStartsNothing) {
+    Bench b;
+    b.roster("m1");
+    b.lead();
+    b.job(make("wk-1", 1, 2));
+    ASSERT_EQ(b.report("m1"), Names{"wk-1/0"});
+    b.job(make("wk-2", 1, 2));
+    std::vector<bookkeeping::Change> changes;
+    b.mirror.noteCancelled("wk-1", ++b.revision, changes);
+    b.tell(JobsChanged{{"wk-1"}});
+    const auto report = b.message("m1", {b.task("wk-1/0", TaskState::running)}, 5);
+    std::vector<protocol::Order> orders;
+    for (const auto& action : b.tell(ReportArrived{1, report, false}))
+        if (const auto* answer = std::get_if<AnswerReport>(&action)) {
+            EXPECT_TRUE(answer->accepted);  // what runs goes on
+            orders = answer->orders;
+        }
+    ASSERT_EQ(orders.size(), 1u);
+    EXPECT_EQ(orders[0].op, Op::stop);
+    EXPECT_EQ(b.report("m1"), Names{"wk-2/0"});
+}
