--- a/src/coordination/frontdesk.h
+++ b/src/coordination/frontdesk.h
@@ -38,6 +38,9 @@
     };
 
     void submit(const transport::Request& request, const transport::Reply& reply);
+    /// A job that it needs and that was never accepted, as far as is known here.
+    std::optional<std::string> missingDependency(const protocol::JobSpec& spec) const;
+    void turnDown(const std::string& id, const std::string& why, const transport::Reply& reply);
     void enqueue(protocol::JobSpec spec, const transport::Reply& reply);
     void serveQueues();
     void store(Waiting waiting);
--- a/src/storage/records.cpp
+++ b/src/storage/records.cpp
@@ -13,14 +13,36 @@
 std::string doneChunk(const std::string& id, std::size_t chunk) {
     return kJobs + id + "/" + std::to_string(chunk);
 }
+std::string donePart(const std::string& id, std::size_t first, std::size_t end) {
+    return doneChunk(id, first).append("-").append(std::to_string(end));
+}
 std::string machine(const std::string& id) { return kMachines + id; }
 }  // namespace keys
 
 std::string encodeJob(const JobRecord& r) {
     Packer p;
-    protocol::packSpec(p, r.spec, 4);
+    protocol::packSpec(p, r.spec, 5);
     p.field("final", static_cast<unsigned>(r.final)).field("accepted_ms", r.acceptedMs);
-    return p.field("tasks_done", r.done).field("chunk_tasks", r.chunkTasks).take();
+    p.field("tasks_done", r.done).field("chunk_tasks", r.chunkTasks);
+    return p.field("ended_ms", r.endedMs).take();
+}
+
+std::string encodeFinal(JobRecord record, std::size_t mostBytes) {
+    auto value = encodeJob(record);
+    if (protocol::jsonBytes(value) <= mostBytes) return value;
+    record.spec.types.reset();
+    record.spec.dependencies.clear();
+    value = encodeJob(record);
+    if (protocol::jsonBytes(value) <= mostBytes) return value;
+    record.spec.zone.reset();
+    for (auto* text : {&record.spec.jobClass, &record.spec.team, &record.spec.image}) text->assign(1, '-');
+    return encodeJob(record);
+}
+
+bool jobFits(const protocol::JobSpec& spec, std::size_t mostBytes) {
+    constexpr std::uint64_t kLate = 99'999'999'999'999;  // a time of day with a digit more than today's
+    const auto value = encodeJob({spec, Final::cancelled, kLate, spec.tasks, 1u << 30, kLate});
+    return protocol::jsonBytes(value) <= mostBytes;
 }
 
 JobRecord decodeJob(const msgpack::object& value) {
@@ -35,6 +57,7 @@
     const auto chunk = f.integer("chunk_tasks");
     if (chunk < 1 || chunk > 1u << 30) throw Malformed("field chunk_tasks is invalid");
     r.chunkTasks = static_cast<std::uint32_t>(chunk);
+    r.endedMs = f.integerOr("ended_ms", 0);
     return r;
 }
 
--- a/tests/histories.h
+++ b/tests/histories.h
@@ -47,6 +47,21 @@
     return s;
 }
 
+/// A job that may need up to three that came before it.
+inline JobSpec partOfAGraph(World& world, int number) {
+    auto spec = randomJob(world, number);
+    if (spec.kind == Kind::service || world.below(3) == 0) return spec;
+    for (int i = 0; i < 3 && number > 1; ++i) {
+        const auto id = "wk-" + std::to_string(std::max(1, number - 1 - world.below(8)));
+        const auto known = world.jobs().find(id);
+        if (id == spec.id || world.below(2) == 0 || known == world.jobs().end()) continue;
+        const auto& needs = spec.dependencies;
+        if (known->second.kind == Kind::service || std::count(needs.begin(), needs.end(), id)) continue;
+        spec.dependencies.push_back(id);
+    }
+    return spec;
+}
+
 inline std::string joined(const std::vector<std::string>& texts) {
     std::string out;
     for (const auto& text : texts) out += text + "\n";
--- a/tests/world.h
+++ b/tests/world.h
@@ -34,7 +34,7 @@
             for (const auto& [key, place] : m->places) {
                 const auto& spec = place.job->spec;
                 const auto need = bookkeeping::needOf(spec);
-                const auto priority = static_cast<std::size_t>(spec.priority);
+                const auto priority = static_cast<std::size_t>(place.job->priority());
                 const bool service = spec.kind == protocol::Kind::service;
                 used += need;
                 teams[spec.team] += need;
@@ -151,6 +151,8 @@
         std::size_t unstored = 0;          // cancellations that waited for the store
         std::size_t insideAnswers = 0;     // by a leader inside a zone that is cut off
         std::size_t fullTeams = 0;         // take-overs at a team's limit with machines out of reach
+        std::size_t freedStarts = 0;       // of tasks whose job had to wait for others
+        std::size_t derived = 0;           // jobs cancelled with one that they need
     } met;
     std::set<std::string> completed;  // "job/task"
 
@@ -161,6 +163,11 @@
     /// Accepted unless the store is out. A repetition finds the record and changes nothing.
     void submit(JobSpec spec) {
         if (outage()) return;
+        for (const auto& id : spec.dependencies) {
+            if (!specs_.contains(id)) return;  // 422
+            if (cancelled_.contains(id)) cancelled_.try_emplace(spec.id, now_);
+        }
+        met.derived += cancelled_.contains(spec.id);
         std::vector<std::string> failed;
         const storage::JobRecord record{spec, storage::Final::open, 0, 0, 4};
         store.transact({{storage::keys::job(spec.id), 0}},
@@ -178,11 +185,16 @@
         const auto key = storage::keys::job(id);
         const auto& value = store.values.at(key);
         auto record = storage::decodeJob(protocol::unpackBody(value.data).get());
-        if (record.final != storage::Final::open) return;
+        if (finalOf(id) != storage::Final::open) return;
         record.final = storage::Final::cancelled;
         std::vector<std::string> failed;
         store.transact({{key, value.version}}, {{key, storage::encodeJob(record), 0}}, failed);
         cancelled_[id] = now_;
+        for (const auto& [other, spec] : specs_)
+            if (!cancelled_.contains(other) && finalOf(other) == storage::Final::cancelled) {
+                cancelled_[other] = now_;
+                ++met.derived;
+            }
         for (const auto& machine : holding(id))
             met.hungCancels += reachable(machine) == nullptr || workers_.at(machine).deafUntil > now_;
     }
@@ -191,6 +203,9 @@
         if (outage() || !specs_.contains(id)) return;
         if (!store.values.contains(storage::keys::job(id))) return broken.push_back("forgotten: " + id);
         const auto final = finalOf(id);
+        // What any node answers that has read the store: all of them must derive the same from it.
+        read(asked_, askedRead_);
+        if (asked_.find(id)->final != final) broken.push_back("orphaned or went_back: " + id);
         auto& before = answered_[id];
         if (before != storage::Final::open && before != final) broken.push_back("went_back: " + id);
         before = final;
@@ -198,6 +213,12 @@
 
     // --- troubles brought about by a test ---
 
+    /// From then on the store takes no more than this, changes counted by the second.
+    void lowerLimits(Seconds after, StoreLimits limits) {
+        lowered_ = limits;
+        nextSecond_ = now_ + ticks(after);
+    }
+
     Time now() const { return now_; }
     /// The store refuses everybody. A leader that has seen all there is goes on, as its peers promise.
     void storeOutage(Seconds time) {
@@ -241,9 +262,29 @@
         workers_.at(id).dead = true;
         workers_.at(id).tasks.clear();
     }
+    /// As stored, or cancelled with one that it needs.
     storage::Final finalOf(const std::string& id) const {
-        return storage::decodeJob(protocol::unpackBody(store.values.at(storage::keys::job(id)).data).get())
-            .final;
+        const auto stored = recordOf(id).final;
+        if (stored != storage::Final::open) return stored;
+        const auto& needs = specs_.at(id).dependencies;
+        const bool cancelled = std::any_of(needs.begin(), needs.end(), [&](const auto& needed) {
+            return finalOf(needed) == storage::Final::cancelled;
+        });
+        return cancelled ? storage::Final::cancelled : stored;
+    }
+    storage::JobRecord recordOf(const std::string& id) const {
+        return storage::decodeJob(protocol::unpackBody(store.values.at(storage::keys::job(id)).data).get());
+    }
+    bool allDone(const std::string& id) const {
+        for (std::uint32_t t = 0; t < specs_.at(id).tasks; ++t)
+            if (!completed.contains(id + "/" + std::to_string(t))) return false;
+        return true;
+    }
+    bool free(const std::string& id) const {
+        const auto& needs = specs_.at(id).dependencies;
+        return std::all_of(needs.begin(), needs.end(), [&](const auto& needed) {
+            return recordOf(needed).final == storage::Final::done;
+        });
     }
     const std::map<std::string, JobSpec>& jobs() const { return specs_; }
     /// No further trouble; what began goes on to its end. From a while later on nothing may wait for long.
@@ -355,6 +396,10 @@
     }
 
     void step() {
+        if (lowered_ && now_ >= nextSecond_) {
+            store.limits = *lowered_;
+            nextSecond_ = now_ + 1s;
+        }
         while (!events_.empty() && events_.begin()->first <= now_) {
             const auto what = std::move(events_.begin()->second);
             events_.erase(events_.begin());
@@ -406,15 +451,19 @@
             met.fullTeams += silent && team->cpusMax > 0 && cpus + 3 > team->cpusMax;
         }
     }
-    void readStore(Tenant& tenant) {
+    std::vector<bookkeeping::Change> read(bookkeeping::Mirror& mirror, std::size_t& at) {
         std::vector<bookkeeping::Change> changes;
-        tenant.lastRead = now_;
-        for (; tenant.read < store.log.size(); ++tenant.read) {
-            const auto& event = store.log[tenant.read];
+        for (; at < store.log.size(); ++at) {
+            const auto& event = store.log[at];
             msgpack::object_handle handle;
             if (event.data) handle = protocol::unpackBody(*event.data);
-            tenant.mirror.apply({event.key, event.data ? &handle.get() : nullptr, event.version}, changes);
+            mirror.apply({event.key, event.data ? &handle.get() : nullptr, event.version}, changes);
         }
+        return changes;
+    }
+    void readStore(Tenant& tenant) {
+        tenant.lastRead = now_;
+        const auto changes = read(tenant.mirror, tenant.read);
         coordination::JobsChanged jobs;
         for (const auto& change : changes)
             if (change.kind == bookkeeping::ChangeKind::job) jobs.ids.push_back(change.id);
@@ -512,6 +561,10 @@
         const auto token = tenant_->token;
         const auto write = [this](const coordination::WriteState& w) {
             storage::TxnResult result;
+            if (const auto refusal = store.refusal(w.conditions, w.writes)) {
+                result.status = *refusal;
+                return result;
+            }
             result.revision = store.transact(w.conditions, w.writes, result.failed);
             lastFailed_ = result.failed.empty() ? "" : result.failed.front();
             result.status = result.revision ? storage::TxnStatus::applied : storage::TxnStatus::conflict;
@@ -780,11 +833,6 @@
             if (others < spec.tasks && chance(0.05)) exit(w, task, ExitReason::peers);
         }
     }
-    bool allDone(const std::string& id) const {
-        for (std::uint32_t t = 0; t < specs_.at(id).tasks; ++t)
-            if (!completed.contains(id + "/" + std::to_string(t))) return false;
-        return true;
-    }
     /// The job's last task has just ended: its user cancels, asks and submits it again, all at that moment.
     void atEnd(const std::string& id) {
         at(span(0, 0.6), [this, id] {
@@ -865,6 +913,8 @@
                     broken.push_back("ran_twice: " + name + " on " + id + " and " + w.id);
             }
         }
+        if (!free(attempt.job)) broken.push_back("too_early: " + name);
+        met.freedStarts += !spec.dependencies.empty();
         const auto* team = settings.team(spec.team);
         if ((team->cpusMax > 0 && cpus[spec.team] + spec.cpus > team->cpusMax + 1e-6) ||
             (team->gpusMax > 0 && gpus[spec.team] + spec.gpus > team->gpusMax + 1e-6))
@@ -920,6 +970,8 @@
             if (known != storage::Final::open && final != known) broken.push_back("went_back: " + id);
             if (final == storage::Final::cancelled && !cancelled_.contains(id))
                 broken.push_back("went_back: nobody cancelled " + id);
+            if (final == storage::Final::done && !free(id))
+                broken.push_back("done before what it needs: " + id);
             if (final == storage::Final::done && known != storage::Final::done && !allDone(id))
                 broken.push_back("not_done: " + id);
             known = final;
@@ -944,7 +996,8 @@
         }
         for (const auto& [id, spec] : specs_) {
             const auto fits = [&] {
-                if (on.contains(id) || finalOf(id) != storage::Final::open || allDone(id)) return false;
+                if (on.contains(id) || finalOf(id) != storage::Final::open || allDone(id) || !free(id))
+                    return false;
                 const auto need = bookkeeping::needOf(spec);
                 const std::uint32_t wanted = spec.kind == Kind::gang ? spec.tasks : 1;
                 const auto* team = settings.team(spec.team);
@@ -1022,6 +1075,12 @@
 
   public:
     std::size_t refusals = 0;
+
+  private:
+    bookkeeping::Mirror asked_;  // of a node that only answers users
+    std::size_t askedRead_ = 0;
+    std::optional<StoreLimits> lowered_;
+    Time nextSecond_{};
 };
 
 }  // namespace burlpoint::tests
