--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -31,7 +31,8 @@
 constexpr std::size_t kLeastBytes = 512, kLeastBitBytes = 16, kLeastFinalBytes = 128;
 constexpr auto kGrowthPause = 10s, kLongestGrowthPause = 320s;
 constexpr auto kSetAside = 30s;
-constexpr auto kPaused = 3s;  // without a tick this node did not lead in the meantime
+constexpr auto kStayedFor = 20s;  // beyond the leases: lost machines are given back and others rented
+constexpr auto kPaused = 3s;      // without a tick this node did not lead in the meantime
 
 Clock::duration ticks(Seconds s) { return std::chrono::duration_cast<Clock::duration>(s); }
 
@@ -189,7 +190,9 @@
         const bool answer = machine.reports && !behind;
         if (answer)
             machine.leaseUntil = std::max(machine.leaseUntil, machine.newestAt + leaseBound(settings_));
-        actions_.push_back(AnswerReport{command.request, answer, {}});
+        // As it may renew the lease, it brings what is to stop.
+        actions_.push_back(
+            AnswerReport{command.request, answer, answer ? stopOrders(machine) : std::vector<Order>{}});
         if (++machine.overtaken >= 2) probe(machine);
         return;
     }
@@ -200,6 +203,7 @@
     }
     machine.overtaken = 0;
     lastReport_ = now_;
+    anyReport_ = true;
     machine.lastReport = now_;
     if (!machine.settled && behind) {
         // It has not taken our token, so no answer of ours to an earlier report has renewed its lease.
@@ -631,10 +635,16 @@
     // Nobody reports here any more: more likely this node's network than all machines at once. Where each
     // node has found the same in turn, they are gone: the next stays until their leases are over, or the
     // nodes would make way for each other for ever.
-    const bool staysAllTheSame = token_ % (settings_.peers.size() + 2) == 0;
-    if (reporting == 0 && silent >= 2 && !staysAllTheSame && now_ - lastReport_ > patience + 4s &&
-        now_ - began_ > patience + 6s)
-        actions_.push_back(Resign{"no worker reaches this node", true});
+    // But one that has heard workers and does so no more makes way, and so does the one that stayed if even
+    // new machines are not heard.
+    const bool staysAllTheSame = !anyReport_ && token_ % (settings_.peers.size() + 2) == 0;
+    if (reporting == 0 && silent >= 2 && now_ - lastReport_ > patience + 4s &&
+        now_ - began_ > patience + 6s) {
+        if (!staysAllTheSame) actions_.push_back(Resign{"no worker reaches this node", true});
+        stayed_ = staysAllTheSame;
+    }
+    if (stayed_ && !anyReport_ && now_ - began_ > leaseBound(settings_) + kStayedFor)
+        actions_.push_back(Resign{"no worker has reached this node", true});
 }
 
 // --- users and the state service --------------------------------------------------------------------------
