--- a/src/bookkeeping/fleet.cpp
+++ b/src/bookkeeping/fleet.cpp
@@ -5,7 +5,7 @@
 namespace burlpoint::bookkeeping {
 
 std::uint32_t Resources::times(const Resources& o) const {
-    double most = protocol::kMostTasks;
+    double most = protocol::kMaxTasks;
     const auto bound = [&](double have, double need) {
         if (need > 0) most = std::min(most, (have + 1e-6) / need);
     };
@@ -20,9 +20,10 @@
 }
 
 bool Machine::isFetching(const std::string& image) const {
-    return std::any_of(places.begin(), places.end(), [&](const auto& entry) {
+    return std::any_of(placements.begin(), placements.end(), [&](const auto& entry) {
         const auto& p = entry.second;
-        return p.job->spec.image == image && (p.state == PlaceState::sent || p.state == PlaceState::fetching);
+        return p.job->spec.image == image &&
+               (p.state == PlacementState::sent || p.state == PlacementState::fetching);
     });
 }
 
@@ -52,8 +53,8 @@
     machines_.erase(found);
 }
 
-void Fleet::setSettled(Machine& machine, bool settled) {
-    machine.settled = settled;
+void Fleet::setReconciled(Machine& machine, bool reconciled) {
+    machine.reconciled = reconciled;
     count(machine);
 }
 
@@ -63,14 +64,14 @@
 }
 
 void Fleet::count(Machine& machine) {
-    const bool counts = machine.roster == RosterState::stored && !machine.settled;
+    const bool counts = machine.roster == RosterState::stored && !machine.reconciled;
     if (counts == machine.counted) return;
     machine.counted = counts;
-    const Shape shape{machine.type, machine.zone, machine.spot};
+    const Offering offering{machine.type, machine.zone, machine.spot};
     if (counts)
-        ++unsettled_[shape];
-    else if (const auto found = unsettled_.find(shape); --found->second == 0)
-        unsettled_.erase(found);
+        ++unreconciled_[offering];
+    else if (const auto found = unreconciled_.find(offering); --found->second == 0)
+        unreconciled_.erase(found);
 }
 
 void Fleet::useImage(Machine& machine, const std::string& image, double gb, double cacheGb) {
@@ -132,7 +133,7 @@
     if (spec.gpus <= 0) change(machine.plainUse[service ? 4 : priority]);
     if (!service && (spec.kind != protocol::Kind::gang || spec.tasks == 1))
         change(machine.stoppable[priority]);
-    if (!added && machine.places.empty()) {  // no residue of rounding
+    if (!added && machine.placements.empty()) {  // no residue of rounding
         machine.used = {};
         machine.plainUse = {};
         machine.stoppable = {};
@@ -140,13 +141,13 @@
 }
 
 Placement& Fleet::place(Machine& machine, Job& job, std::uint32_t task, std::uint64_t attempt,
-                        PlaceState state, Time now) {
+                        PlacementState state, Time now) {
     Placement placement{&job, task, attempt, state, 0, now, now, false, Seconds(0), true};
-    const auto [at, fresh] = machine.places.emplace(AttemptKey{&job, task, attempt}, placement);
+    const auto [at, fresh] = machine.placements.emplace(AttemptKey{&job, task, attempt}, placement);
     if (!fresh) return at->second;
     account(machine, job, true);
     job.addLive(task, machine.id, machine.zone);
-    if (state == PlaceState::running) ++job.run->running;
+    if (state == PlacementState::running) ++job.run->running;
     return at->second;
 }
 
@@ -154,17 +155,17 @@
                                                         std::map<AttemptKey, Placement>::iterator at) {
     auto& placement = at->second;
     Job& job = *placement.job;
-    if (placement.state == PlaceState::running) --job.run->running;
+    if (placement.state == PlacementState::running) --job.run->running;
     job.dropLive(placement.task, machine.id, machine.zone);
-    const auto next = machine.places.erase(at);
+    const auto next = machine.placements.erase(at);
     account(machine, job, false);
     return next;
 }
 
-void Fleet::setState(Placement& placement, PlaceState state, Time now) {
+void Fleet::setState(Placement& placement, PlacementState state, Time now) {
     if (placement.state == state) return;
-    if (placement.state == PlaceState::running) --placement.job->run->running;
-    if (state == PlaceState::running) {
+    if (placement.state == PlacementState::running) --placement.job->run->running;
+    if (state == PlacementState::running) {
         ++placement.job->run->running;
         placement.runningSince = now;
     }
@@ -173,19 +174,19 @@
 }
 
 void Fleet::removeAll(Machine& machine, const std::function<void(const Placement&)>& gone) {
-    while (!machine.places.empty()) {
-        const Placement placement = machine.places.begin()->second;
-        remove(machine, machine.places.begin());
+    while (!machine.placements.empty()) {
+        const Placement placement = machine.placements.begin()->second;
+        remove(machine, machine.placements.begin());
         gone(placement);
     }
 }
 
 void Fleet::setPriority(Job& job, protocol::Priority priority) {
     if (job.run->priority == priority) return;
-    const auto places = placesOf(job);
-    for (const auto& [machine, placement] : places) account(*machine, job, false);
+    const auto placements = placementsOf(job);
+    for (const auto& [machine, placement] : placements) account(*machine, job, false);
     job.run->priority = priority;
-    for (const auto& [machine, placement] : places) account(*machine, job, true);
+    for (const auto& [machine, placement] : placements) account(*machine, job, true);
 }
 
 Resources Fleet::teamUse(const std::string& team) const {
@@ -193,13 +194,13 @@
     return found == teamUse_.end() ? Resources{} : found->second;
 }
 
-std::vector<std::pair<Machine*, Placement*>> Fleet::placesOf(const Job& job) {
+std::vector<std::pair<Machine*, Placement*>> Fleet::placementsOf(const Job& job) {
     std::vector<std::pair<Machine*, Placement*>> out;
     if (!job.run || job.run->liveTotal == 0) return out;
     for (const auto& [id, tasks] : job.run->machines) {
         auto* machine = find(id);
-        auto at = machine->places.lower_bound(AttemptKey{&job, 0, 0});
-        for (; at != machine->places.end() && at->first.job == &job; ++at)
+        auto at = machine->placements.lower_bound(AttemptKey{&job, 0, 0});
+        for (; at != machine->placements.end() && at->first.job == &job; ++at)
             out.emplace_back(machine, &at->second);
     }
     return out;
--- a/src/bookkeeping/fleet.h
+++ b/src/bookkeeping/fleet.h
@@ -42,7 +42,7 @@
 inline Resources needOf(const JobSpec& spec) { return {spec.cpus, spec.gpus, spec.memoryGb}; }
 inline Resources sizeOf(const MachineType& type) { return {type.cpus, type.gpus, type.memoryGb}; }
 
-enum class PlaceState {
+enum class PlacementState {
     planned,  // room kept, nothing sent yet
     sent,     // the start left in a report response, not seen yet
     fetching,
@@ -56,7 +56,7 @@
     Job* job = nullptr;
     std::uint32_t task = 0;
     std::uint64_t attempt = 0;
-    PlaceState state = PlaceState::planned;
+    PlacementState state = PlacementState::planned;
     std::uint64_t sentSequence = 0;  // of the report whose response carried the start
     Time since{};                    // of the state
     Time runningSince{};
@@ -83,17 +83,17 @@
     Time newestAt{};                          // when that came
     std::uint64_t reportSequence = 0;         // of the newest report in that session
     /// It showed our token: nothing that an earlier leader sent can start any more, and its list is whole.
-    bool heard = false;
+    bool acknowledged = false;
     /// Nothing of earlier leaders can be on it, as it was heard or its lease ran out.
-    bool settled = false;  // changed by Fleet::setSettled
-    bool counted = false;  // among Fleet::unsettled
-    bool reports = false;  // a report of it was answered and its lease is not over
+    bool reconciled = false;  // changed by Fleet::setReconciled
+    bool counted = false;     // among Fleet::unreconciled
+    bool reports = false;     // a report of it was answered and its lease is not over
     Time lastReport{};
     Time leaseUntil = Time::max();  // the worker has forgotten its tasks by then
     std::optional<Time> recallAt;   // the cloud takes it away
 
     RosterState roster = RosterState::absent;  // changed by Fleet::setRoster
-    std::map<AttemptKey, Placement> places;
+    std::map<AttemptKey, Placement> placements;
     Resources used;
     /// What tasks without accelerators use, by priority; the last is replicas of any priority.
     std::array<Resources, 5> plainUse;
@@ -109,14 +109,14 @@
     Time probedAt{};                                     // when a probe was last answered
     bool probing = false;
     /// Answers in a row that did not get through, as its next report shows.
-    std::uint32_t unheeded = 0;
-    std::uint32_t overtaken = 0;  // reports in a row older than the newest message
+    std::uint32_t undelivered = 0;
+    std::uint32_t staleReports = 0;  // reports in a row older than the newest message
     /// Its worker has begun to count its messages anew, so that late copies can't be told from news: nothing
     /// of it is believed any more, and it is replaced.
-    bool doubtful = false;
-    std::optional<Time> deafSince;     // nothing seems to reach it
-    Time quietUntil{};                 // no new starts after a refusal
-    const Job* reservedFor = nullptr;  // changed by Fleet::reserve
+    bool quarantined = false;
+    std::optional<Time> unreachableSince;  // nothing seems to reach it
+    Time quietUntil{};                     // no new starts after a refusal
+    const Job* reservedFor = nullptr;      // changed by Fleet::reserve
     Time reservedUntil{};
     bool holding = false;             // only what comes free by itself is kept; nothing was stopped for it
     std::uint32_t reserved = 1;       // tasks that the room is kept for
@@ -128,10 +128,10 @@
 };
 
 /// Type, zone and kind of a machine.
-struct Shape {
+struct Offering {
     std::string type, zone;
     bool spot = false;
-    auto operator<=>(const Shape&) const = default;
+    auto operator<=>(const Offering&) const = default;
 };
 
 /// All machines, what may be on them and what the teams use through that. Whatever a report's handling asks
@@ -145,25 +145,25 @@
     /// Forgets the machine; nothing may be on it any more.
     void erase(const std::string& id);
 
-    Placement& place(Machine& machine, Job& job, std::uint32_t task, std::uint64_t attempt, PlaceState state,
-                     Time now);
+    Placement& place(Machine& machine, Job& job, std::uint32_t task, std::uint64_t attempt,
+                     PlacementState state, Time now);
     /// Proof arrived that the attempt is not on the machine. Returns the next placement.
     std::map<AttemptKey, Placement>::iterator remove(Machine& machine,
                                                      std::map<AttemptKey, Placement>::iterator at);
-    void setState(Placement& placement, PlaceState state, Time now);
+    void setState(Placement& placement, PlacementState state, Time now);
     void removeAll(Machine& machine, const std::function<void(const Placement&)>& gone);
 
     Resources teamUse(const std::string& team) const;
     /// Machines possibly holding a task of the job.
-    std::vector<std::pair<Machine*, Placement*>> placesOf(const Job& job);
+    std::vector<std::pair<Machine*, Placement*>> placementsOf(const Job& job);
 
     /// The job's priority and what is counted by it.
     void setPriority(Job& job, protocol::Priority priority);
 
-    void setSettled(Machine& machine, bool settled);
+    void setReconciled(Machine& machine, bool reconciled);
     void setRoster(Machine& machine, RosterState roster);
     /// Rostered machines, by shape, that an earlier leader's tasks may be on.
-    const std::map<Shape, std::uint32_t>& unsettled() const { return unsettled_; }
+    const std::map<Offering, std::uint32_t>& unreconciled() const { return unreconciled_; }
 
     /// The machine used the image: it is the latest in its cache, and the oldest over `cacheGb` are gone.
     void useImage(Machine& machine, const std::string& image, double gb, double cacheGb);
@@ -181,7 +181,7 @@
 
     std::map<std::string, std::unique_ptr<Machine>> machines_;
     std::unordered_map<std::string, Resources> teamUse_;
-    std::map<Shape, std::uint32_t> unsettled_;
+    std::map<Offering, std::uint32_t> unreconciled_;
     std::unordered_map<std::string, std::vector<Machine*>> byImage_;
     std::unordered_map<const Job*, std::set<Machine*>> reserved_;
 };
--- a/src/bookkeeping/jobs.cpp
+++ b/src/bookkeeping/jobs.cpp
@@ -23,11 +23,11 @@
     if (chunk < chunkVersions.size()) chunkVersions[chunk] = std::max(chunkVersions[chunk], newVersion);
 }
 
-BitRange Job::rangeOf(std::uint32_t task, std::size_t mostBytes) const {
+BitRange Job::rangeOf(std::uint32_t task, std::size_t maxBytes) const {
     const std::size_t tasks = spec.tasks, chunk = task / chunkTasks, first = chunk * chunkTasks;
     const auto end = std::min(first + chunkTasks, tasks);
-    if ((end - first + 3) / 4 + 2 <= mostBytes) return {first, end, chunk};  // digits and quotes
-    const std::size_t size = storage::chunkTasks(static_cast<double>(mostBytes) / 1024);
+    if ((end - first + 3) / 4 + 2 <= maxBytes) return {first, end, chunk};  // digits and quotes
+    const std::size_t size = storage::chunkTasks(static_cast<double>(maxBytes) / 1024);
     const auto from = task / size * size;
     return {from, std::min(from + size, tasks), std::nullopt};
 }
@@ -82,7 +82,7 @@
 }
 
 void Job::beginRun(bool inherited, Time now) {
-    run = std::make_unique<Run>(spec.tasks);
+    run = std::make_unique<JobRun>(spec.tasks);
     run->inherited = inherited;
     run->waitingSince = now;
     run->priority = urgency;
@@ -95,23 +95,23 @@
     return runningTasks > 0 ? protocol::JobState::running : protocol::JobState::queued;
 }
 
-Job* Mirror::find(const std::string& id) {
+Job* StateReplica::find(const std::string& id) {
     const auto found = jobs_.find(id);
     return found == jobs_.end() ? nullptr : found->second.get();
 }
 
-std::vector<Job*> Mirror::openJobs() const {
+std::vector<Job*> StateReplica::openJobs() const {
     std::vector<Job*> out(open_.begin(), open_.end());
     std::sort(out.begin(), out.end(), [](const Job* a, const Job* b) { return a->accepted < b->accepted; });
     return out;
 }
 
-bool Mirror::NewestFirst::operator()(const Job* a, const Job* b) const {
+bool StateReplica::NewestFirst::operator()(const Job* a, const Job* b) const {
     return a->accepted != b->accepted ? a->accepted > b->accepted : a->spec.id > b->spec.id;
 }
 
-void Mirror::applyJob(const std::string& id, const msgpack::object& value, std::uint64_t version,
-                      std::vector<Change>& changes) {
+void StateReplica::applyJob(const std::string& id, const msgpack::object& value, std::uint64_t version,
+                            std::vector<Change>& changes) {
     auto* known = find(id);
     if (known && known->version >= version) return;
     auto record = storage::decodeJob(value);
@@ -137,7 +137,7 @@
 }
 
 /// An open job that was not known: what it waits for, and whether it is cancelled with one of these.
-void Mirror::enter(Job& job, std::vector<Change>& changes) {
+void StateReplica::enter(Job& job, std::vector<Change>& changes) {
     job.readyMs = job.acceptedMs;
     job.urgency = job.spec.priority;
     if (job.spec.deadline)
@@ -163,8 +163,8 @@
 }
 
 /// What the job's record says, or will say once it is read.
-void Mirror::close(Job& job, Final final, std::uint32_t done, std::uint64_t version,
-                   std::vector<Change>& changes) {
+void StateReplica::close(Job& job, Final final, std::uint32_t done, std::uint64_t version,
+                         std::vector<Change>& changes) {
     const auto before = job.final;
     if (final == Final::cancelled && (before != Final::cancelled || job.derived)) cancelled_.push_back(&job);
     job.derived = false;
@@ -178,7 +178,7 @@
         cancelDependents(job, changes);
 }
 
-void Mirror::end(Job& job, Final final, std::uint32_t done) {
+void StateReplica::end(Job& job, Final final, std::uint32_t done) {
     job.final = final;
     job.doneCount = done;
     job.done = {};
@@ -194,7 +194,7 @@
 
 /// All that need the job, directly or through others, are cancelled with it. Nothing of this is stored: it
 /// follows from the one record, so that no node can see half of it.
-void Mirror::cancelDependents(Job& job, std::vector<Change>& changes) {
+void StateReplica::cancelDependents(Job& job, std::vector<Change>& changes) {
     std::vector<Job*> ended{&job};
     while (!ended.empty()) {
         auto& next = *ended.back();
@@ -214,7 +214,7 @@
     }
 }
 
-void Mirror::freeDependents(const Job& job, std::vector<Change>& changes) {
+void StateReplica::freeDependents(const Job& job, std::vector<Change>& changes) {
     const auto found = dependents_.find(job.spec.id);
     if (found == dependents_.end()) return;
     for (auto* dependent : found->second) {
@@ -226,12 +226,12 @@
 }
 
 /// What the job needs is no longer, or not yet, needed by it.
-void Mirror::staleDependencies(const Job& job) {
+void StateReplica::staleDependencies(const Job& job) {
     for (const auto& id : job.spec.dependencies)
         if (auto* needed = find(id); needed && needed->final == Final::open) staleUrgency_.insert(needed);
 }
 
-void Mirror::settleUrgency() {
+void StateReplica::updateUrgency() {
     while (!staleUrgency_.empty()) {
         auto& job = **staleUrgency_.begin();
         staleUrgency_.erase(staleUrgency_.begin());
@@ -249,21 +249,22 @@
                 due = std::min(due.value_or(*dependent->dueMs),
                                *dependent->dueMs - std::min(work, *dependent->dueMs));
             }
-        if (urgency == job.urgency && due == job.dueMs && job.urgencyTold) continue;
+        if (urgency == job.urgency && due == job.dueMs && job.urgencyPropagated) continue;
         job.urgency = urgency;
         job.dueMs = due;
-        job.urgencyTold = true;
+        job.urgencyPropagated = true;
         staleDependencies(job);
     }
 }
 
-void Mirror::noteDone(Job& job, std::uint64_t version, std::uint64_t endedMs, std::vector<Change>& changes) {
+void StateReplica::noteDone(Job& job, std::uint64_t version, std::uint64_t endedMs,
+                            std::vector<Change>& changes) {
     if (job.final != Final::open) return;
     job.endedMs = endedMs;
     close(job, Final::done, job.spec.tasks, version, changes);
 }
 
-void Mirror::noteCancelled(const std::string& id, std::uint64_t version, std::vector<Change>& changes) {
+void StateReplica::noteCancelled(const std::string& id, std::uint64_t version, std::vector<Change>& changes) {
     auto* job = find(id);
     if (!job) {
         // Its record will be read later, perhaps as it stood before the cancellation.
@@ -276,7 +277,8 @@
 }
 
 /// `key` is a chunk's number, or the range of a part as "first-end". False: neither, or nothing new.
-bool Mirror::applyBits(Job& job, std::string_view key, const msgpack::object& value, std::uint64_t version) {
+bool StateReplica::applyBits(Job& job, std::string_view key, const msgpack::object& value,
+                             std::uint64_t version) {
     if (job.final != Final::open) return false;
     const char* end = key.data() + key.size();
     BitRange range;
@@ -302,7 +304,7 @@
     return true;
 }
 
-bool Mirror::apply(const protocol::KeyChange& change, std::vector<Change>& changes) {
+bool StateReplica::apply(const protocol::KeyChange& change, std::vector<Change>& changes) {
     const std::string& key = change.key;
     try {
         if (key == keys::kLeader) {
@@ -351,7 +353,7 @@
     return true;
 }
 
-void Mirror::dropUnread(const std::set<std::string>& read, std::vector<Change>& changes) {
+void StateReplica::dropUnread(const std::set<std::string>& read, std::vector<Change>& changes) {
     if (leader && !read.contains(keys::kLeader)) {
         leader.reset();
         changes.push_back({ChangeKind::leader, ""});
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -22,10 +22,10 @@
 using transport::Time;
 
 /// What a leader knows of a job beyond the stored facts.
-struct Run {
+struct JobRun {
     /// Some task of the job is or was on a machine.
     bool began() const { return launched > 0 || liveTotal > 0; }
-    explicit Run(std::uint32_t tasks) : live(tasks, 0) {}
+    explicit JobRun(std::uint32_t tasks) : live(tasks, 0) {}
 
     std::vector<std::uint8_t> live;                 // machines that each task is possibly on
     std::uint32_t liveTotal = 0;                    // sum of `live`
@@ -43,7 +43,7 @@
     // Pacing by the design: launched (m), paced fetches (md) and their expected number (Md).
     std::uint32_t launched = 0, paced = 0;
     // The first task that was started since the job was overdue and had not begun.
-    std::optional<std::uint32_t> opener;
+    std::optional<std::uint32_t> firstTask;
     double pacedTotal = 0;
     bool admitted = false;
 
@@ -61,8 +61,8 @@
     bool succeeded = false;                     // a task of it has worked somewhere
 
     // What the other machines offer, looked up now and then and not for each report.
-    std::uint32_t cachedRoom = 0;  // waiting tasks that machines with the image have room for
-    bool imageWait = false;        // it should wait for such a machine
+    std::uint32_t roomWithImage = 0;  // waiting tasks that machines with the image have room for
+    bool imageWait = false;           // it should wait for such a machine
     Time cachedRoomUntil{}, imageWaitUntil{};
 };
 
@@ -89,10 +89,10 @@
     std::map<BitRange, std::uint64_t> partVersions;
     std::uint32_t openDependencies = 0;       // not stored as done, as far as is known
     bool derived = false;                     // cancelled with one that it needs, not by its own record
-    bool urgencyTold = false;                 // to the jobs that it needs
+    bool urgencyPropagated = false;           // to the jobs that it needs
     Priority urgency = Priority::normal;      // the highest of its own and of those that need it
     std::optional<std::uint64_t> dueMs = {};  // so that its deadline and theirs can be met
-    std::unique_ptr<Run> run;
+    std::unique_ptr<JobRun> run;
 
     bool ready() const { return openDependencies == 0; }
     Priority priority() const { return run ? run->priority : urgency; }
@@ -109,9 +109,9 @@
     std::uint64_t chunkVersion(std::size_t chunk) const {
         return chunk < chunkVersions.size() ? chunkVersions[chunk] : 0;
     }
-    /// Under which key a task's bit is stored when values may have `mostBytes`: that of its chunk if the
+    /// Under which key a task's bit is stored when values may have `maxBytes`: that of its chunk if the
     /// chunk is within that, else that of a part.
-    BitRange rangeOf(std::uint32_t task, std::size_t mostBytes) const;
+    BitRange rangeOf(std::uint32_t task, std::size_t maxBytes) const;
     std::string keyOf(const BitRange& range) const;
     std::uint64_t versionOf(const BitRange& range) const;
     void setVersion(const BitRange& range, std::uint64_t version);
@@ -141,7 +141,7 @@
 };
 
 /// This node's copy of everything stored, in order of revisions.
-class Mirror {
+class StateReplica {
   public:
     /// Takes a key's change unless it is older than what is known. False: a malformed value, skipped.
     bool apply(const protocol::KeyChange& change, std::vector<Change>& changes);
@@ -150,7 +150,7 @@
     /// The job's end was stored at `version`.
     void noteDone(Job& job, std::uint64_t version, std::uint64_t endedMs, std::vector<Change>& changes);
     /// Brings priorities and times due up to date after jobs have come or gone that need others.
-    void settleUrgency();
+    void updateUrgency();
     /// A confirmed cancellation that no read has shown yet: `version` is that of the record which tells it.
     void noteCancelled(const std::string& id, std::uint64_t version, std::vector<Change>& changes);
     /// Jobs cancelled by their users, in the order in which this node learned of them; it only grows. Those
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -16,16 +16,17 @@
 namespace keys = storage::keys;
 
 namespace {
-constexpr Duration kPromise{2500};
+constexpr Duration kGrant{2500};
 constexpr Duration kUnserved{1200};  // without an answer of the state service
 }  // namespace
 
 Election::Election(const protocol::Settings& settings, const protocol::Policy& policy,
-                   storage::StateClient& state, bookkeeping::Mirror& mirror, Sync& sync, Won won, Lost lost)
+                   storage::StateClient& state, bookkeeping::StateReplica& replica, StateWatcher& watcher,
+                   Won won, Lost lost)
     : settings_(settings),
       state_(state),
-      mirror_(mirror),
-      sync_(sync),
+      replica_(replica),
+      watcher_(watcher),
       won_(std::move(won)),
       lost_(std::move(lost)),
       random_(std::random_device{}()),
@@ -36,11 +37,11 @@
     const auto wished = policy.leadership.count() > 0
                             ? policy.leadership
                             : std::clamp(settings.lease * 0.5, protocol::Seconds(2), protocol::Seconds(8));
-    blind_ = longestBlind(settings);
-    life_ = std::min(std::chrono::duration_cast<Duration>(wished), blind_);
+    maxTimeWithoutRead_ = maxTimeWithoutRead(settings);
+    life_ = std::min(std::chrono::duration_cast<Duration>(wished), maxTimeWithoutRead_);
 }
 
-Duration Election::longestBlind(const protocol::Settings& settings) {
+Duration Election::maxTimeWithoutRead(const protocol::Settings& settings) {
     // A cancellation confirmed elsewhere must reach the leader, or the leases that it renewed last must be
     // over, within `cancel_s`. Half of what is left beside a lease; the rest is for clocks, for an answer on
     // its way and for a worker's next look at its lease.
@@ -50,16 +51,16 @@
 
 void Election::tick(Time now) {
     if (leading_) {
-        if (mirror_.token != token_) {
-            spdlog::error("token {} has been raised to {}", token_, mirror_.token);
+        if (replica_.token != token_) {
+            spdlog::error("token {} has been raised to {}", token_, replica_.token);
             return lose();
         }
         if (now >= nextRenewal_ && !renewing_) renew(now);
         return;
     }
-    if (trying_ || !sync_.synced()) return;
-    const bool own = mirror_.leader && mirror_.leader->node == settings_.name;
-    if (mirror_.leader && !own && !abdicated(*mirror_.leader)) {
+    if (trying_ || !watcher_.synced()) return;
+    const bool own = replica_.leader && replica_.leader->node == settings_.name;
+    if (replica_.leader && !own && !hasResigned(*replica_.leader)) {
         vacant_ = false;
         return;
     }
@@ -71,33 +72,34 @@
             std::max(notBefore_, now + (own ? 0ms : std::uniform_int_distribution<>(0, 250)(random_) * 1ms));
     }
     // Bound by a promise, or perhaps by one that a former self gave before it ended.
-    if (now < bound_ && boundTo_ > abdicated_) return;
-    if (!own && mirror_.token > abdicated_ && now < started_ + kPromise + kPromise / 100) return;
+    if (now < grantedUntil_ && grantedTo_ > resignedTokens_) return;
+    if (!own && replica_.token > resignedTokens_ && now < started_ + kGrant + kGrant / 100) return;
     if (now >= notBefore_) attempt(now);
 }
 
-Duration Election::promise(const std::string& leader, std::uint64_t token, Time now) {
-    const bool known = mirror_.leader && mirror_.leader->node == leader && mirror_.leader->token == token;
-    if (!known || abdicated(*mirror_.leader) || leading_ || trying_ || !sync_.synced()) return Duration(0);
+Duration Election::grantExtension(const std::string& leader, std::uint64_t token, Time now) {
+    const bool known = replica_.leader && replica_.leader->node == leader && replica_.leader->token == token;
+    if (!known || hasResigned(*replica_.leader) || leading_ || trying_ || !watcher_.synced())
+        return Duration(0);
     if (now - state_.lastAnswer() < kUnserved) return Duration(0);
     // A transaction of an earlier try cannot come through late: this leader's key has changed its conditions.
-    bound_ = now + kPromise + kPromise / 1000;
-    boundTo_ = token;
-    return kPromise;
+    grantedUntil_ = now + kGrant + kGrant / 1000;
+    grantedTo_ = token;
+    return kGrant;
 }
 
-void Election::notePromise(const std::string& peer, Duration life, Time sent) {
+void Election::noteGrant(const std::string& peer, Duration life, Time sent) {
     if (life.count() <= 0) return;
     Tenure promise;
-    promise.begin(sent, std::min(life, Duration(kPromise)));
-    promises_[peer] = promise.until();
+    promise.begin(sent, std::min(life, Duration(kGrant)));
+    grants_[peer] = promise.until();
 }
 
-bool Election::promised(Time now) const {
+bool Election::extendedByGrants(Time now) const {
     return !settings_.peers.empty() &&
            std::all_of(settings_.peers.begin(), settings_.peers.end(), [&](const auto& peer) {
-               const auto found = promises_.find(peer.name);
-               return found != promises_.end() && now < found->second;
+               const auto found = grants_.find(peer.name);
+               return found != grants_.end() && now < found->second;
            });
 }
 
@@ -114,12 +116,12 @@
 void Election::takeOver(std::uint64_t lease, Time sent) {
     // Another node may have won while the lease was being made. Its key is known by now, and a transaction
     // conditional on that very key would take the leadership from a leader whose lease goes on.
-    if (mirror_.leader && mirror_.leader->node != settings_.name && !abdicated(*mirror_.leader))
+    if (replica_.leader && replica_.leader->node != settings_.name && !hasResigned(*replica_.leader))
         return fail(lease);
     const auto round = round_;
-    const auto token = mirror_.token + 1;
+    const auto token = replica_.token + 1;
     const std::vector<protocol::KeyCondition> conditions{
-        {keys::kLeader, mirror_.leader ? mirror_.leaderVersion : 0}, {keys::kToken, mirror_.tokenVersion}};
+        {keys::kLeader, replica_.leader ? replica_.leaderVersion : 0}, {keys::kToken, replica_.tokenVersion}};
     const std::vector<protocol::KeyWrite> writes{
         {keys::kLeader, storage::encodeLeader({settings_.name, token}), lease},
         {keys::kToken, storage::encodeToken(token), 0}};
@@ -134,11 +136,11 @@
 
 void Election::confirm(std::uint64_t token) {
     const auto round = round_;
-    sync_.fresh([this, round, token](bool ok) {
+    watcher_.fresh([this, round, token](bool ok) {
         if (round != round_) return;
         const bool valid = tenure_.valid(Clock::now());
         if (!ok && valid) return confirm(token);
-        if (!ok || !valid || mirror_.token != token || !mirror_.leader || mirror_.leader->token != token)
+        if (!ok || !valid || replica_.token != token || !replica_.leader || replica_.leader->token != token)
             return fail(lease_);
         trying_ = false;
         vacant_ = false;
@@ -157,7 +159,7 @@
     notBefore_ = Clock::now() + 300ms + std::uniform_int_distribution<>(0, 300)(random_) * 1ms;
     // Whoever won, or whether this try was carried out after all, is in the store.
     const auto round = round_;
-    sync_.fresh([this, round](bool) {
+    watcher_.fresh([this, round](bool) {
         if (round == round_) trying_ = false;
     });
 }
@@ -179,17 +181,17 @@
     });
 }
 
-void Election::resign(Time now, bool selfish) {
+void Election::resign(Time now, bool deferToPeers) {
     if (!leading_) return;
     state_.endLease(lease_);
     lose();
-    if (selfish) notBefore_ = now + 20s;
+    if (deferToPeers) notBefore_ = now + 20s;
 }
 
 void Election::lose() {
     tenure_.end();
-    promises_.clear();
-    givenUp_ = token_;
+    grants_.clear();
+    resignedToken_ = token_;
     leading_ = false;
     vacant_ = false;
     ++round_;
--- a/src/coordination/election.h
+++ b/src/coordination/election.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "bookkeeping/jobs.h"
-#include "coordination/sync.h"
+#include "coordination/state_watcher.h"
 #include "protocol/settings.h"
 #include "storage/store.h"
 
@@ -37,66 +37,69 @@
 /// Leadership by a key under a lease, with a token from a counter that never goes back.
 class Election {
   public:
-    /// The mirror is fresh and shows this node as leader under `token`.
+    /// The replica is fresh and shows this node as leader under `token`.
     using Won = std::function<void(std::uint64_t token)>;
     using Lost = std::function<void()>;
 
     Election(const protocol::Settings& settings, const protocol::Policy& policy, storage::StateClient& state,
-             bookkeeping::Mirror& mirror, Sync& sync, Won won, Lost lost);
+             bookkeeping::StateReplica& replica, StateWatcher& watcher, Won won, Lost lost);
 
     void tick(transport::Time now);
     /// Gives leadership up at once. `selfish`: this node is badly placed to lead, so others go first.
-    void resign(transport::Time now, bool selfish);
+    void resign(transport::Time now, bool deferToPeers);
     /// May this node act as leader at this moment?
     bool valid(transport::Time now) const {
-        return leading_ && ((tenure_.valid(now) && now - sync_.asOf() < blind_) || promised(now));
+        return leading_ &&
+               ((tenure_.valid(now) && now - watcher_.asOf() < maxTimeWithoutRead_) || extendedByGrants(now));
     }
     /// Does this leader know what was cancelled until a moment ago? Without that it starts nothing.
-    bool informed(transport::Time now) const { return now - sync_.asOf() < kInformed || promised(now); }
+    bool cancellationsCurrent(transport::Time now) const {
+        return now - watcher_.asOf() < kCancellationFreshness || extendedByGrants(now);
+    }
     /// How long a leader may act on its own, without an answer of the state service to anything but the
     /// renewal of its lease: then the workers' leases are over well within the time a cancellation has.
-    static transport::Duration longestBlind(const protocol::Settings& settings);
+    static transport::Duration maxTimeWithoutRead(const protocol::Settings& settings);
     /// A leader asks in an outage: how long will this node not try to lead? Zero unless its key was there
     /// when the state service last answered, which was a while ago. The answer that carries the promise must
     /// tell all cancellations that this node knows and the leader may not.
-    transport::Duration promise(const std::string& leader, std::uint64_t token, transport::Time now);
+    transport::Duration grantExtension(const std::string& leader, std::uint64_t token, transport::Time now);
     /// A peer's answer to that, once what came with it is taken in. Promises of all peers stand in for the
     /// lease while nobody is served.
-    void notePromise(const std::string& peer, transport::Duration life, transport::Time sent);
+    void noteGrant(const std::string& peer, transport::Duration life, transport::Time sent);
     bool leading() const { return leading_; }
     /// A leader that the state service refuses has told its peers that it stopped: its key may be taken over.
-    void noteAbdication(std::uint64_t token) { abdicated_ = std::max(abdicated_, token); }
+    void noteResignation(std::uint64_t token) { resignedTokens_ = std::max(resignedTokens_, token); }
     /// The token that this node led with last and gave up, 0: none.
-    std::uint64_t givenUp() const { return givenUp_; }
+    std::uint64_t resignedToken() const { return resignedToken_; }
 
   private:
-    static constexpr transport::Duration kInformed{1500};
-    bool promised(transport::Time now) const;
+    static constexpr transport::Duration kCancellationFreshness{1500};
+    bool extendedByGrants(transport::Time now) const;
     void attempt(transport::Time now);
     void takeOver(std::uint64_t lease, transport::Time sent);
     void confirm(std::uint64_t token);
     void renew(transport::Time now);
     void fail(std::uint64_t lease);
     void lose();
-    bool abdicated(const storage::LeaderRecord& leader) const { return leader.token <= abdicated_; }
+    bool hasResigned(const storage::LeaderRecord& leader) const { return leader.token <= resignedTokens_; }
 
     const protocol::Settings& settings_;
     storage::StateClient& state_;
-    bookkeeping::Mirror& mirror_;
-    Sync& sync_;
+    bookkeeping::StateReplica& replica_;
+    StateWatcher& watcher_;
     Won won_;
     Lost lost_;
-    transport::Duration life_, blind_;
+    transport::Duration life_, maxTimeWithoutRead_;
     std::mt19937 random_;
     Tenure tenure_;
-    std::uint64_t lease_ = 0, token_ = 0, abdicated_ = 0, givenUp_ = 0;
+    std::uint64_t lease_ = 0, token_ = 0, resignedTokens_ = 0, resignedToken_ = 0;
     std::uint64_t round_ = 0;  // answers to requests of earlier rounds are ignored
     bool trying_ = false, leading_ = false, renewing_ = false, vacant_ = false;
     transport::Time notBefore_{}, nextRenewal_{};
     const transport::Time started_;
-    transport::Time bound_{};                          // this node's promise to `boundTo_` ends
-    std::uint64_t boundTo_ = 0;                        // a leader's token
-    std::map<std::string, transport::Time> promises_;  // of the peers, to this leader
+    transport::Time grantedUntil_{};                 // this node's promise to `grantedTo_` ends
+    std::uint64_t grantedTo_ = 0;                    // a leader's token
+    std::map<std::string, transport::Time> grants_;  // of the peers, to this leader
 };
 
 }  // namespace burlpoint::coordination
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -21,31 +21,32 @@
 
 namespace {
 
-constexpr std::size_t kMostOrders = 300;  // keeps a response well below 64 KiB
-constexpr auto kBitsPause = 1s;           // a job's finished tasks gather for this long
-constexpr std::uint32_t kUnheeded = 2;    // answers that did not get through, in a row
-constexpr Seconds kKeptFor{5};            // machines of a stopped gang, beyond its save and reports
-constexpr auto kFirstReports = 1500ms;    // within this after a take-over most workers report by themselves
-constexpr std::size_t kMostProbes = 100;  // at a time
-constexpr std::size_t kMostBytes = 48 * 1024;  // of the 64 KiB that a transaction may have
-constexpr std::size_t kLeastBytes = 512, kLeastBitBytes = 16, kLeastFinalBytes = 128;
-constexpr auto kGrowthPause = 10s, kLongestGrowthPause = 320s;
-constexpr auto kSetAside = 30s;
-constexpr auto kStayedFor = 20s;  // beyond the leases: lost machines are given back and others rented
-constexpr auto kPaused = 3s;      // without a tick this node did not lead in the meantime
+constexpr std::size_t kMaxOrders = 300;       // keeps a response well below 64 KiB
+constexpr auto kBitmapInterval = 1s;          // a job's finished tasks gather for this long
+constexpr std::uint32_t kMaxUndelivered = 2;  // answers that did not get through, in a row
+constexpr Seconds kGangReservation{5};        // machines of a stopped gang, beyond its save and reports
+constexpr auto kTakeOverGrace = 1500ms;  // within this after a take-over most workers report by themselves
+constexpr std::size_t kMaxProbes = 100;  // at a time
+constexpr std::size_t kMaxBytes = 48 * 1024;  // of the 64 KiB that a transaction may have
+constexpr std::size_t kMinBytes = 512, kMinBitBytes = 16, kMinFinalBytes = 128;
+constexpr auto kGrowthPause = 10s, kMaxGrowthPause = 320s;
+constexpr auto kDeferredFor = 30s;
+constexpr auto kWithoutWorkersMargin =
+    20s;                       // beyond the leases: lost machines are given back and others rented
+constexpr auto kTickGap = 3s;  // without a tick this node did not lead in the meantime
 
 Clock::duration ticks(Seconds s) { return std::chrono::duration_cast<Clock::duration>(s); }
 
-PlaceState placeState(TaskState state) {
+PlacementState placementState(TaskState state) {
     switch (state) {
         case TaskState::waiting:
-            return PlaceState::waiting;
+            return PlacementState::waiting;
         case TaskState::running:
-            return PlaceState::running;
+            return PlacementState::running;
         case TaskState::saving:
-            return PlaceState::saving;
+            return PlacementState::saving;
         default:
-            return PlaceState::fetching;
+            return PlacementState::fetching;
     }
 }
 
@@ -56,29 +57,29 @@
     return ticks(settings.lease * 1.002 + Seconds(0.3));
 }
 
-Leader::Leader(const Settings& settings, const Policy& policy, Mirror& mirror, std::uint64_t token, Time now,
-               std::uint64_t dayMs)
+Leader::Leader(const Settings& settings, const Policy& policy, StateReplica& replica, std::uint64_t token,
+               Time now, std::uint64_t dayMs)
     : settings_(settings),
       policy_(policy),
-      mirror_(mirror),
+      replica_(replica),
       token_(token),
       began_(now),
       beganMs_(dayMs),
       now_(now),
-      writeBudget_(settings.stateWriteRps * 0.6, now, settings.leastWriteRps() * 0.6),
-      mostOps_(settings.leastTxnOps()),
-      mostBytes_(kMostBytes),
-      mostBitBytes_(settings.valueBytes()),
-      mostFinalBytes_(settings.valueBytes()),
+      writeBudget_(settings.stateWriteRps * 0.6, now, settings.minWriteRps() * 0.6),
+      maxOperations_(settings.minTxnOps()),
+      maxBytes_(kMaxBytes),
+      maxBitmapBytes_(settings.valueBytes()),
+      maxFinalBytes_(settings.valueBytes()),
       lastReport_(now),
       cloudBudget_(settings.cloudRps * 0.8, now) {
-    for (const auto& type : mirror.types) types_[type.name] = type;
-    for (const auto& [id, job] : mirror.jobs()) {
+    for (const auto& type : replica.types) types_[type.name] = type;
+    for (const auto& [id, job] : replica.jobs()) {
         job->run.reset();
-        if (job->final == Final::open && job->ready()) adoptJob(*job, true);
+        if (job->final == Final::open && job->ready()) beginJob(*job, true);
     }
-    for (const auto& [id, stored] : mirror.roster) {
-        auto& machine = identify(id, stored.record.type, stored.record.zone, stored.record.spot);
+    for (const auto& [id, stored] : replica.roster) {
+        auto& machine = findOrAddMachine(id, stored.record.type, stored.record.zone, stored.record.spot);
         if (!mayHoldTasks(id)) continue;  // noted as it was rented: it may boot still
         machine.address = stored.record.address;
         fleet_.setRoster(machine, RosterState::stored);
@@ -90,7 +91,7 @@
 }
 
 Leader::~Leader() {
-    for (const auto& [id, job] : mirror_.jobs()) job->run.reset();
+    for (const auto& [id, job] : replica_.jobs()) job->run.reset();
 }
 
 std::vector<std::pair<std::string, std::uint32_t>> Leader::runningCounts() const {
@@ -103,12 +104,12 @@
 std::vector<Action> Leader::handle(Command command, Time now) {
     now_ = std::max(now_, now);
     std::visit([this](auto& c) { on(c); }, command);
-    sendUrgent();
+    sendUrgentStops();
     maybeWrite();
     return std::exchange(actions_, {});
 }
 
-void Leader::adoptJob(Job& job, bool inherited) {
+void Leader::beginJob(Job& job, bool inherited) {
     job.beginRun(inherited, now_);
     job.run->team = settings_.team(job.spec.team);
     for (const auto& objective : settings_.objectives)
@@ -138,13 +139,13 @@
 
 /// May an earlier leader have given the machine a task?
 bool Leader::mayHoldTasks(const std::string& id) const {
-    const auto stored = mirror_.roster.find(id);
-    return stored != mirror_.roster.end() && !stored->second.record.address.empty();
+    const auto stored = replica_.roster.find(id);
+    return stored != replica_.roster.end() && !stored->second.record.address.empty();
 }
 
 /// The machine's record; a new one is not in the roster, so no earlier leader gave the machine a task.
-Machine& Leader::identify(const std::string& id, const std::string& type, const std::string& zone,
-                          bool spot) {
+Machine& Leader::findOrAddMachine(const std::string& id, const std::string& type, const std::string& zone,
+                                  bool spot) {
     const bool known = fleet_.find(id) != nullptr;
     auto& machine = fleet_.add(id, now_);
     if (known) return machine;
@@ -152,9 +153,9 @@
     machine.zone = zone;
     machine.spot = spot;
     machine.kind = typeOf(type);
-    machine.settled = !mayHoldTasks(id);
+    machine.reconciled = !mayHoldTasks(id);
     // Back in the cloud's list, say: what is not newer than its last message stays old.
-    if (const auto left = departed_.find(id); left != departed_.end())
+    if (const auto left = removedMachines_.find(id); left != removedMachines_.end())
         std::tie(machine.session, machine.sequence) = left->second;
     return machine;
 }
@@ -170,15 +171,15 @@
         return;
     }
     const std::pair counters(report.session, report.sequence);
-    const auto left = departed_.find(report.machine);
-    if (!fleet_.find(report.machine) && left != departed_.end() && counters <= left->second) {
+    const auto left = removedMachines_.find(report.machine);
+    if (!fleet_.find(report.machine) && left != removedMachines_.end() && counters <= left->second) {
         // A report that was held back, or a copy of one: the machine is gone.
         actions_.push_back(AnswerReport{command.request, false, {}});
         return;
     }
     const bool expected = fleet_.find(report.machine);
-    auto& machine = identify(report.machine, report.type, report.zone, report.spot);
-    if (machine.doubtful) {
+    auto& machine = findOrAddMachine(report.machine, report.type, report.zone, report.spot);
+    if (machine.quarantined) {
         actions_.push_back(AnswerReport{command.request, false, {}});
         return;
     }
@@ -193,35 +194,36 @@
         // As it may renew the lease, it brings what is to stop.
         actions_.push_back(
             AnswerReport{command.request, answer, answer ? stopOrders(machine) : std::vector<Order>{}});
-        if (++machine.overtaken >= 2) probe(machine);
+        if (++machine.staleReports >= 2) probe(machine);
         return;
     }
-    if (machine.heard && behind) {
-        doubt(machine);
+    if (machine.acknowledged && behind) {
+        quarantine(machine);
         actions_.push_back(AnswerReport{command.request, false, {}});
         return;
     }
-    machine.overtaken = 0;
+    machine.staleReports = 0;
     lastReport_ = now_;
     anyReport_ = true;
     machine.lastReport = now_;
-    if (!machine.settled && behind) {
+    if (!machine.reconciled && behind) {
         // It has not taken our token, so no answer of ours to an earlier report has renewed its lease.
         machine.leaseUntil = began_ + leaseBound(settings_);
-        if (machine.unheeded >= kUnheeded) {
-            merge(machine, report, true);
+        if (machine.undelivered >= kMaxUndelivered) {
+            applyReport(machine, report, true);
             actions_.push_back(AnswerReport{command.request, false, {}});
             return;
         }
-        ++machine.unheeded;
+        ++machine.undelivered;
     }
     machine.leaseUntil =
-        std::max(machine.settled ? Time{} : machine.leaseUntil, now_ + leaseBound(settings_));
+        std::max(machine.reconciled ? Time{} : machine.leaseUntil, now_ + leaseBound(settings_));
     machine.reports = true;
-    merge(machine, report, true);
+    applyReport(machine, report, true);
     // Its entry is written as it comes up, before it has taken the token and can be given tasks.
-    if (machine.heard || (expected && machine.settled)) keepRoster(machine);
-    actions_.push_back(AnswerReport{command.request, true, compose(machine, report, command.informed)});
+    if (machine.acknowledged || (expected && machine.reconciled)) ensureRosterEntry(machine);
+    actions_.push_back(
+        AnswerReport{command.request, true, composeOrders(machine, report, command.cancellationsCurrent)});
     urgent_.erase(machine.id);  // the response has its stops
 }
 
@@ -236,18 +238,18 @@
         actions_.push_back(Resign{"a worker has seen a higher token"});
         return;
     }
-    if (machine->doubtful) return;
+    if (machine->quarantined) return;
     // The answer was made after the probe was sent.
     if (std::pair(report.session, report.sequence) <= command.known ||
-        (machine->heard && report.token < token_))
-        return doubt(*machine);
+        (machine->acknowledged && report.token < token_))
+        return quarantine(*machine);
     machine->probedAt = now_;
-    machine->deafSince.reset();
-    machine->unheeded = 0;
-    machine->overtaken = 0;
-    const bool retry = !machine->heard && report.token < token_ && report.session != machine->session;
+    machine->unreachableSince.reset();
+    machine->undelivered = 0;
+    machine->staleReports = 0;
+    const bool retry = !machine->acknowledged && report.token < token_ && report.session != machine->session;
     if (std::pair(report.session, report.sequence) > std::pair(machine->session, machine->sequence))
-        merge(*machine, report, false);
+        applyReport(*machine, report, false);
     // The probe named an old session and was turned down; with the right one the token gets through.
     if (retry) probe(*machine);
 }
@@ -267,32 +269,32 @@
                                   {machine.session, machine.sequence}});
 }
 
-void Leader::doubt(Machine& machine) {
+void Leader::quarantine(Machine& machine) {
     spdlog::info("{} has begun to count anew and is given up", machine.id);
-    machine.doubtful = true;
+    machine.quarantined = true;
     machine.releasing = true;
 }
 
 /// What was sent to the machine has not arrived. After a few times it is taken for deaf until it answers.
-void Leader::noteUnheeded(Machine& machine) {
-    if (++machine.unheeded < kUnheeded || machine.deafSince) return;
+void Leader::noteUndelivered(Machine& machine) {
+    if (++machine.undelivered < kMaxUndelivered || machine.unreachableSince) return;
     spdlog::info("{} reports but hears nothing", machine.id);
-    machine.deafSince = now_;
+    machine.unreachableSince = now_;
 }
 
-void Leader::merge(Machine& machine, const Report& report, bool isReport) {
-    if (report.session > machine.session && machine.heard) {
-        if (machine.reports && machine.session > 0) noteUnheeded(machine);
+void Leader::applyReport(Machine& machine, const Report& report, bool isReport) {
+    if (report.session > machine.session && machine.acknowledged) {
+        if (machine.reports && machine.session > 0) noteUndelivered(machine);
         // The worker killed and forgot all its tasks; planned ones never reached it.
-        for (auto at = machine.places.begin(); at != machine.places.end();) {
+        for (auto at = machine.placements.begin(); at != machine.placements.end();) {
             const Placement placement = at->second;
-            if (placement.state == PlaceState::planned) {
+            if (placement.state == PlacementState::planned) {
                 ++at;
                 continue;
             }
             fleet_.remove(machine, at);
-            gone(machine, placement, ExitReason::none);
-            at = machine.places.upper_bound({placement.job, placement.task, placement.attempt});
+            endPlacement(machine, placement, ExitReason::none);
+            at = machine.placements.upper_bound({placement.job, placement.task, placement.attempt});
         }
     }
     machine.session = report.session;
@@ -301,64 +303,65 @@
     machine.address = report.address;
     if (report.notice && !machine.recallAt) machine.recallAt = now_ + ticks(*report.notice);
     if (!report.notice) machine.recallAt.reset();
-    if (report.token == token_ && !machine.heard) {
-        machine.heard = true;
-        fleet_.setSettled(machine, true);
+    if (report.token == token_ && !machine.acknowledged) {
+        machine.acknowledged = true;
+        fleet_.setReconciled(machine, true);
         orderStale_ = true;
     }
-    if (!machine.heard) return;
+    if (!machine.acknowledged) return;
 
-    for (auto& [key, placement] : machine.places) placement.seen = placement.state == PlaceState::planned;
-    for (const auto& task : report.tasks) mergeTask(machine, task);
-    bool unheeded = false;
-    for (auto at = machine.places.begin(); at != machine.places.end();) {
+    for (auto& [key, placement] : machine.placements)
+        placement.seen = placement.state == PlacementState::planned;
+    for (const auto& task : report.tasks) applyTaskReport(machine, task);
+    bool undelivered = false;
+    for (auto at = machine.placements.begin(); at != machine.placements.end();) {
         const Placement placement = at->second;
         // A start that left with a report's response may still be on its way when a direct command's reply
         // comes in. Only the worker's next report shows that it was taken or dropped.
-        const bool inFlight =
-            placement.state == PlaceState::sent && (!isReport || report.sequence <= placement.sentSequence);
+        const bool inFlight = placement.state == PlacementState::sent &&
+                              (!isReport || report.sequence <= placement.sentSequence);
         if (placement.seen || inFlight) {
             ++at;
             continue;
         }
-        unheeded |= placement.state == PlaceState::sent;
+        undelivered |= placement.state == PlacementState::sent;
         fleet_.remove(machine, at);
-        gone(machine, placement, ExitReason::none);
-        at = machine.places.upper_bound({placement.job, placement.task, placement.attempt});
+        endPlacement(machine, placement, ExitReason::none);
+        at = machine.placements.upper_bound({placement.job, placement.task, placement.attempt});
     }
-    if (unheeded) noteUnheeded(machine);
-    if (machine.recallAt) recall(machine);
-    if (!machine.places.empty()) machine.busyUntil = now_;
+    if (undelivered) noteUndelivered(machine);
+    if (machine.recallAt) drainForRecall(machine);
+    if (!machine.placements.empty()) machine.busyUntil = now_;
 }
 
-void Leader::mergeTask(Machine& machine, const TaskReport& task) {
-    auto* job = mirror_.find(task.attempt.job);
+void Leader::applyTaskReport(Machine& machine, const TaskReport& task) {
+    auto* job = replica_.find(task.attempt.job);
     if (!job || task.attempt.task >= job->spec.tasks) return;  // compose() has it killed
     const AttemptKey key{job, task.attempt.task, task.attempt.number};
-    const auto at = machine.places.find(key);
+    const auto at = machine.placements.find(key);
     if (task.state == TaskState::exited) {
-        if (task.why == ExitReason::done) finished(*job, key.task);
-        if (at == machine.places.end()) return;
+        if (task.why == ExitReason::done) noteTaskDone(*job, key.task);
+        if (at == machine.placements.end()) return;
         const Placement placement = at->second;
         fleet_.remove(machine, at);
-        gone(machine, placement, task.why);
+        endPlacement(machine, placement, task.why);
         return;
     }
-    const auto state = placeState(task.state);
+    const auto state = placementState(task.state);
     Placement* placement = nullptr;
-    if (at == machine.places.end()) {
-        if (!job->run) adoptJob(*job, true);
+    if (at == machine.placements.end()) {
+        if (!job->run) beginJob(*job, true);
         placement = &fleet_.place(machine, *job, key.task, key.attempt, state, now_);
         if (job->spec.kind == Kind::gang)
             job->run->gangAttempt = std::max(job->run->gangAttempt, key.attempt);
         orderStale_ = true;
     } else {
         placement = &at->second;
-        if (placement->state == PlaceState::sent) {
-            machine.unheeded = 0;
-            machine.deafSince.reset();
+        if (placement->state == PlacementState::sent) {
+            machine.undelivered = 0;
+            machine.unreachableSince.reset();
         }
-        if (placement->state == PlaceState::fetching && state != PlaceState::fetching) {
+        if (placement->state == PlacementState::fetching && state != PlacementState::fetching) {
             const double took = Seconds(now_ - placement->since).count();
             meanFetch_ = fetchesSeen_ == 0 ? took : meanFetch_ + (took - meanFetch_) * 0.1;
             ++fetchesSeen_;
@@ -369,7 +372,7 @@
         fleet_.setState(*placement, state, now_);
     }
     placement->seen = true;
-    if (state != PlaceState::fetching) {
+    if (state != PlacementState::fetching) {
         const auto* type = machine.kind;
         fleet_.useImage(machine, job->spec.image, job->spec.imageGb, type ? type->cacheGb : 0);
     }
@@ -380,9 +383,9 @@
 }
 
 /// The task is done, whichever attempt did it. Its bit is to be stored before anybody hears of it.
-void Leader::finished(Job& job, std::uint32_t task) {
+void Leader::noteTaskDone(Job& job, std::uint32_t task) {
     if (job.final != Final::open || job.spec.kind == Kind::service) return;
-    if (!job.run) adoptJob(job, true);
+    if (!job.run) beginJob(job, true);
     bool fresh = false;
     if (job.spec.kind == Kind::gang) {
         // They complete together: when one is done, all are.
@@ -396,12 +399,12 @@
     job.run->succeeded = true;
 }
 
-void Leader::gone(Machine& machine, const Placement& placement, ExitReason why) {
+void Leader::endPlacement(Machine& machine, const Placement& placement, ExitReason why) {
     Job& job = *placement.job;
     orderStale_ = true;
     spdlog::debug("gone {}/{} attempt {} from {}, state {}, reason {}", job.spec.id, placement.task,
                   placement.attempt, machine.id, static_cast<int>(placement.state), static_cast<int>(why));
-    if (machine.places.empty()) machine.busyUntil = now_;
+    if (machine.placements.empty()) machine.busyUntil = now_;
     switch (why) {
         case ExitReason::done:
             machine.errorJobs.clear();
@@ -426,11 +429,11 @@
             break;
     }
     if (job.final != Final::open) return;
-    if (job.run->opener == placement.task) job.run->opener.reset();
+    if (job.run->firstTask == placement.task) job.run->firstTask.reset();
     // Stopped again at once, it has not begun: were its place among the overdue spent, it might wait for
     // ever.
     if (why == ExitReason::stopped && job.run->liveTotal == 0 && job.doneCount == 0 &&
-        job.run->unstored.empty() && isNew(placement))
+        job.run->unstored.empty() && startedRecently(placement))
         job.run->launched = job.run->paced = 0;
     if (job.run->waiting > 0) job.run->waitingSince = now_;
     if (job.spec.kind == Kind::gang) {
@@ -453,57 +456,57 @@
 }
 
 void Leader::stopJob(Job& job, Seconds grace) {
-    for (auto [machine, placement] : fleet_.placesOf(job)) {
-        if (placement->state == PlaceState::planned) {
-            fleet_.remove(*machine, machine->places.find({&job, placement->task, placement->attempt}));
+    for (auto [machine, placement] : fleet_.placementsOf(job)) {
+        if (placement->state == PlacementState::planned) {
+            fleet_.remove(*machine, machine->placements.find({&job, placement->task, placement->attempt}));
             orderStale_ = true;
         } else {
             stop(*machine, *placement, grace);
             // A gang that goes on later does so at once if the machines it has are kept for it meanwhile.
             if (job.spec.kind == Kind::gang && job.spec.tasks > 1 && job.final == Final::open &&
                 !machine->isReserved(now_) && !machine->recallAt)
-                fleet_.reserve(*machine, &job, now_ + ticks(grace + settings_.report * 3 + kKeptFor), false,
-                               job.run->machines.at(machine->id));
+                fleet_.reserve(*machine, &job, now_ + ticks(grace + settings_.report * 3 + kGangReservation),
+                               false, job.run->machines.at(machine->id));
         }
     }
 }
 
 std::vector<Order> Leader::stopOrders(const Machine& machine) const {
     std::vector<Order> orders;
-    for (const auto& [key, p] : machine.places) {
-        if (!p.stopping || p.state == PlaceState::planned || orders.size() >= kMostOrders) continue;
-        if (p.state == PlaceState::saving && p.grace > Seconds(0)) continue;  // it is at it
+    for (const auto& [key, p] : machine.placements) {
+        if (!p.stopping || p.state == PlacementState::planned || orders.size() >= kMaxOrders) continue;
+        if (p.state == PlacementState::saving && p.grace > Seconds(0)) continue;  // it is at it
         orders.push_back({Op::stop, {p.job->spec.id, p.task, p.attempt}, p.grace});
     }
     return orders;
 }
 
-void Leader::sendUrgent() {
+void Leader::sendUrgentStops() {
     for (const auto& id : std::exchange(urgent_, {})) {
         const auto* machine = fleet_.find(id);
-        if (!machine || !machine->heard || machine->address.empty()) continue;
-        const bool any = std::any_of(machine->places.begin(), machine->places.end(),
+        if (!machine || !machine->acknowledged || machine->address.empty()) continue;
+        const bool any = std::any_of(machine->placements.begin(), machine->placements.end(),
                                      [](const auto& entry) { return entry.second.stopping; });
         if (any) sendOrders(*machine);
     }
 }
 
-std::vector<Order> Leader::compose(Machine& machine, const Report& report, bool informed) {
+std::vector<Order> Leader::composeOrders(Machine& machine, const Report& report, bool cancellationsCurrent) {
     std::vector<Order> orders;
-    if (!machine.heard) {
+    if (!machine.acknowledged) {
         // This answer renews the lease. Without stops, what is cancelled would go on for one lease more with
         // each change of leader. Stopping an attempt of a job that is over is right however old the list is.
         for (const auto& task : report.tasks) {
-            const auto* job = mirror_.find(task.attempt.job);
+            const auto* job = replica_.find(task.attempt.job);
             if (job && job->final != Final::open && task.state != TaskState::exited &&
-                orders.size() < kMostOrders)
+                orders.size() < kMaxOrders)
                 orders.push_back({Op::stop, task.attempt, Seconds(0)});
         }
         return orders;
     }
     for (const auto& task : report.tasks) {
-        if (orders.size() >= kMostOrders) return orders;
-        const auto* job = mirror_.find(task.attempt.job);
+        if (orders.size() >= kMaxOrders) return orders;
+        const auto* job = replica_.find(task.attempt.job);
         const bool stray = !job || task.attempt.task >= job->spec.tasks;
         if (task.state != TaskState::exited) {
             if (stray) orders.push_back({Op::stop, task.attempt, Seconds(0)});
@@ -516,62 +519,63 @@
     for (auto& order : stopOrders(machine)) orders.push_back(std::move(order));
     // A leader cut off from the store is entitled for some seconds yet, in which others may tell users that
     // jobs are cancelled: what runs goes on, and nothing new starts.
-    if (informed && usable(machine)) schedule(machine, orders);
+    if (cancellationsCurrent && usable(machine)) schedule(machine, orders);
     return orders;
 }
 
-void Leader::recall(Machine& machine) {
+void Leader::drainForRecall(Machine& machine) {
     machine.draining = true;
     const Seconds left = *machine.recallAt - now_;
-    for (auto& [key, placement] : machine.places) {
+    for (auto& [key, placement] : machine.placements) {
         const auto& spec = placement.job->spec;
-        if (placement.state == PlaceState::planned) continue;
+        if (placement.state == PlacementState::planned) continue;
         if (spec.kind == Kind::gang && spec.tasks > 1) {
             // Its save needs all of them told within a short time; one alone would lose the progress of all.
             stopJob(*placement.job, spec.save);
         } else if (spec.checkpoint > Seconds(0)) {
             stop(machine, placement, spec.save);
         } else if (spec.kind == Kind::array) {
-            const Seconds ran =
-                placement.state == PlaceState::running ? Seconds(now_ - placement.runningSince) : Seconds(0);
+            const Seconds ran = placement.state == PlacementState::running
+                                    ? Seconds(now_ - placement.runningSince)
+                                    : Seconds(0);
             if (ran + left < spec.estimate * 0.7) stop(machine, placement, Seconds(0));
         } else {
             stop(machine, placement, Seconds(0));
         }
     }
-    for (auto at = machine.places.begin(); at != machine.places.end();) {
-        if (at->second.state != PlaceState::planned) {
+    for (auto at = machine.placements.begin(); at != machine.placements.end();) {
+        if (at->second.state != PlacementState::planned) {
             ++at;
             continue;
         }
         const Placement placement = at->second;
         fleet_.remove(machine, at);
-        gone(machine, placement, ExitReason::none);
-        at = machine.places.upper_bound({placement.job, placement.task, placement.attempt});
+        endPlacement(machine, placement, ExitReason::none);
+        at = machine.placements.upper_bound({placement.job, placement.task, placement.attempt});
     }
 }
 
 /// Proof that nothing sent so far is on the machine.
-void Leader::settle(Machine& machine) {
-    fleet_.setSettled(machine, true);
+void Leader::clearAfterLease(Machine& machine) {
+    fleet_.setReconciled(machine, true);
     orderStale_ = true;
     fleet_.removeAll(machine,
-                     [&](const Placement& placement) { gone(machine, placement, ExitReason::none); });
+                     [&](const Placement& placement) { endPlacement(machine, placement, ExitReason::none); });
 }
 
-void Leader::forget(Machine& machine) {
+void Leader::removeMachine(Machine& machine) {
     const auto id = machine.id;
-    auto& left = departed_[id];
+    auto& left = removedMachines_[id];
     left = std::max(left, {machine.session, machine.sequence});
-    settle(machine);
+    clearAfterLease(machine);
     if (machine.roster != RosterState::absent) rosterDrop_.insert(id);
     rosterAdd_.erase(id);
     fleet_.erase(id);
     orderStale_ = true;
 }
 
-void Leader::keepRoster(Machine& machine) {
-    const auto stored = mirror_.roster.find(machine.id);
+void Leader::ensureRosterEntry(Machine& machine) {
+    const auto stored = replica_.roster.find(machine.id);
     if (machine.roster == RosterState::writing) return;
     // It was forgotten, and is back. A deletion of its entry may still be on its way, so the entry counts
     // only once it is written anew: with its new version that deletion fails.
@@ -581,7 +585,7 @@
         rosterAdd_.insert(machine.id);
         return;
     }
-    if (stored != mirror_.roster.end() && stored->second.record == recordOf(machine)) {
+    if (stored != replica_.roster.end() && stored->second.record == recordOf(machine)) {
         fleet_.setRoster(machine, RosterState::stored);
         rosterAdd_.erase(machine.id);
         return;
@@ -590,24 +594,26 @@
     rosterAdd_.insert(machine.id);
 }
 
-void Leader::watchSilence() {
+void Leader::checkSilentMachines() {
     if (now_ < nextSilence_) return;
     nextSilence_ = now_ + 500ms;
     // Entries of machines that are no more, such as one whose writing was carried out late.
-    for (const auto& [id, stored] : mirror_.roster)
+    for (const auto& [id, stored] : replica_.roster)
         if (!fleet_.find(id)) rosterDrop_.insert(id);
     const auto patience = ticks(settings_.report * 2 + Seconds(0.5));
     std::size_t reporting = 0, silent = 0;
     std::vector<Machine*> lapsed;
     for (auto& [id, machine] : fleet_.machines()) {
-        const bool quiet = now_ - machine->lastReport > patience || machine->deafSince;
-        if (!machine->settled || machine->reports) (quiet || !machine->settled ? silent : reporting) += 1;
-        if (now_ > machine->leaseUntil && (!machine->settled || machine->reports || !machine->places.empty()))
+        const bool quiet = now_ - machine->lastReport > patience || machine->unreachableSince;
+        if (!machine->reconciled || machine->reports)
+            (quiet || !machine->reconciled ? silent : reporting) += 1;
+        if (now_ > machine->leaseUntil &&
+            (!machine->reconciled || machine->reports || !machine->placements.empty()))
             lapsed.push_back(machine.get());
     }
     for (auto* machine : lapsed) {
         spdlog::info("the lease of {} is over", machine->id);
-        settle(*machine);
+        clearAfterLease(*machine);
         machine->reports = false;
     }
     const bool few = silent <= std::max<std::size_t>(2, (reporting + silent) / 4);
@@ -615,20 +621,20 @@
     // A worker whose report fails waits 4 s, and another second before it tries the next node.
     const auto giveUp = std::max(ticks(settings_.lease * 0.4), ticks(settings_.report * 1.25 + Seconds(5.5)));
     for (auto& [id, machine] : fleet_.machines()) {
-        const bool unheard = !machine->settled;
+        const bool unheard = !machine->reconciled;
         if (!unheard && !machine->reports) continue;
         // Reports prove nothing of a machine that has not taken the token or does not act on what it is sent.
-        const auto silence = now_ - (unheard              ? began_
-                                     : machine->deafSince ? *machine->deafSince
-                                                          : machine->lastReport);
-        if (!unheard && !machine->deafSince && silence <= patience) continue;
+        const auto silence = now_ - (unheard                     ? began_
+                                     : machine->unreachableSince ? *machine->unreachableSince
+                                                                 : machine->lastReport);
+        if (!unheard && !machine->unreachableSince && silence <= patience) continue;
         // The probe carries the token, so a reachable worker reports anew and an unheard one is heard. Most
         // come by themselves after a take-over, when each answer is urgent, so probes wait and come a few at
         // a time.
-        if (!machine->probing && (!unheard || silence > kFirstReports) && ++probes <= kMostProbes)
+        if (!machine->probing && (!unheard || silence > kTakeOverGrace) && ++probes <= kMaxProbes)
             probe(*machine);
         const bool answered = now_ - machine->probedAt < giveUp;
-        const bool holds = unheard || machine->deafSince || !machine->places.empty();
+        const bool holds = unheard || machine->unreachableSince || !machine->placements.empty();
         if (few && holds && !answered && silence > giveUp && !machine->releasing) {
             spdlog::info("{} is silent and is given up", id);
             machine->releasing = true;
@@ -643,9 +649,9 @@
     if (reporting == 0 && silent >= 2 && now_ - lastReport_ > patience + 4s &&
         now_ - began_ > patience + 6s) {
         if (!staysAllTheSame) actions_.push_back(Resign{"no worker reaches this node", true});
-        stayed_ = staysAllTheSame;
+        leadsWithoutWorkers_ = staysAllTheSame;
     }
-    if (stayed_ && !anyReport_ && now_ - began_ > leaseBound(settings_) + kStayedFor)
+    if (leadsWithoutWorkers_ && !anyReport_ && now_ - began_ > leaseBound(settings_) + kWithoutWorkersMargin)
         actions_.push_back(Resign{"no worker has reached this node", true});
 }
 
@@ -659,13 +665,13 @@
 
 void Leader::on(JobsChanged& command) {
     for (const auto& id : command.ids) {
-        auto* job = mirror_.find(id);
+        auto* job = replica_.find(id);
         if (!job) continue;
         orderStale_ = true;
         if (job->final == Final::open) {
             // One that waited for others cannot be on a machine: an earlier leader would have seen them
             // stored as done, and so would this one as it began.
-            if (!job->run && job->ready()) adoptJob(*job, false);
+            if (!job->run && job->ready()) beginJob(*job, false);
             continue;
         }
         std::erase(open_, job);
@@ -677,18 +683,18 @@
 void Leader::maybeWrite() {
     if (writing_ || refreshing_ || now_ < nextWrite_) return;
     const auto most = std::min<std::size_t>(
-        mostOps_, static_cast<std::size_t>(std::max(0.0, writeBudget_.available(now_))));
-    std::erase_if(setAside_, [this](const auto& entry) { return entry.second <= now_; });
+        maxOperations_, static_cast<std::size_t>(std::max(0.0, writeBudget_.available(now_))));
+    std::erase_if(deferredKeys_, [this](const auto& entry) { return entry.second <= now_; });
     WriteState write;
-    write.conditions.push_back({keys::kToken, mirror_.tokenVersion});
+    write.conditions.push_back({keys::kToken, replica_.tokenVersion});
     std::size_t bytes = 0;
     bool full = false;
     const auto room = [&] { return write.writes.size() < most && !full; };
     // A condition for each write and one for the token: four times the writes are allowed.
     const auto put = [&](const std::string& key, std::optional<std::string> value, std::uint64_t version) {
-        if (setAside_.contains(key)) return false;
+        if (deferredKeys_.contains(key)) return false;
         const auto size = (value ? protocol::jsonBytes(*value) : 0) + 2 * key.size() + 120;
-        full = !write.writes.empty() && bytes + size > mostBytes_;
+        full = !write.writes.empty() && bytes + size > maxBytes_;
         if (full) return false;
         bytes += size;
         write.conditions.push_back({key, version});
@@ -701,10 +707,10 @@
             if (!room()) break;
             auto* machine = fleet_.find(id);
             if ((machine->session > 0) != reported) continue;
-            const auto stored = mirror_.roster.find(id);
+            const auto stored = replica_.roster.find(id);
             auto record = recordOf(*machine);
             if (!put(keys::machine(id), storage::encodeMachine(record),
-                     stored == mirror_.roster.end() ? 0 : stored->second.version))
+                     stored == replica_.roster.end() ? 0 : stored->second.version))
                 continue;
             if (machine->roster == RosterState::absent) fleet_.setRoster(*machine, RosterState::writing);
             rosterWrites_.emplace_back(id, std::move(record));
@@ -713,25 +719,26 @@
     enter(true);
     for (auto* job : unstored_) {
         if (!room()) break;
-        if (!endsWithOneWrite(*job)) continue;
+        if (!finalWriteSuffices(*job)) continue;
         // Whatever bits are missing, the record that says "done" stands for all of them.
         const auto endedMs =
             beganMs_ + static_cast<std::uint64_t>(
                            std::chrono::duration_cast<std::chrono::milliseconds>(now_ - began_).count());
         const storage::JobRecord record{job->spec,       Final::done,     job->acceptedMs,
                                         job->spec.tasks, job->chunkTasks, endedMs};
-        if (put(keys::job(job->spec.id), storage::encodeFinal(record, mostFinalBytes_), job->version))
+        if (put(keys::job(job->spec.id), storage::encodeFinal(record, maxFinalBytes_), job->version))
             finalWrites_.emplace_back(job, endedMs);
     }
     if (typesUnstored_ && room()) {
         for (const auto& [name, type] : types_) typesWrite_.push_back(type);
-        if (!put(keys::kTypes, protocol::encodeMachineTypes(typesWrite_), mirror_.typesVersion))
+        if (!put(keys::kTypes, protocol::encodeMachineTypes(typesWrite_), replica_.typesVersion))
             typesWrite_.clear();
     }
     for (auto* job : unstored_) {
-        if (!room() || now_ < job->run->nextBits || endsWithOneWrite(*job)) continue;
+        if (!room() || now_ < job->run->nextBits || finalWriteSuffices(*job)) continue;
         std::map<bookkeeping::BitRange, std::vector<std::uint32_t>> ranges;
-        for (const auto task : job->run->unstored) ranges[job->rangeOf(task, mostBitBytes_)].push_back(task);
+        for (const auto task : job->run->unstored)
+            ranges[job->rangeOf(task, maxBitmapBytes_)].push_back(task);
         for (auto& [range, tasks] : ranges) {
             if (!room()) break;
             auto bits = job->done;
@@ -741,13 +748,13 @@
                     job->versionOf(range)))
                 doneWrites_.push_back({job, range, std::move(tasks)});
         }
-        job->run->nextBits = now_ + kBitsPause;
+        job->run->nextBits = now_ + kBitmapInterval;
     }
     enter(false);  // notes wait for everything that somebody waits for
-    std::erase_if(rosterDrop_, [&](const auto& id) { return !mirror_.roster.contains(id); });
+    std::erase_if(rosterDrop_, [&](const auto& id) { return !replica_.roster.contains(id); });
     for (const auto& id : rosterDrop_) {
         if (!room()) break;
-        if (!put(keys::machine(id), std::nullopt, mirror_.roster[id].version)) continue;
+        if (!put(keys::machine(id), std::nullopt, replica_.roster[id].version)) continue;
         rosterDeletes_.push_back(id);
         rosterDeleted_.insert(id);
     }
@@ -760,7 +767,7 @@
     actions_.push_back(std::move(write));
 }
 
-bool Leader::endsWithOneWrite(const Job& job) const {
+bool Leader::finalWriteSuffices(const Job& job) const {
     if (job.doneCount + job.run->unstored.size() < job.spec.tasks) return false;
     return job.run->unstored.empty() || job.chunks() == 1;
 }
@@ -778,7 +785,7 @@
         if (machine && machine->roster == RosterState::writing)
             fleet_.setRoster(*machine, RosterState::absent);
         if (!applied) continue;
-        mirror_.roster[id] = {record, result.revision};
+        replica_.roster[id] = {record, result.revision};
         rosterDeleted_.erase(id);
         if (!machine)
             rosterDrop_.insert(id);
@@ -786,9 +793,9 @@
             rosterAdd_.erase(id);
     }
     if (applied) {
-        writeMore();
+        growWrites();
         for (const auto& id : rosterDeletes_) {
-            mirror_.roster.erase(id);
+            replica_.roster.erase(id);
             rosterDrop_.erase(id);
         }
         for (auto& write : doneWrites_) {
@@ -801,7 +808,7 @@
         std::vector<bookkeeping::Change> changes;
         for (const auto& [job, endedMs] : finalWrites_) {
             if (job->final != Final::open) continue;
-            mirror_.noteDone(*job, result.revision, endedMs, changes);
+            replica_.noteDone(*job, result.revision, endedMs, changes);
             unstored_.erase(job);
             std::erase(open_, job);
             orderStale_ = true;
@@ -809,22 +816,22 @@
         // Only now may what needs these jobs start: until its end was stored a cancellation could still win.
         jobsChanged(changes);
         if (!typesWrite_.empty()) {
-            mirror_.types = typesWrite_;
-            mirror_.typesVersion = result.revision;
+            replica_.types = typesWrite_;
+            replica_.typesVersion = result.revision;
             typesUnstored_ = false;
         }
     } else if (result.status == TxnStatus::conflict &&
                std::find(result.failed.begin(), result.failed.end(), keys::kToken) != result.failed.end()) {
         actions_.push_back(Resign{"another node raised the token"});
     } else if (result.status == TxnStatus::tooLarge) {
-        writeLess();
+        shrinkWrites();
     } else if (result.status == TxnStatus::refused || result.status == TxnStatus::tooMany) {
         nextWrite_ = now_ + 500ms;
         if (result.status == TxnStatus::tooMany) writeBudget_.refused(now_);
     } else {
         // Changed by a user's cancellation, or of unknown outcome: see what is stored, then try again.
         refreshing_ = true;
-        actions_.push_back(RefreshMirror{});
+        actions_.push_back(RefreshReplica{});
     }
     typesWrite_.clear();
     doneWrites_.clear();
@@ -836,40 +843,40 @@
 /// The last write was too large for the service. All that it held is still to be stored, in smaller pieces;
 /// what is too large alone is a bitmap, which can be cut further, or a last record that can go without more,
 /// or waits aside while the rest goes on.
-void Leader::writeLess() {
-    growthPause_ = std::clamp<Clock::duration>(growthPause_ * 2, kGrowthPause, kLongestGrowthPause);
+void Leader::shrinkWrites() {
+    growthPause_ = std::clamp<Clock::duration>(growthPause_ * 2, kGrowthPause, kMaxGrowthPause);
     nextGrowth_ = now_ + growthPause_;
     for (auto& write : doneWrites_) write.job->run->nextBits = now_;
     if (writingKeys_.size() > 1) {
-        mostOps_ = writingKeys_.size() / 2;
-        mostBytes_ = std::max(kLeastBytes, writingBytes_ / 2);
-    } else if (!doneWrites_.empty() && mostBitBytes_ > kLeastBitBytes) {
+        maxOperations_ = writingKeys_.size() / 2;
+        maxBytes_ = std::max(kMinBytes, writingBytes_ / 2);
+    } else if (!doneWrites_.empty() && maxBitmapBytes_ > kMinBitBytes) {
         // Below the value that was refused: a small job's chunk may have been well within the bound.
         const auto& range = doneWrites_.front().range;
         const auto bytes = (range.end - range.first + 3) / 4 + 2;
-        mostBitBytes_ = std::max(kLeastBitBytes, std::min(mostBitBytes_, bytes) / 2);
-    } else if (!finalWrites_.empty() && mostFinalBytes_ > kLeastFinalBytes) {
-        mostFinalBytes_ = std::min(mostFinalBytes_, writingBytes_) / 2;
+        maxBitmapBytes_ = std::max(kMinBitBytes, std::min(maxBitmapBytes_, bytes) / 2);
+    } else if (!finalWrites_.empty() && maxFinalBytes_ > kMinFinalBytes) {
+        maxFinalBytes_ = std::min(maxFinalBytes_, writingBytes_) / 2;
     } else {
-        setAside_[writingKeys_.front()] = now_ + kSetAside;
+        deferredKeys_[writingKeys_.front()] = now_ + kDeferredFor;
     }
 }
 
-void Leader::writeMore() {
+void Leader::growWrites() {
     if (now_ < nextGrowth_) return;
-    mostOps_ = std::min<std::size_t>(mostOps_ * 2, settings_.leastTxnOps());
-    mostBytes_ = std::min(mostBytes_ * 2, kMostBytes);
+    maxOperations_ = std::min<std::size_t>(maxOperations_ * 2, settings_.minTxnOps());
+    maxBytes_ = std::min(maxBytes_ * 2, kMaxBytes);
     nextGrowth_ = now_ + growthPause_;
 }
 
-void Leader::on(MirrorRefreshed& command) {
+void Leader::on(ReplicaRefreshed& command) {
     if (!command.ok) {
-        actions_.push_back(RefreshMirror{});
+        actions_.push_back(RefreshReplica{});
         return;
     }
     refreshing_ = false;
     for (auto& [id, machine] : fleet_.machines())
-        if (machine->reports && machine->roster != RosterState::stored) keepRoster(*machine);
+        if (machine->reports && machine->roster != RosterState::stored) ensureRosterEntry(*machine);
 }
 
 /// The whole picture, for a debug log.
@@ -877,7 +884,7 @@
     for (const auto& [id, m] : fleet_.machines())
         spdlog::debug(
             "machine {} {} {} spot {} reports {} roster {} tasks {} cpus {} gpus {} memory {} images {}{}{}",
-            id, m->type, m->zone, m->spot, m->reports, static_cast<int>(m->roster), m->places.size(),
+            id, m->type, m->zone, m->spot, m->reports, static_cast<int>(m->roster), m->placements.size(),
             m->used.cpus, m->used.gpus, m->used.memoryGb, m->images.size(),
             m->draining || m->releasing || m->failed || m->recallAt ? ", leaving" : "",
             m->reservedFor && m->reservedUntil > now_ ? ", reserved" : "");
@@ -885,21 +892,22 @@
         spdlog::debug("job {} {} rank {} waits: {} of {} tasks, {} possible, for {:.1f} s", job->spec.id,
                       job->spec.jobClass, rankOf(*job), job->run->waiting, job->spec.tasks,
                       job->run->liveTotal, Seconds(now_ - job->run->waitingSince).count());
-    for (const auto& [shape, refusal] : refusals_)
-        if (refusal.until > now_) spdlog::debug("refused: {} {} spot {}", shape.type, shape.zone, shape.spot);
+    for (const auto& [offering, refusal] : refusals_)
+        if (refusal.until > now_)
+            spdlog::debug("refused: {} {} spot {}", offering.type, offering.zone, offering.spot);
 }
 
 // --- time -------------------------------------------------------------------------------------------------
 
 void Leader::on(Tick&) {
-    if (lastTick_ != Time{} && now_ - lastTick_ > kPaused) {
+    if (lastTick_ != Time{} && now_ - lastTick_ > kTickGap) {
         // This node was not entitled to act for a while, or too slow: silence meanwhile was its own.
         lastReport_ = now_;
         for (auto& [id, machine] : fleet_.machines())
             machine->lastReport = std::max(machine->lastReport, now_ - ticks(settings_.report));
     }
     lastTick_ = now_;
-    watchSilence();
+    checkSilentMachines();
     refreshOrder();
     refreshPacing();
     planGangs();
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -18,11 +18,11 @@
 using bookkeeping::Fleet;
 using bookkeeping::Job;
 using bookkeeping::Machine;
-using bookkeeping::Mirror;
+using bookkeeping::Offering;
 using bookkeeping::Placement;
-using bookkeeping::PlaceState;
+using bookkeeping::PlacementState;
 using bookkeeping::Resources;
-using bookkeeping::Shape;
+using bookkeeping::StateReplica;
 using protocol::MachineType;
 using protocol::Order;
 using protocol::Policy;
@@ -37,7 +37,7 @@
 struct ReportArrived {
     std::uint64_t request = 0;
     Report report;
-    bool informed = true;  // what was cancelled until a moment ago is known here
+    bool cancellationsCurrent = true;  // what was cancelled until a moment ago is known here
 };
 using Counters = std::pair<std::uint64_t, std::uint64_t>;  // session and sequence of a worker's message
 struct WorkerAnswered {  // to SendOrders; no report: it could not be reached
@@ -51,7 +51,7 @@
 struct StateWritten {  // what came of WriteState
     storage::TxnResult result;
 };
-struct MirrorRefreshed {
+struct ReplicaRefreshed {
     bool ok = false;
 };
 struct RentalAnswered {
@@ -73,7 +73,7 @@
 };
 struct Tick {};
 
-using Command = std::variant<ReportArrived, WorkerAnswered, JobsChanged, StateWritten, MirrorRefreshed,
+using Command = std::variant<ReportArrived, WorkerAnswered, JobsChanged, StateWritten, ReplicaRefreshed,
                              RentalAnswered, ReleaseAnswered, MachinesListed, TypesListed, Tick>;
 
 // What a leader wants done.
@@ -92,7 +92,7 @@
     std::vector<protocol::KeyCondition> conditions;
     std::vector<protocol::KeyWrite> writes;
 };
-struct RefreshMirror {};
+struct RefreshReplica {};
 struct Rent {
     protocol::RentalRequest request;
 };
@@ -103,19 +103,19 @@
 struct ListTypes {};
 struct Resign {
     std::string why;
-    bool selfish = false;  // this node is the likely cause, so it should not lead again soon
+    bool deferToPeers = false;  // this node is the likely cause, so it should not lead again soon
 };
 
-using Action = std::variant<AnswerReport, SendOrders, WriteState, RefreshMirror, Rent, Release, ListMachines,
+using Action = std::variant<AnswerReport, SendOrders, WriteState, RefreshReplica, Rent, Release, ListMachines,
                             ListTypes, Resign>;
 
 /// The decisions of a leading controller, from take-over to resignation: functions of its state, a command
-/// and the time. It does no I/O. The mirror must be fresh when it is made.
+/// and the time. It does no I/O. The replica must be fresh when it is made.
 class Leader {
   public:
     /// `dayMs` is the time of day at `now`, for the ages of jobs accepted earlier.
-    Leader(const Settings& settings, const Policy& policy, Mirror& mirror, std::uint64_t token, Time now,
-           std::uint64_t dayMs);
+    Leader(const Settings& settings, const Policy& policy, StateReplica& replica, std::uint64_t token,
+           Time now, std::uint64_t dayMs);
     ~Leader();
     Leader(const Leader&) = delete;
     Leader& operator=(const Leader&) = delete;
@@ -142,11 +142,11 @@
         Time since{}, nextTry{};
         bool asked = false, fresh = true;  // fresh: never asked for so far
     };
-    struct Bespoken {  // a zone for a gang
+    struct ZoneReservation {  // a zone for a gang
         const Job* job = nullptr;
         Time until{}, since{};
     };
-    struct Sacrifice {  // what would stop on a machine to make room
+    struct PreemptionPlan {  // what would stop on a machine to make room
         Machine* machine = nullptr;
         std::vector<Placement*> victims;
         double loss = 0;
@@ -162,100 +162,101 @@
     void on(WorkerAnswered& command);
     void on(JobsChanged& command);
     void on(StateWritten& command);
-    void on(MirrorRefreshed& command);
+    void on(ReplicaRefreshed& command);
     void on(RentalAnswered& command);
     void on(ReleaseAnswered& command);
     void on(MachinesListed& command);
     void on(TypesListed& command);
     void on(Tick& command);
 
-    Machine& identify(const std::string& id, const std::string& type, const std::string& zone, bool spot);
-    void merge(Machine& machine, const Report& report, bool isReport);
-    void mergeTask(Machine& machine, const protocol::TaskReport& task);
-    void finished(Job& job, std::uint32_t task);
-    void gone(Machine& machine, const Placement& placement, protocol::ExitReason why);
+    Machine& findOrAddMachine(const std::string& id, const std::string& type, const std::string& zone,
+                              bool spot);
+    void applyReport(Machine& machine, const Report& report, bool isReport);
+    void applyTaskReport(Machine& machine, const protocol::TaskReport& task);
+    void noteTaskDone(Job& job, std::uint32_t task);
+    void endPlacement(Machine& machine, const Placement& placement, protocol::ExitReason why);
     void stop(Machine& machine, Placement& placement, Seconds grace);
     void stopJob(Job& job, Seconds grace);
-    void settle(Machine& machine);
+    void clearAfterLease(Machine& machine);
     void probe(Machine& machine);
     void sendOrders(const Machine& machine);
-    void doubt(Machine& machine);
-    void noteUnheeded(Machine& machine);
-    void forget(Machine& machine);
-    void adoptJob(Job& job, bool inherited);
+    void quarantine(Machine& machine);
+    void noteUndelivered(Machine& machine);
+    void removeMachine(Machine& machine);
+    void beginJob(Job& job, bool inherited);
     Time clockOf(std::uint64_t dayMs) const;
     Time dueAt(const Job& job) const { return clockOf(*job.dueMs); }
     void jobsChanged(const std::vector<bookkeeping::Change>& changes);
-    std::vector<Order> compose(Machine& machine, const Report& report, bool informed);
+    std::vector<Order> composeOrders(Machine& machine, const Report& report, bool cancellationsCurrent);
     std::vector<Order> stopOrders(const Machine& machine) const;
-    void sendUrgent();
-    void recall(Machine& machine);
-    void watchSilence();
+    void sendUrgentStops();
+    void drainForRecall(Machine& machine);
+    void checkSilentMachines();
     storage::MachineRecord recordOf(const Machine& machine) const;
     bool mayHoldTasks(const std::string& id) const;
-    void keepRoster(Machine& machine);
+    void ensureRosterEntry(Machine& machine);
     void maybeWrite();
-    void writeLess();
-    void writeMore();
+    void shrinkWrites();
+    void growWrites();
     void dump() const;
-    bool endsWithOneWrite(const Job& job) const;
+    bool finalWriteSuffices(const Job& job) const;
 
     // placement.cpp
     bool usable(const Machine& machine) const;
     const MachineType* typeOf(const std::string& name) const;
-    Resources roomOn(const Machine& machine, const Job& job) const;
+    Resources availableRoom(const Machine& machine, const Job& job) const;
     bool allows(const Job& job, const std::string& type, const std::string& zone, bool spot) const;
     bool mayStart(const Job& job, const Machine& machine) const;
-    bool heldBackFor(const Job& job, Clock::duration time) const;
-    bool sparesAccelerators(const Job& job, const Machine& machine) const;
-    bool plainToBeHad(const Job& job) const;
-    bool shortOf(const std::string& type) const;
-    void noteAccelerators(const Job& job);
+    bool hasWaitedUnstarted(const Job& job, Clock::duration time) const;
+    bool acceleratorRoomAllows(const Job& job, const Machine& machine) const;
+    bool plainMachineRentable(const Job& job) const;
+    bool allOfferingsRefused(const std::string& type) const;
+    void recordAcceleratorNeed(const Job& job);
     bool withinTeamLimit(const Job& job, std::uint32_t tasks) const;
     bool zoneAllows(const Job& job, const std::string& zone) const;
-    bool blockedByUnheard(const Job& job) const;
+    bool blockedByUnreconciled(const Job& job) const;
     int rankOf(const Job& job) const;
     void refreshOrder();
     void admit(Job& job);
     void schedule(Machine& machine, std::vector<Order>& orders);
     bool startOne(Machine& machine, Job& job, std::vector<Order>& orders);
     bool paceAllows(const Job& job, const Machine& machine);
-    std::uint32_t cachedRoom(Job& job);
-    bool yields(const Placement& placement, const Job& job) const;
-    bool isNew(const Placement& placement) const;
-    bool opens(const Placement& placement) const;
+    std::uint32_t roomWithImage(Job& job);
+    bool mayPreempt(const Placement& placement, const Job& job) const;
+    bool startedRecently(const Placement& placement) const;
+    bool isProtectedStart(const Placement& placement) const;
     bool waitsForImage(Job& job);
-    Resources mostRoom(const Machine& machine, const Job& job) const;
+    Resources maxRoom(const Machine& machine, const Job& job) const;
     void refreshPacing();
     double cachedSeconds(const Machine& machine) const;
-    void noteFetch(Machine& machine, Job& job);
-    void holdRoom(Machine& machine, const Job& job);
+    void recordFetch(Machine& machine, Job& job);
+    void reserveFreedRoom(Machine& machine, const Job& job);
     void planGangs();
     bool mayComplete(const Job& job);
     bool planGang(Job& job, const std::vector<Machine*>& machines, const std::string* zone);
     void preempt();
-    Seconds patienceOf(const Job& job) const;
-    std::optional<Sacrifice> sacrificeFor(Machine& machine, const Job& job, std::uint32_t tasks);
-    void carryOut(const Sacrifice& sacrifice, Job& job, Clock::duration until);
-    int preemptFor(Job& job);
-    int gather(Job& job);
-    void bespeak(const Job& job, const std::string& zone);
-    bool bespokenAgainst(const Job& job, const Machine& machine) const;
+    Seconds preemptionDelay(const Job& job) const;
+    std::optional<PreemptionPlan> planPreemption(Machine& machine, const Job& job, std::uint32_t tasks);
+    void execute(const PreemptionPlan& plan, Job& job, Clock::duration until);
+    int makeRoomFor(Job& job);
+    int makeRoomForGang(Job& job);
+    void reserveZone(const Job& job, const std::string& zone);
+    bool reservedForOther(const Job& job, const Machine& machine) const;
 
     // provisioning.cpp
     void provision();
     bool mayRent(const Job& job, const std::string& zone) const;
-    bool boundToAccelerators(const Job& job) const;
-    bool worthIt(const Job& job, const MachineType& type, bool spot) const;
-    void requestRentals(const std::map<Shape, std::uint32_t>& wanted);
+    bool needsAcceleratorMachine(const Job& job) const;
+    bool worthRenting(const Job& job, const MachineType& type, bool spot) const;
+    void requestRentals(const std::map<Offering, std::uint32_t>& wanted);
     bool wasUp(const Machine& machine) const;
     void releaseIdle(const std::set<std::string>& needed);
-    bool refused(const Shape& shape) const;
-    void refuse(const Shape& shape);
+    bool refused(const Offering& offering) const;
+    void noteRefusal(const Offering& offering);
 
     const Settings& settings_;
     const Policy& policy_;
-    Mirror& mirror_;
+    StateReplica& replica_;
     const std::uint64_t token_;
     const Time began_;
     const std::uint64_t beganMs_;
@@ -266,17 +267,17 @@
     std::map<std::string, MachineType> types_;
     std::uint64_t attempts_ = 0, rentals_ = 0;
     // Machines that are gone, with the newest counters seen: what is not newer is a late copy.
-    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> departed_;
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> removedMachines_;
     std::set<std::string> urgent_;  // machines to be sent their stops at once
 
     // the state service
     storage::RateBudget writeBudget_;
     // What a transaction may have. Lowered when the service says that one was too large, and raised again.
-    std::size_t mostOps_, mostBytes_, mostBitBytes_, mostFinalBytes_;
+    std::size_t maxOperations_, maxBytes_, maxBitmapBytes_, maxFinalBytes_;
     Clock::duration growthPause_{};
     Time nextGrowth_{};
-    std::map<std::string, Time> setAside_;  // keys whose value is too large alone, until when
-    std::vector<std::string> writingKeys_;  // of the write under way
+    std::map<std::string, Time> deferredKeys_;  // keys whose value is too large alone, until when
+    std::vector<std::string> writingKeys_;      // of the write under way
     std::size_t writingBytes_ = 0;
     bool writing_ = false, refreshing_ = false;
     Time nextWrite_{};
@@ -292,13 +293,13 @@
 
     // placement
     std::vector<Job*> order_;  // waiting jobs in the order they are walked
-    double leastCpus_ = 0;     // that any of them needs
+    double minCpus_ = 0;       // that any of them needs
     std::vector<Job*> open_;
     bool orderStale_ = true;
     Time nextOrder_{}, nextPacing_{}, nextGangs_{};
     std::map<std::string, std::pair<Resources, Priority>> acceleratorNeeds_;
     // Machines per type whose replicas leave no room for the jobs that need accelerators, and all.
-    std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> givenOver_;
+    std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> sharedWithServices_;
     // Processors, per zone and kind, that replicas could have on machines without accelerators.
     std::map<std::pair<std::string, bool>, double> plainRoom_;
     std::map<std::string, Time> zoneFetch_;    // the last fetch started per zone
@@ -306,7 +307,7 @@
     double meanCachedSeconds_ = 0;
     std::size_t machinesUp_ = 0;
     std::set<std::string> liveZones_;
-    std::map<std::string, Bespoken> bespoken_;  // per zone
+    std::map<std::string, ZoneReservation> zoneReservations_;  // per zone
     std::size_t preemptFrom_ = 0, turn_ = 0;
     std::uint64_t visited_ = 0;  // machines looked at on behalf of jobs; tests count them
     double meanFetch_ = 0;
@@ -315,11 +316,12 @@
     // machines
     Time lastTick_{};
     Time nextSilence_{}, nextPreempt_{}, nextPlan_{}, nextDump_{}, nextList_{}, nextTypes_{}, lastReport_{};
-    bool anyReport_ = false, stayed_ = false;  // a worker reached this leader; it leads though none does
+    bool anyReport_ = false,
+         leadsWithoutWorkers_ = false;  // a worker reached this leader; it leads though none does
     bool listing_ = false;
     storage::RateBudget cloudBudget_;
     std::deque<PendingRental> rentalsPending_;
-    std::map<Shape, Refusal> refusals_;
+    std::map<Offering, Refusal> refusals_;
     bool releasing_ = false;
     Time nextRelease_{};
 };
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -27,13 +27,13 @@
 constexpr auto kWriteTimeout = 1500ms;
 constexpr auto kPeerTimeout = 900ms;
 constexpr auto kPeerSilence = 2500ms;
-constexpr auto kBackSoon = 9s;          // a worker back within this did not get through to the leader
-constexpr auto kRelayFor = 30s;         // then it is sent to the leader again, to see
-constexpr auto kRelayTimeout = 2500ms;  // the worker waits for 4 s
-constexpr auto kAlone = 2500ms;         // without an answer of the state service that others get
-constexpr auto kServedSince = 2000ms;   // and these got one so long after this node's last
+constexpr auto kRelayMemory = 9s;            // a worker back within this did not get through to the leader
+constexpr auto kRelayFor = 30s;              // then it is sent to the leader again, to see
+constexpr auto kRelayTimeout = 2500ms;       // the worker waits for 4 s
+constexpr auto kRefusedAloneAfter = 2500ms;  // without an answer of the state service that others get
+constexpr auto kPeersServedFor = 2000ms;     // and these got one so long after this node's last
 constexpr unsigned kPageMachines = 500;
-constexpr std::size_t kMostTold = 500;  // cancellations in one message
+constexpr std::size_t kMaxTold = 500;  // cancellations in one message
 
 Response respond(int status, std::string body = {}) {
     Response r;
@@ -64,16 +64,16 @@
                     Duration(static_cast<int>(1000 * 1.5 * nodes / (settings.stateRps * 0.75))));
 }
 
-std::uint64_t drawLog() {
+std::uint64_t drawLogId() {
     std::random_device device;
     return std::uniform_int_distribution<std::uint64_t>(1)(device);  // 0 names none
 }
 
 }  // namespace
 
-bool Detour::over(Time now) const { return now >= until_ && now - at_ >= kBackSoon; }
+bool RelayDecider::over(Time now) const { return now >= until_ && now - at_ >= kRelayMemory; }
 
-bool Detour::passOn(Time now) {
+bool RelayDecider::shouldRelay(Time now) {
     if (over(now)) *this = {};
     at_ = now;
     if (now < until_) return true;
@@ -110,8 +110,8 @@
       http_(io, sockets(settings, kServiceSockets)),
       workers_(io, sockets(settings, kWorkerSockets)),
       state_(http_, settings.state, settings.stateRps, 0.5, Clock::now()),
-      sync_(
-          io, state_, mirror_,
+      watcher_(
+          io, state_, replica_,
           [this](const std::vector<bookkeeping::Change>& changes) {
               JobsChanged jobs;
               for (const auto& change : changes)
@@ -120,10 +120,10 @@
           },
           readSpacing(settings)),
       election_(
-          settings, policy, state_, mirror_, sync_, [this](std::uint64_t token) { won(token); },
+          settings, policy, state_, replica_, watcher_, [this](std::uint64_t token) { won(token); },
           [this] { lost(); }),
-      desk_(io, settings, state_, mirror_, sync_),
-      log_(drawLog()),
+      userApi_(io, settings, state_, replica_, watcher_),
+      log_(drawLogId()),
       ticker_(io),
       users_(io, transport::parseEndpoint(settings.listen), limits(settings, kUserSockets),
              [this](Request&& request, Reply reply) {
@@ -133,7 +133,7 @@
                   [this](Request&& request, Reply reply) {
                       enqueue(Call{std::move(request), std::move(reply), true});
                   }) {
-    sync_.start();
+    watcher_.start();
     tick();
 }
 
@@ -162,10 +162,10 @@
     election_.tick(now);
     if (leader_ && election_.valid(now)) lead(Tick{});
     // A leader must know what is cancelled.
-    const bool old = leader_ && now - sync_.asOf() > 400ms;
+    const bool old = leader_ && now - watcher_.asOf() > 400ms;
     if (now >= nextHeartbeat_ && (old || now - state_.lastAnswer() > 800ms)) {
         nextHeartbeat_ = now + (leader_ ? 400ms : 800ms);
-        sync_.fresh([](bool) {});
+        watcher_.fresh([](bool) {});
     }
     // Refused by the state service alone, this node cannot lead for long: better that a peer does it at once.
     if (leader_ && refusedAlone(now)) {
@@ -179,7 +179,7 @@
         nextClean_ = now + 5s;
         http_.closeIdle(20s);
         workers_.closeIdle(20s);
-        std::erase_if(detours_, [&](const auto& entry) { return entry.second.over(now); });
+        std::erase_if(relayDeciders_, [&](const auto& entry) { return entry.second.over(now); });
     }
     ticker_.expires_after(kTick);
     ticker_.async_wait([this](auto error) {
@@ -201,7 +201,7 @@
         return call.reply(respond(readiness_.ready() ? 200 : 503));
     }
     if (request.path == paths::kReport) return serveReport(call);
-    if (!desk_.handle(request, call.reply)) call.reply(respond(404, protocol::errorReply("no such path")));
+    if (!userApi_.handle(request, call.reply)) call.reply(respond(404, protocol::errorReply("no such path")));
 }
 
 void Node::serveReport(Call& call) {
@@ -219,7 +219,7 @@
         return call.reply(respond(400, protocol::errorReply(error.what())));
     }
     command.request = ++requests_;
-    command.informed = election_.informed(Clock::now());
+    command.cancellationsCurrent = election_.cancellationsCurrent(Clock::now());
     reports_[command.request] = std::move(call.reply);
     lead(std::move(command));
 }
@@ -229,16 +229,17 @@
     const auto now = Clock::now();
     // A leader not heard of for a while may be gone; naming it would send the worker into a time-out.
     const auto* leader =
-        call.fromPeer || election_.leading() || !mirror_.leader ? nullptr : &mirror_.leader->node;
+        call.fromPeer || election_.leading() || !replica_.leader ? nullptr : &replica_.leader->node;
     if (!leader || !inTouch(*leader, now))
-        return call.reply(respond(421, protocol::encodeElsewhere(call.fromPeer ? "" : wayToLeader(now))));
+        return call.reply(
+            respond(421, protocol::encodeElsewhere(call.fromPeer ? "" : peerInTouchWithLeader(now))));
     Report report;
     try {
         report = protocol::decodeReport(call.request.body);
     } catch (const Malformed& error) {
         return call.reply(respond(400, protocol::errorReply(error.what())));
     }
-    if (!detours_[report.machine].passOn(now))
+    if (!relayDeciders_[report.machine].shouldRelay(now))
         return call.reply(respond(421, protocol::encodeElsewhere(*leader)));
     const auto peer = std::find_if(settings_.peers.begin(), settings_.peers.end(),
                                    [&](const auto& p) { return p.name == *leader; });
@@ -257,10 +258,10 @@
 
 /// A peer that is in touch with a leader that this node cannot reach: a worker that tried one node after the
 /// other would spend its lease on those behind the same cut.
-std::string Node::wayToLeader(Time now) const {
-    if (election_.leading() || !mirror_.leader) return "";
+std::string Node::peerInTouchWithLeader(Time now) const {
+    if (election_.leading() || !replica_.leader) return "";
     for (const auto& [name, view] : peers_)
-        if (name != mirror_.leader->node && inTouch(name, now) && view.hears == mirror_.leader->token)
+        if (name != replica_.leader->node && inTouch(name, now) && view.leaderToken == replica_.leader->token)
             return name;
     return "";
 }
@@ -270,12 +271,12 @@
 protocol::PeerStatus Node::ownStatus(Time now) const {
     protocol::PeerStatus status;
     status.node = settings_.name;
-    status.givenUp = election_.givenUp();
+    status.resignedToken = election_.resignedToken();
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - state_.lastAnswer());
     status.stateAgeMs = static_cast<std::uint64_t>(std::max<std::int64_t>(0, age.count()));
-    if (mirror_.leader && inTouch(mirror_.leader->node, now)) status.hears = mirror_.leader->token;
+    if (replica_.leader && inTouch(replica_.leader->node, now)) status.leaderToken = replica_.leader->token;
     if (leader_ && election_.valid(now)) {
-        status.token = status.hears = leader_->token();
+        status.token = status.leaderToken = leader_->token();
         status.running = leader_->runningCounts();
     }
     return status;
@@ -285,23 +286,22 @@
     if (now < nextPeers_) return;
     nextPeers_ = now + 1s;
     auto status = ownStatus(now);
-    if (leader_) desk_.setRunning(leader_->runningCounts());
+    if (leader_) userApi_.setRunning(leader_->runningCounts());
     for (const auto& peer : settings_.peers) {
-        if (leader_) askFor(peer.name, status);
+        if (leader_) describeKnownState(peer.name, status);
         http_.request(peer.address, "POST", paths::kPeer, protocol::encodePeerStatus(status), kPeerTimeout,
                       [this, round = leaderRound_, name = peer.name, sent = now](Outcome outcome) {
                           if (!outcome.ok()) return;
                           try {
                               const auto answer = protocol::decodePeerStatus(outcome.body);
                               if (answer.node != name) return;
-                              notePeer(answer, Clock::now());
-                              takeCancelled(answer);
+                              notePeerStatus(answer, Clock::now());
+                              applyCancellations(answer);
                               // A promise of a peer that has more to tell would carry this leader on while
                               // tasks go on that users were told are cancelled.
-                              if (leader_ && round == leaderRound_ && answer.told)
-                                  election_.notePromise(
-                                      name, Duration(std::min<std::uint64_t>(answer.promiseMs, 60'000)),
-                                      sent);
+                              if (leader_ && round == leaderRound_ && answer.complete)
+                                  election_.noteGrant(
+                                      name, Duration(std::min<std::uint64_t>(answer.grantMs, 60'000)), sent);
                           } catch (const Malformed& error) {
                               spdlog::error("malformed answer of a peer: {}", error.what());
                           }
@@ -310,31 +310,31 @@
 }
 
 /// What a leader's question to a peer names, so that the peer tells the cancellations not known here.
-void Node::askFor(const std::string& peer, protocol::PeerStatus& question) const {
+void Node::describeKnownState(const std::string& peer, protocol::PeerStatus& question) const {
     const auto view = peers_.find(peer);
-    question.revision = mirror_.revision;
+    question.revision = replica_.revision;
     question.log = view == peers_.end() ? 0 : view->second.log;
     question.logAt = view == peers_.end() ? 0 : view->second.logAt;
 }
 
 /// In parts, as a message has its bounds; the asking leader comes back for the next at once.
-void Node::tellCancelled(const protocol::PeerStatus& asking, protocol::PeerStatus& answer) const {
-    const auto& known = mirror_.cancelled();
+void Node::appendCancellations(const protocol::PeerStatus& asking, protocol::PeerStatus& answer) const {
+    const auto& known = replica_.cancelled();
     answer.log = log_;
     auto at = asking.log == log_ ? std::min<std::uint64_t>(asking.logAt, known.size()) : 0;
-    for (; at < known.size() && answer.cancelled.size() < kMostTold; ++at)
+    for (; at < known.size() && answer.cancelled.size() < kMaxTold; ++at)
         if (known[at]->version > asking.revision)
             answer.cancelled.push_back({known[at]->spec.id, known[at]->version});
     answer.logAt = at;
-    answer.told = at == known.size();
+    answer.complete = at == known.size();
 }
 
-void Node::takeCancelled(const protocol::PeerStatus& answer) {
-    for (const auto& [job, version] : answer.cancelled) sync_.noteCancelled(job, version);
+void Node::applyCancellations(const protocol::PeerStatus& answer) {
+    for (const auto& [job, version] : answer.cancelled) watcher_.noteCancelled(job, version);
     auto& view = peers_[answer.node];
     view.log = answer.log;
     view.logAt = answer.logAt;
-    if (!answer.cancelled.empty() && !answer.told) nextPeers_ = Clock::now();
+    if (!answer.cancelled.empty() && !answer.complete) nextPeers_ = Clock::now();
 }
 
 void Node::servePeer(Call& call) {
@@ -345,14 +345,14 @@
     try {
         const auto now = Clock::now();
         const auto asking = protocol::decodePeerStatus(call.request.body);
-        notePeer(asking, now);
+        notePeerStatus(asking, now);
         auto status = ownStatus(now);
         status.running.clear();
         if (asking.token > 0) {
-            tellCancelled(asking, status);
-            if (status.told)
-                status.promiseMs =
-                    static_cast<std::uint64_t>(election_.promise(asking.node, asking.token, now).count());
+            appendCancellations(asking, status);
+            if (status.complete)
+                status.grantMs = static_cast<std::uint64_t>(
+                    election_.grantExtension(asking.node, asking.token, now).count());
         }
         call.reply(respond(200, protocol::encodePeerStatus(status)));
     } catch (const Malformed& error) {
@@ -360,7 +360,7 @@
     }
 }
 
-void Node::notePeer(const protocol::PeerStatus& status, Time now) {
+void Node::notePeerStatus(const protocol::PeerStatus& status, Time now) {
     const bool known = std::any_of(settings_.peers.begin(), settings_.peers.end(),
                                    [&](const auto& peer) { return peer.name == status.node; });
     if (!known) return;
@@ -368,12 +368,12 @@
     view.heardAt = now;
     view.stateAnsweredAt =
         now - std::chrono::milliseconds(std::min<std::uint64_t>(status.stateAgeMs, 1u << 30));
-    view.hears = status.hears;
-    election_.noteAbdication(status.givenUp);
-    if (!status.running.empty() && status.token >= mirror_.token) desk_.setRunning(status.running);
+    view.leaderToken = status.leaderToken;
+    election_.noteResignation(status.resignedToken);
+    if (!status.running.empty() && status.token >= replica_.token) userApi_.setRunning(status.running);
 }
 
-bool Node::able(Time now) const { return sync_.synced() && !mirror_.types.empty() && !refusedAlone(now); }
+bool Node::able(Time now) const { return watcher_.synced() && !replica_.types.empty() && !refusedAlone(now); }
 
 /// The state service answers peers and not this node. When nobody is answered it is an outage that all nodes
 /// share, and stepping aside would help nobody: nobody could take over, and every task would be lost. So a
@@ -381,11 +381,11 @@
 /// is no reason, since the leader goes on by its peers' promises.
 bool Node::refusedAlone(Time now) const {
     const auto last = state_.lastAnswer();
-    if (now - last < kAlone) return false;
+    if (now - last < kRefusedAloneAfter) return false;
     return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
         const auto& view = entry.second;
         return now - view.heardAt < 2500ms && now - view.stateAnsweredAt < 2000ms &&
-               view.stateAnsweredAt - last >= kServedSince;
+               view.stateAnsweredAt - last >= kPeersServedFor;
     });
 }
 
@@ -394,7 +394,7 @@
 void Node::won(std::uint64_t token) {
     ++leaderRound_;
     leader_ =
-        std::make_unique<Leader>(settings_, policy_, mirror_, token, Clock::now(), transport::timeOfDayMs());
+        std::make_unique<Leader>(settings_, policy_, replica_, token, Clock::now(), transport::timeOfDayMs());
     lead(Tick{});
 }
 
@@ -452,9 +452,9 @@
                     });
 }
 
-void Node::perform(RefreshMirror&) {
-    sync_.fresh([this, round = leaderRound_](bool ok) {
-        if (round == leaderRound_) enqueue(Command(MirrorRefreshed{ok}));
+void Node::perform(RefreshReplica&) {
+    watcher_.fresh([this, round = leaderRound_](bool ok) {
+        if (round == leaderRound_) enqueue(Command(ReplicaRefreshed{ok}));
     });
 }
 
@@ -533,7 +533,7 @@
 
 void Node::perform(Resign& action) {
     spdlog::info("resigning: {}", action.why);
-    election_.resign(Clock::now(), action.selfish);
+    election_.resign(Clock::now(), action.deferToPeers);
 }
 
 }  // namespace burlpoint::coordination
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -6,9 +6,9 @@
 #include <variant>
 
 #include "coordination/election.h"
-#include "coordination/frontdesk.h"
 #include "coordination/leader.h"
-#include "coordination/sync.h"
+#include "coordination/state_watcher.h"
+#include "coordination/user_api.h"
 #include "transport/http.h"
 
 namespace burlpoint::coordination {
@@ -30,9 +30,9 @@
 /// is passed on, as the worker's lease may be short by now; with the second the worker is sent to the leader.
 /// If it is back soon, a cut lies between the two and not between them and this node, which then stands in
 /// for a while.
-class Detour {
+class RelayDecider {
   public:
-    bool passOn(transport::Time now);
+    bool shouldRelay(transport::Time now);
     /// Nothing of it matters any more.
     bool over(transport::Time now) const;
 
@@ -65,7 +65,7 @@
     void perform(AnswerReport& action);
     void perform(SendOrders& action);
     void perform(WriteState& action);
-    void perform(RefreshMirror& action);
+    void perform(RefreshReplica& action);
     void perform(Rent& action);
     void perform(Release& action);
     void perform(ListMachines& action);
@@ -76,13 +76,13 @@
     void lost();
     void tick();
     void talkToPeers(transport::Time now);
-    void notePeer(const protocol::PeerStatus& status, transport::Time now);
+    void notePeerStatus(const protocol::PeerStatus& status, transport::Time now);
     bool able(transport::Time now) const;
     bool inTouch(const std::string& peer, transport::Time now) const;
-    void askFor(const std::string& peer, protocol::PeerStatus& question) const;
-    void tellCancelled(const protocol::PeerStatus& asking, protocol::PeerStatus& answer) const;
-    void takeCancelled(const protocol::PeerStatus& answer);
-    std::string wayToLeader(transport::Time now) const;
+    void describeKnownState(const std::string& peer, protocol::PeerStatus& question) const;
+    void appendCancellations(const protocol::PeerStatus& asking, protocol::PeerStatus& answer) const;
+    void applyCancellations(const protocol::PeerStatus& answer);
+    std::string peerInTouchWithLeader(transport::Time now) const;
     bool refusedAlone(transport::Time now) const;
     protocol::PeerStatus ownStatus(transport::Time now) const;
 
@@ -92,10 +92,10 @@
     transport::Client http_;     // to the state service, the cloud and peers
     transport::Client workers_;  // apart, so that silent machines do not take those sockets
     storage::StateClient state_;
-    bookkeeping::Mirror mirror_;
-    Sync sync_;
+    bookkeeping::StateReplica replica_;
+    StateWatcher watcher_;
     Election election_;
-    FrontDesk desk_;
+    UserApi userApi_;
     std::unique_ptr<Leader> leader_;
     std::uint64_t leaderRound_ = 0;  // answers meant for an earlier leadership are dropped
 
@@ -108,11 +108,12 @@
     struct PeerView {
         transport::Time heardAt{};
         transport::Time stateAnsweredAt{};
-        std::uint64_t hears = 0;           // the token of the leader that it is in touch with
+        std::uint64_t leaderToken = 0;     // the token of the leader that it is in touch with
         std::uint64_t log = 0, logAt = 0;  // its log of cancellations, and how far it is known here
     };
     std::unordered_map<std::string, PeerView> peers_;
-    std::unordered_map<std::string, Detour> detours_;  // per machine that reported to this follower
+    std::unordered_map<std::string, RelayDecider>
+        relayDeciders_;  // per machine that reported to this follower
     Readiness readiness_;
     asio::steady_timer ticker_;
     transport::Time nextPeers_{}, nextHeartbeat_{}, nextClean_{};
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -17,20 +17,20 @@
 
 namespace {
 
-constexpr std::size_t kMostStarts = 250;
+constexpr std::size_t kMaxStarts = 250;
 // Nothing may wait for 90 s beside room that it fits in, whatever speaks for keeping it from there.
-constexpr auto kHeldBack = 60s;
-constexpr auto kErrorMemory = kHeldBack;  // a task's failure on a machine keeps its job away from it
-constexpr auto kBespokenTurn = 60s;       // a zone is kept for a gang for so long,
-constexpr auto kOthersTurn = 30s;         // then what has waited has its turn there, and so on
-constexpr auto kBrieflyWaited = 20s;
-constexpr auto kLasting = 30s;  // a start that is stopped sooner is none to its users
-constexpr std::size_t kSickJobs = 2;
-constexpr auto kPlainOnly = 12s;    // how long a replica waits for a machine without accelerators
-constexpr auto kLookAgain = 250ms;  // how long a look at the other machines serves a job
-constexpr double kFavour = 1e6, kSpotLoss = 100,
-                 kFetchLoss = 150;  // processor seconds, when a gang's machines are chosen
-constexpr auto kBespoken = 10s;     // renewed while the gang waits
+constexpr auto kMaxHeldBack = 60s;
+constexpr auto kErrorMemory = kMaxHeldBack;  // a task's failure on a machine keeps its job away from it
+constexpr auto kReservationTurn = 60s;       // a zone is kept for a gang for so long,
+constexpr auto kReservationGap = 30s;        // then what has waited has its turn there, and so on
+constexpr auto kReservationGapMinWait = 20s;
+constexpr auto kMinCountedStart = 30s;  // a start that is stopped sooner is none to its users
+constexpr std::size_t kFaultyAfterJobs = 2;
+constexpr auto kPlainMachinesOnly = 12s;  // how long a replica waits for a machine without accelerators
+constexpr auto kLookupInterval = 250ms;   // how long a look at the other machines serves a job
+constexpr double kReservedBonus = 1e6, kSpotLoss = 100,
+                 kFetchLoss = 150;      // processor seconds, when a gang's machines are chosen
+constexpr auto kZoneReservation = 10s;  // renewed while the gang waits
 constexpr int kProductionRank = 10, kOverdueRank = 6, kGuaranteedRank = 5;
 
 }  // namespace
@@ -42,9 +42,9 @@
 
 bool Leader::usable(const Machine& m) const {
     // A machine without a stored roster entry would be unknown to the next leader, tasks and all.
-    return m.heard && m.reports && m.roster == RosterState::stored && !m.draining && !m.releasing &&
-           !m.failed && !m.recallAt && !m.deafSince && m.quietUntil <= now_ &&
-           m.errorJobs.size() < kSickJobs && m.kind;
+    return m.acknowledged && m.reports && m.roster == RosterState::stored && !m.draining && !m.releasing &&
+           !m.failed && !m.recallAt && !m.unreachableSince && m.quietUntil <= now_ &&
+           m.errorJobs.size() < kFaultyAfterJobs && m.kind;
 }
 
 bool Leader::allows(const Job& job, const std::string& type, const std::string& zone, bool spot) const {
@@ -55,10 +55,10 @@
 }
 
 /// Could an attempt that an earlier leader started be on a machine not heard from yet?
-bool Leader::blockedByUnheard(const Job& job) const {
+bool Leader::blockedByUnreconciled(const Job& job) const {
     if (!job.run->inherited) return false;
-    const auto& shapes = fleet_.unsettled();
-    return std::any_of(shapes.begin(), shapes.end(), [&](const auto& entry) {
+    const auto& offerings = fleet_.unreconciled();
+    return std::any_of(offerings.begin(), offerings.end(), [&](const auto& entry) {
         return allows(job, entry.first.type, entry.first.zone, entry.first.spot);
     });
 }
@@ -69,8 +69,8 @@
     if (team->cpusMax <= 0 && team->gpusMax <= 0) return true;
     auto use = fleet_.teamUse(team->name);
     // Until a machine has been heard, it may be full of this team's tasks.
-    for (const auto& [shape, count] : fleet_.unsettled())
-        if (const auto* type = typeOf(shape.type))
+    for (const auto& [offering, count] : fleet_.unreconciled())
+        if (const auto* type = typeOf(offering.type))
             use += {type->cpus * count, type->gpus * count, type->memoryGb * count};
     constexpr double slack = 1e-6;
     const auto fits = [&](double used, double need, double most) {
@@ -90,7 +90,7 @@
     return true;
 }
 
-Resources Leader::roomOn(const Machine& machine, const Job& job) const {
+Resources Leader::availableRoom(const Machine& machine, const Job& job) const {
     if (!machine.kind) return {};
     auto room = bookkeeping::sizeOf(*machine.kind) - machine.used;
     if (machine.reservedFor != &job && machine.isReserved(now_)) {
@@ -114,7 +114,7 @@
     if (job.final != Final::open || !job.ready() || run.waiting == 0 || run.notBefore > now_) return false;
     if (!allows(job, machine.type, machine.zone, machine.spot) || !zoneAllows(job, machine.zone))
         return false;
-    if (!sparesAccelerators(job, machine) || bespokenAgainst(job, machine)) return false;
+    if (!acceleratorRoomAllows(job, machine) || reservedForOther(job, machine)) return false;
     const auto failed = run.errorMachines.find(machine.id);
     if (failed != run.errorMachines.end() && now_ - failed->second < kErrorMemory &&
         run.errorMachines.size() < 3)
@@ -123,39 +123,40 @@
 }
 
 /// None of the job's tasks has been on a machine for that time.
-bool Leader::heldBackFor(const Job& job, Clock::duration time) const {
+bool Leader::hasWaitedUnstarted(const Job& job, Clock::duration time) const {
     return job.run->liveTotal == 0 && now_ - job.run->waitingSince >= time;
 }
 
 /// Machines with accelerators are few and slow to come by. Work that needs none may use them, but only so far
 /// that a job that does need them can still have the room: at once, or by stopping lower work.
-bool Leader::sparesAccelerators(const Job& job, const Machine& machine) const {
+bool Leader::acceleratorRoomAllows(const Job& job, const Machine& machine) const {
     const auto* type = machine.kind;
-    if (!type || type->gpus <= 0 || job.spec.gpus > 0 || heldBackFor(job, kHeldBack)) return true;
+    if (!type || type->gpus <= 0 || job.spec.gpus > 0 || hasWaitedUnstarted(job, kMaxHeldBack)) return true;
     const bool service = job.spec.kind == Kind::service;
     // A replica stays for as long as its service does, and would hold the dear machine for all that time.
-    if (service && now_ - job.run->waitingSince < kPlainOnly && plainToBeHad(job)) return false;
+    if (service && now_ - job.run->waitingSince < kPlainMachinesOnly && plainMachineRentable(job))
+        return false;
     const auto found = acceleratorNeeds_.find(machine.type);
     if (found == acceleratorNeeds_.end())
-        return job.priority() < Priority::high || service || boundToAccelerators(job);
+        return job.priority() < Priority::high || service || needsAcceleratorMachine(job);
     const auto& [need, priority] = found->second;
     if (job.priority() < priority && !service) return true;
     auto room = bookkeeping::sizeOf(*type) - bookkeeping::needOf(job.spec) - machine.plainUse[4];
     for (auto p = static_cast<std::size_t>(priority); p < 4; ++p) room -= machine.plainUse[p];
     if (room.covers(need)) return true;
-    if (!service || plainToBeHad(job)) return false;
+    if (!service || plainMachineRentable(job)) return false;
     const auto plain = plainRoom_.find({machine.zone, machine.spot});
     if (plain != plainRoom_.end() && plain->second > 4 * job.spec.cpus) return false;
     // Replicas have nowhere else to go. They share machines that others have given over to them, and take
     // more as long as the cloud has more, or up to an eighth of them all.
     if (!(room + bookkeeping::needOf(job.spec)).covers(need)) return true;
-    const auto given = givenOver_.find(machine.type);
-    const bool few = given == givenOver_.end() || given->second.first * 8 < given->second.second;
-    return machine.used.gpus <= 0 && (few || !shortOf(machine.type));
+    const auto given = sharedWithServices_.find(machine.type);
+    const bool few = given == sharedWithServices_.end() || given->second.first * 8 < given->second.second;
+    return machine.used.gpus <= 0 && (few || !allOfferingsRefused(machine.type));
 }
 
 /// The cloud has lately refused machines of this type, in every zone.
-bool Leader::shortOf(const std::string& type) const {
+bool Leader::allOfferingsRefused(const std::string& type) const {
     const auto* known = typeOf(type);
     return known && std::all_of(known->zones.begin(), known->zones.end(), [&](const auto& zone) {
                return refused({type, zone, false});
@@ -163,7 +164,7 @@
 }
 
 /// Some machine without accelerators that the job may use can still be rented.
-bool Leader::plainToBeHad(const Job& job) const {
+bool Leader::plainMachineRentable(const Job& job) const {
     for (const auto& [name, type] : types_) {
         if (type.gpus > 0 || !bookkeeping::sizeOf(type).covers(bookkeeping::needOf(job.spec))) continue;
         for (const auto& zone : type.zones)
@@ -174,7 +175,7 @@
 }
 
 /// The most that jobs with accelerators have asked of each machine type, and the lowest of their priorities.
-void Leader::noteAccelerators(const Job& job) {
+void Leader::recordAcceleratorNeed(const Job& job) {
     if (job.spec.gpus <= 0) return;
     const auto need = bookkeeping::needOf(job.spec);
     for (const auto& [name, type] : types_) {
@@ -196,12 +197,12 @@
 void Leader::refreshOrder() {
     if (!orderStale_ || now_ < nextOrder_) return;
     orderStale_ = false;
-    mirror_.settleUrgency();
+    replica_.updateUrgency();
     nextOrder_ = now_ + 100ms;
     std::sort(open_.begin(), open_.end(),
               [](const Job* a, const Job* b) { return a->accepted < b->accepted; });
     order_.clear();
-    leastCpus_ = std::numeric_limits<double>::max();
+    minCpus_ = std::numeric_limits<double>::max();
     std::unordered_map<std::string_view, Resources> teams;
     constexpr double last = 1e18;
     for (auto* job : open_) {
@@ -220,10 +221,10 @@
                    : run.guaranteed ? kGuaranteedRank
                                     : static_cast<int>(run.priority);
         if (!run.admitted) admit(*job);
-        noteAccelerators(*job);
+        recordAcceleratorNeed(*job);
         if (run.waiting == 0) continue;
         order_.push_back(job);
-        leastCpus_ = std::min(leastCpus_, spec.cpus);
+        minCpus_ = std::min(minCpus_, spec.cpus);
         // Within a rank by arrival. Where deadlines count, what is soonest through goes first, so that as
         // many jobs as possible meet theirs, and what can no longer meet its own goes last.
         run.place = last / 2;
@@ -250,8 +251,8 @@
 void Leader::admit(Job& job) {
     if (machinesUp_ == 0) return;
     const auto& having = fleet_.withImage(job.spec.image);
-    const auto has =
-        std::count_if(having.begin(), having.end(), [](const auto* m) { return m->reports && m->heard; });
+    const auto has = std::count_if(having.begin(), having.end(),
+                                   [](const auto* m) { return m->reports && m->acknowledged; });
     const double lacking = 1 - std::min(1.0, static_cast<double>(has) / static_cast<double>(machinesUp_));
     job.run->admitted = true;
     job.run->pacedTotal = job.spec.tasks * lacking;
@@ -274,12 +275,12 @@
         work = processors > 0 ? work / processors : 0;
     }
     machinesUp_ = 0;
-    givenOver_.clear();
+    sharedWithServices_.clear();
     plainRoom_.clear();
     liveZones_.clear();
     double sum = 0;
     for (const auto& [id, m] : fleet_.machines()) {
-        if (!m->reports || !m->heard) continue;
+        if (!m->reports || !m->acknowledged) continue;
         ++machinesUp_;
         if (m->kind && m->kind->gpus <= 0 && usable(*m)) {
             auto& room = plainRoom_[{m->zone, m->spot}];
@@ -288,7 +289,7 @@
             room -= m->stoppable.back().cpus;  // production is not stopped
         }
         if (const auto need = acceleratorNeeds_.find(m->type); need != acceleratorNeeds_.end() && m->kind) {
-            auto& [given, all] = givenOver_[m->type];
+            auto& [given, all] = sharedWithServices_[m->type];
             ++all;
             const auto left = bookkeeping::sizeOf(*m->kind) - m->plainUse[4];
             given += !left.covers(need->second.first);
@@ -332,40 +333,40 @@
 }
 
 /// How many of the job's waiting tasks fit on machines that have its image and report soon.
-std::uint32_t Leader::cachedRoom(Job& job) {
+std::uint32_t Leader::roomWithImage(Job& job) {
     auto& run = *job.run;
-    if (now_ < run.cachedRoomUntil) return run.cachedRoom;
-    run.cachedRoomUntil = now_ + kLookAgain;
-    run.cachedRoom = 0;
+    if (now_ < run.cachedRoomUntil) return run.roomWithImage;
+    run.cachedRoomUntil = now_ + kLookupInterval;
+    run.roomWithImage = 0;
     const auto soon = std::chrono::duration_cast<Clock::duration>(settings_.report * 1.5);
     const auto need = bookkeeping::needOf(job.spec);
     for (const auto* m : fleet_.withImage(job.spec.image)) {
         ++visited_;
         if (!m->kind || m->kind->cpus - m->used.cpus < need.cpus - 1e-6) continue;
         if (!usable(*m) || now_ - m->lastReport > soon || !mayStart(job, *m)) continue;
-        run.cachedRoom += roomOn(*m, job).times(need);
-        if (run.cachedRoom >= run.waiting) break;
+        run.roomWithImage += availableRoom(*m, job).times(need);
+        if (run.roomWithImage >= run.waiting) break;
     }
-    return run.cachedRoom;
+    return run.roomWithImage;
 }
 
 /// It has not run long enough to count as a start.
-bool Leader::isNew(const Placement& placement) const {
-    return placement.runningSince == Time{} || now_ - placement.runningSince < kLasting;
+bool Leader::startedRecently(const Placement& placement) const {
+    return placement.runningSince == Time{} || now_ - placement.runningSince < kMinCountedStart;
 }
 
 /// The job was passed over for long and begins with this task. As the newest it would lose least of all, so
 /// that it would be stopped each time and the job would never begin.
-bool Leader::opens(const Placement& placement) const {
-    return placement.job->run->opener == placement.task && isNew(placement);
+bool Leader::isProtectedStart(const Placement& placement) const {
+    return placement.job->run->firstTask == placement.task && startedRecently(placement);
 }
 
 /// The work on a machine that has to yield to the job.
-bool Leader::yields(const Placement& placement, const Job& job) const {
+bool Leader::mayPreempt(const Placement& placement, const Job& job) const {
     const auto& spec = placement.job->spec;
     if (placement.job == &job || spec.kind == Kind::service || (spec.kind == Kind::gang && spec.tasks > 1))
         return false;
-    if (job.priority() != Priority::production && opens(placement)) return false;
+    if (job.priority() != Priority::production && isProtectedStart(placement)) return false;
     if (placement.job->priority() < job.priority()) return true;
     // Any other team's borrowed work yields to a guarantee.
     const auto* team = settings_.team(spec.team);
@@ -382,19 +383,19 @@
     const Seconds waited = now_ - run.waitingSince;
     if (*run.tightWait >= fetch + settings_.report || waited >= *run.tightWait) return false;
     if (now_ < run.imageWaitUntil) return run.imageWait;
-    run.imageWaitUntil = now_ + kLookAgain;
+    run.imageWaitUntil = now_ + kLookupInterval;
     const auto need = bookkeeping::needOf(job.spec);
     const auto& machines = fleet_.withImage(job.spec.image);
     run.imageWait = std::any_of(machines.begin(), machines.end(), [&](const Machine* m) {
         ++visited_;
-        return usable(*m) && mayStart(job, *m) && mostRoom(*m, job).covers(need);
+        return usable(*m) && mayStart(job, *m) && maxRoom(*m, job).covers(need);
     });
     return run.imageWait;
 }
 
 /// The room that the job could have on a machine if everything that might yield to it did.
-Resources Leader::mostRoom(const Machine& machine, const Job& job) const {
-    auto room = roomOn(machine, job);
+Resources Leader::maxRoom(const Machine& machine, const Job& job) const {
+    auto room = availableRoom(machine, job);
     // A guarantee may be given back by work of any priority.
     const auto below =
         job.run->guaranteed ? machine.stoppable.size() : static_cast<std::size_t>(job.priority());
@@ -402,22 +403,22 @@
     return room;
 }
 
-void Leader::noteFetch(Machine& machine, Job& job) {
+void Leader::recordFetch(Machine& machine, Job& job) {
     ++job.run->paced;
     zoneFetch_[machine.zone] = now_;
 }
 
 bool Leader::startOne(Machine& machine, Job& job, std::vector<Order>& orders) {
-    if (orders.size() >= kMostStarts || !mayStart(job, machine) || blockedByUnheard(job)) return false;
+    if (orders.size() >= kMaxStarts || !mayStart(job, machine) || blockedByUnreconciled(job)) return false;
     if (job.spec.kind == Kind::gang && (job.spec.tasks > 1 || job.run->liveTotal > 0)) return false;
     if (!withinTeamLimit(job, 1)) return false;
-    if (!roomOn(machine, job).covers(bookkeeping::needOf(job.spec))) return false;
+    if (!availableRoom(machine, job).covers(bookkeeping::needOf(job.spec))) return false;
     const auto task = job.firstWaiting();
     if (!task) return false;
     const std::uint64_t attempt = (token_ << 32) + ++attempts_;
-    auto& placement = fleet_.place(machine, job, *task, attempt, PlaceState::sent, now_);
+    auto& placement = fleet_.place(machine, job, *task, attempt, PlacementState::sent, now_);
     placement.sentSequence = machine.sequence;
-    if (job.run->overdue && job.run->launched == 0 && job.doneCount == 0) job.run->opener = *task;
+    if (job.run->overdue && job.run->launched == 0 && job.doneCount == 0) job.run->firstTask = *task;
     ++job.run->launched;
     if (job.spec.kind == Kind::gang) job.run->gangAttempt = attempt;
     if (machine.reservedFor == &job) fleet_.reserve(machine, nullptr);
@@ -433,14 +434,14 @@
     refreshOrder();
     refreshPacing();
     // Gang tasks planned for this machine go first: their room is kept already.
-    for (auto& [key, p] : machine.places) {
-        if (p.state != PlaceState::planned || orders.size() >= kMostStarts) continue;
+    for (auto& [key, p] : machine.placements) {
+        if (p.state != PlacementState::planned || orders.size() >= kMaxStarts) continue;
         p.sentSequence = machine.sequence;
-        fleet_.setState(p, PlaceState::sent, now_);
+        fleet_.setState(p, PlacementState::sent, now_);
         ++p.job->run->launched;
         orders.push_back({Op::start, {p.job->spec.id, p.task, p.attempt}, Seconds(0)});
     }
-    const bool full = !machine.kind || machine.kind->cpus - machine.used.cpus < leastCpus_ - 1e-6;
+    const bool full = !machine.kind || machine.kind->cpus - machine.used.cpus < minCpus_ - 1e-6;
     bool fetchPlaced = false;
     // One rank after the other, so that a low job's cached tasks do not take the room of a high one's fetch.
     for (auto first = order_.begin(); first != order_.end();) {
@@ -456,13 +457,13 @@
             } else if (waitsForImage(job)) {
                 continue;
             } else if (!fetchPlaced && !machine.isFetching(job.spec.image) && paceAllows(job, machine) &&
-                       cachedRoom(job) < job.run->waiting && startOne(machine, job, orders)) {
+                       roomWithImage(job) < job.run->waiting && startOne(machine, job, orders)) {
                 fetchPlaced = true;
-                noteFetch(machine, job);
+                recordFetch(machine, job);
             }
         }
         if (rank >= static_cast<int>(Priority::high))
-            for (auto at = first; at != last; ++at) holdRoom(machine, **at);
+            for (auto at = first; at != last; ++at) reserveFreedRoom(machine, **at);
         // What room is left takes any waiting task, unless machines that have its image report soon.
         for (auto at = first; at != last && !full; ++at) {
             Job& job = **at;
@@ -470,10 +471,10 @@
                 continue;
             if (waitsForImage(job)) continue;
             const auto waiting = job.run->waiting;
-            const auto elsewhere = cachedRoom(job);
+            const auto elsewhere = roomWithImage(job);
             bool fetching = machine.isFetching(job.spec.image);
             for (std::uint32_t n = elsewhere; n < waiting && startOne(machine, job, orders); ++n) {
-                if (!fetching) noteFetch(machine, job);
+                if (!fetching) recordFetch(machine, job);
                 fetching = true;
             }
         }
@@ -483,13 +484,13 @@
 
 /// Room that comes free a little at a time would go to small low tasks for ever. One machine per waiting task
 /// of a high job keeps it, which mostly spares stopping anything.
-void Leader::holdRoom(Machine& machine, const Job& job) {
+void Leader::reserveFreedRoom(Machine& machine, const Job& job) {
     const auto& run = *job.run;
     if (run.waiting == 0 || machine.isReserved(now_)) return;
     if (job.spec.kind == Kind::gang && job.spec.tasks > 1) return;
-    if (!mayStart(job, machine) || blockedByUnheard(job) || !withinTeamLimit(job, 1)) return;
+    if (!mayStart(job, machine) || blockedByUnreconciled(job) || !withinTeamLimit(job, 1)) return;
     const auto need = bookkeeping::needOf(job.spec);
-    if (!mostRoom(machine, job).covers(need) || roomOn(machine, job).covers(need)) return;
+    if (!maxRoom(machine, job).covers(need) || availableRoom(machine, job).covers(need)) return;
     if (fleet_.reservations(job, now_) >= run.waiting) return;
     fleet_.reserve(machine, &job, now_ + std::chrono::duration_cast<Clock::duration>(settings_.report * 3),
                    true);
@@ -502,13 +503,13 @@
     nextGangs_ = now_ + 200ms;
     std::vector<Machine*> machines;
     for (const auto& [id, m] : fleet_.machines())
-        if (m->kind && m->kind->cpus - m->used.cpus >= leastCpus_ - 1e-6 && usable(*m))
+        if (m->kind && m->kind->cpus - m->used.cpus >= minCpus_ - 1e-6 && usable(*m))
             machines.push_back(m.get());
     for (auto* job : std::vector<Job*>(order_)) {
         const auto& run = *job->run;
         if (job->spec.kind != Kind::gang || job->spec.tasks < 2 || job->final != Final::open) continue;
         if (run.waiting == 0 || run.notBefore > now_ || !mayComplete(*job)) continue;
-        if (blockedByUnheard(*job) || !withinTeamLimit(*job, run.waiting)) continue;
+        if (blockedByUnreconciled(*job) || !withinTeamLimit(*job, run.waiting)) continue;
         if (!job->spec.oneZone) {
             planGang(*job, machines, nullptr);
             continue;
@@ -523,11 +524,11 @@
 bool Leader::mayComplete(const Job& job) {
     if (job.run->liveTotal == 0) return true;
     if (job.run->liveTotal + job.run->waiting != job.spec.tasks || job.run->running > 0) return false;
-    const auto places = fleet_.placesOf(job);
-    return std::all_of(places.begin(), places.end(), [&](const auto& at) {
+    const auto placements = fleet_.placementsOf(job);
+    return std::all_of(placements.begin(), placements.end(), [&](const auto& at) {
         const auto& p = *at.second;
-        return !p.stopping && p.attempt == job.run->gangAttempt && p.state <= PlaceState::waiting &&
-               (p.state != PlaceState::waiting || Seconds(now_ - p.since) < settings_.gangWait * 0.3);
+        return !p.stopping && p.attempt == job.run->gangAttempt && p.state <= PlacementState::waiting &&
+               (p.state != PlacementState::waiting || Seconds(now_ - p.since) < settings_.gangWait * 0.3);
     });
 }
 
@@ -548,7 +549,7 @@
             continue;
         if (!mayStart(job, *m)) continue;
         if (job.run->liveTotal > 0 && job.run->machinesLeft.contains(m->id)) continue;
-        const auto room = roomOn(*m, job).times(need);
+        const auto room = availableRoom(*m, job).times(need);
         if (room == 0) continue;
         total += room;
         // One spot machine that is taken back stops the whole gang.
@@ -584,10 +585,10 @@
     std::uint32_t task = 0;
     for (auto* machine : chosen) {
         while (!job.isWaiting(task)) ++task;
-        fleet_.place(*machine, job, task, job.run->gangAttempt, PlaceState::planned, now_);
+        fleet_.place(*machine, job, task, job.run->gangAttempt, PlacementState::planned, now_);
         if (machine->reservedFor == &job) fleet_.reserve(*machine, nullptr);
     }
-    std::erase_if(bespoken_, [&](const auto& entry) { return entry.second.job == &job; });
+    std::erase_if(zoneReservations_, [&](const auto& entry) { return entry.second.job == &job; });
     orderStale_ = true;
     return true;
 }
@@ -595,7 +596,7 @@
 // --- preemption -------------------------------------------------------------------------------------------
 
 /// How long a job may wait for room to come free by itself: a small part of what its users expect.
-Seconds Leader::patienceOf(const Job& job) const {
+Seconds Leader::preemptionDelay(const Job& job) const {
     Seconds patience = settings_.report * 1.5;
     // Neither replicas' room nor whole machines come free by waiting.
     const bool hurried = job.priority() == Priority::production || job.spec.gpus > 0;
@@ -607,7 +608,7 @@
 
 /// Room is made for a few jobs at a time, going on next time where the budget of machines to look at ended.
 void Leader::preempt() {
-    constexpr int kMostAtOnce = 12;
+    constexpr int kMaxAtOnce = 12;
     // Enough for some jobs in any fleet: a round over all that wait must take a few seconds at most, or what
     // is kept for one of them would lapse before its next turn.
     const auto mostVisits = std::max<std::uint64_t>(6000, fleet_.machines().size() * 12);
@@ -623,7 +624,7 @@
     const auto resume = std::max(production, std::exchange(preemptFrom_, 0));
     for (std::size_t i = 0; i < production + jobs.size() - resume; ++i) {
         const auto at = i < production ? i : resume + i - production;
-        if (made >= kMostAtOnce || visited_ - visitedBefore > mostVisits) {
+        if (made >= kMaxAtOnce || visited_ - visitedBefore > mostVisits) {
             preemptFrom_ = std::max(at, resume);
             return;
         }
@@ -631,55 +632,56 @@
         const auto& run = *job->run;
         if (job->priority() <= Priority::normal && !run.guaranteed) continue;
         if (job->final != Final::open || run.waiting == 0 || run.notBefore > now_) continue;
-        if (Seconds(now_ - run.waitingSince) < patienceOf(*job)) continue;
+        if (Seconds(now_ - run.waitingSince) < preemptionDelay(*job)) continue;
         const bool gang = job->spec.kind == Kind::gang && job->spec.tasks > 1;
-        if (blockedByUnheard(*job) || !withinTeamLimit(*job, gang ? run.waiting : 1)) continue;
-        made += gang ? gather(*job) : preemptFor(*job);
+        if (blockedByUnreconciled(*job) || !withinTeamLimit(*job, gang ? run.waiting : 1)) continue;
+        made += gang ? makeRoomForGang(*job) : makeRoomFor(*job);
     }
 }
 
 /// What would have to stop on the machine, losing least, for `tasks` tasks of the job; none: it can't be.
-std::optional<Leader::Sacrifice> Leader::sacrificeFor(Machine& machine, const Job& job, std::uint32_t tasks) {
+std::optional<Leader::PreemptionPlan> Leader::planPreemption(Machine& machine, const Job& job,
+                                                             std::uint32_t tasks) {
     visited_ += 10;
     auto need = bookkeeping::needOf(job.spec);
     need = {need.cpus * tasks, need.gpus * tasks, need.memoryGb * tasks};
-    Sacrifice sacrifice{&machine, {}, machine.hasImage(job.spec.image) ? 0.0 : 10.0, tasks};
-    auto room = roomOn(machine, job);
+    PreemptionPlan plan{&machine, {}, machine.hasImage(job.spec.image) ? 0.0 : 10.0, tasks};
+    auto room = availableRoom(machine, job);
     std::vector<std::pair<double, Placement*>> victims;
-    for (auto& [key, p] : machine.places) {
+    for (auto& [key, p] : machine.placements) {
         const auto& spec = p.job->spec;
         if (p.stopping) {
             room += bookkeeping::needOf(spec);
             continue;
         }
-        if (!yields(p, job)) continue;
-        double lost = p.state == PlaceState::running ? Seconds(now_ - p.runningSince).count() : 0;
+        if (!mayPreempt(p, job)) continue;
+        double lost = p.state == PlacementState::running ? Seconds(now_ - p.runningSince).count() : 0;
         if (spec.gpus > 0 && job.spec.gpus <= 0) lost += 1000;  // hard to place anew
         if (spec.checkpoint > Seconds(0)) lost = std::min(lost, spec.save.count() + 5);
-        if (opens(p)) lost += 1000;
+        if (isProtectedStart(p)) lost += 1000;
         victims.emplace_back(lost * std::max(spec.cpus, 0.1) + 1, &p);
     }
     std::sort(victims.begin(), victims.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
     for (const auto& [loss, victim] : victims) {
         if (room.covers(need)) break;
         room += bookkeeping::needOf(victim->job->spec);
-        sacrifice.loss += loss;
-        sacrifice.victims.push_back(victim);
+        plan.loss += loss;
+        plan.victims.push_back(victim);
     }
-    return room.covers(need) ? std::optional(std::move(sacrifice)) : std::nullopt;
+    return room.covers(need) ? std::optional(std::move(plan)) : std::nullopt;
 }
 
-void Leader::carryOut(const Sacrifice& sacrifice, Job& job, Clock::duration until) {
-    auto& machine = *sacrifice.machine;
-    spdlog::debug("room for {} of {} {} on {}: {} tasks stop", sacrifice.tasks, job.spec.id,
-                  job.spec.jobClass, machine.id, sacrifice.victims.size());
-    for (auto* victim : sacrifice.victims) stop(machine, *victim, victim->job->spec.save);
-    fleet_.reserve(machine, &job, now_ + until, false, sacrifice.tasks);
+void Leader::execute(const PreemptionPlan& plan, Job& job, Clock::duration until) {
+    auto& machine = *plan.machine;
+    spdlog::debug("room for {} of {} {} on {}: {} tasks stop", plan.tasks, job.spec.id, job.spec.jobClass,
+                  machine.id, plan.victims.size());
+    for (auto* victim : plan.victims) stop(machine, *victim, victim->job->spec.save);
+    fleet_.reserve(machine, &job, now_ + until, false, plan.tasks);
 }
 
 /// Frees room for tasks of the job by stopping lower work where that loses least.
-int Leader::preemptFor(Job& job) {
-    constexpr std::size_t kMostWeighed = 40, kMostAtOnce = 6;
+int Leader::makeRoomFor(Job& job) {
+    constexpr std::size_t kMaxWeighed = 40, kMaxAtOnce = 6;
     const auto need = bookkeeping::needOf(job.spec);
     const bool onlyCached = waitsForImage(job);
     std::size_t wanted = job.run->waiting, coming = 0;
@@ -694,9 +696,9 @@
         if (made) {
             ++zones[m.zone];
             ++coming;
-        } else if (const auto room = roomOn(m, job).times(need); room > 0) {
+        } else if (const auto room = availableRoom(m, job).times(need); room > 0) {
             coming += room;  // it will be placed with that machine's report
-        } else if (mostRoom(m, job).covers(need)) {
+        } else if (maxRoom(m, job).covers(need)) {
             candidates.push_back(&m);
         }
     };
@@ -709,23 +711,22 @@
         }
     }
     if (coming >= wanted) return 0;
-    wanted = std::min(wanted - coming, kMostAtOnce);
-    std::vector<Sacrifice> sacrifices;
+    wanted = std::min(wanted - coming, kMaxAtOnce);
+    std::vector<PreemptionPlan> plans;
     const auto offset = candidates.empty() ? 0 : turn_++ % candidates.size();
-    for (std::size_t i = 0; i < std::min(candidates.size(), kMostWeighed); ++i)
-        if (auto found = sacrificeFor(*candidates[(offset + i) % candidates.size()], job, 1))
-            sacrifices.push_back(std::move(*found));
-    std::sort(sacrifices.begin(), sacrifices.end(),
-              [](const auto& a, const auto& b) { return a.loss < b.loss; });
+    for (std::size_t i = 0; i < std::min(candidates.size(), kMaxWeighed); ++i)
+        if (auto found = planPreemption(*candidates[(offset + i) % candidates.size()], job, 1))
+            plans.push_back(std::move(*found));
+    std::sort(plans.begin(), plans.end(), [](const auto& a, const auto& b) { return a.loss < b.loss; });
     const std::uint32_t zoneMost = job.spec.spread ? (job.spec.tasks + 1) / 2 : job.spec.tasks;
     const auto until = std::chrono::duration_cast<Clock::duration>(settings_.report * 4 + job.spec.save);
     int made = 0;
-    for (const auto& sacrifice : sacrifices) {
+    for (const auto& plan : plans) {
         if (wanted == 0) break;
-        if (job.spec.oneZone && !zones.empty() && !zones.contains(sacrifice.machine->zone)) continue;
-        if (zones[sacrifice.machine->zone] >= zoneMost) continue;
-        ++zones[sacrifice.machine->zone];
-        carryOut(sacrifice, job, until);
+        if (job.spec.oneZone && !zones.empty() && !zones.contains(plan.machine->zone)) continue;
+        if (zones[plan.machine->zone] >= zoneMost) continue;
+        ++zones[plan.machine->zone];
+        execute(plan, job, until);
         --wanted;
         ++made;
     }
@@ -736,7 +737,7 @@
 /// that is passed over for long, as smaller ones take each machine that comes free, bespeaks a zone: until it
 /// has enough there, other work that needs what it needs goes elsewhere. Lower work goes on meanwhile. There
 /// is one such gang at a time, so that no two wait for each other's halves.
-int Leader::gather(Job& job) {
+int Leader::makeRoomForGang(Job& job) {
     if (job.run->liveTotal > 0) return 0;
     const auto need = bookkeeping::needOf(job.spec);
     const auto until = std::chrono::duration_cast<Clock::duration>(settings_.report * 3 + job.spec.save);
@@ -758,7 +759,7 @@
                 could += (bookkeeping::sizeOf(*m->kind) - m->plainUse[4]).times(need);
             if (!bookkeeping::sizeOf(*m->kind).covers(need) || !mayStart(job, *m)) continue;
             if (m->isReserved(now_) && !m->holding && m->reservedFor != &job) continue;
-            const auto now = roomOn(*m, job).times(need), later = mostRoom(*m, job).times(need);
+            const auto now = availableRoom(*m, job).times(need), later = maxRoom(*m, job).times(need);
             if (later == 0) continue;
             free += now;
             most += later;
@@ -772,62 +773,62 @@
     }
     if (std::get<0>(bestMerit) < job.spec.tasks) {
         // Unless more machines have to come first.
-        if (std::get<1>(bestMerit) >= job.spec.tasks) bespeak(job, bestZone);
+        if (std::get<1>(bestMerit) >= job.spec.tasks) reserveZone(job, bestZone);
         return 0;
     }
-    std::vector<Sacrifice> sacrifices;
+    std::vector<PreemptionPlan> plans;
     for (const auto& option : best) {
-        auto found = sacrificeFor(*option.machine, job, std::min(option.most, job.spec.tasks));
+        auto found = planPreemption(*option.machine, job, std::min(option.most, job.spec.tasks));
         if (!found) continue;
         // Machines kept for it come first; a spot machine that is taken back would stop the whole gang.
-        if (option.machine->reservedFor == &job) found->loss -= kFavour;
+        if (option.machine->reservedFor == &job) found->loss -= kReservedBonus;
         if (option.machine->spot) found->loss += kSpotLoss * found->tasks;
         if (!option.machine->hasImage(job.spec.image)) found->loss += kFetchLoss * found->tasks;
-        sacrifices.push_back(std::move(*found));
+        plans.push_back(std::move(*found));
     }
-    std::sort(sacrifices.begin(), sacrifices.end(),
+    std::sort(plans.begin(), plans.end(),
               [](const auto& a, const auto& b) { return a.loss / a.tasks < b.loss / b.tasks; });
     std::uint32_t got = 0;
-    for (const auto& sacrifice : sacrifices) {
+    for (const auto& plan : plans) {
         if (got >= job.spec.tasks) break;
-        got += sacrifice.tasks;
+        got += plan.tasks;
     }
     if (got < job.spec.tasks) return 0;
     got = 0;
-    for (const auto& sacrifice : sacrifices) {
+    for (const auto& plan : plans) {
         if (got >= job.spec.tasks) break;
-        got += sacrifice.tasks;
-        carryOut(sacrifice, job, until);
+        got += plan.tasks;
+        execute(plan, job, until);
     }
     return 1;
 }
 
 /// One zone at a time, so that smaller work has another to go to; a gang that is overdue may take a further
 /// one.
-void Leader::bespeak(const Job& job, const std::string& zone) {
-    std::erase_if(bespoken_, [&](const auto& entry) { return entry.second.until <= now_; });
-    const auto own = std::find_if(bespoken_.begin(), bespoken_.end(),
+void Leader::reserveZone(const Job& job, const std::string& zone) {
+    std::erase_if(zoneReservations_, [&](const auto& entry) { return entry.second.until <= now_; });
+    const auto own = std::find_if(zoneReservations_.begin(), zoneReservations_.end(),
                                   [&](const auto& entry) { return entry.second.job == &job; });
-    if (own != bespoken_.end()) {  // it stays where it began
-        own->second.until = now_ + kBespoken;
+    if (own != zoneReservations_.end()) {  // it stays where it began
+        own->second.until = now_ + kZoneReservation;
         return;
     }
     if (now_ - job.run->readyAt <= policy_.longestPassedOver / 3) return;
-    const auto there = bespoken_.find(zone);
+    const auto there = zoneReservations_.find(zone);
     // The oldest goes first, or one after the other might be younger.
-    const bool older = there != bespoken_.end() && job.run->readyAt < there->second.job->run->readyAt;
-    if (older || bespoken_.empty() || (job.run->overdue && there == bespoken_.end()))
-        bespoken_[zone] = {&job, now_ + kBespoken, now_};
+    const bool older = there != zoneReservations_.end() && job.run->readyAt < there->second.job->run->readyAt;
+    if (older || zoneReservations_.empty() || (job.run->overdue && there == zoneReservations_.end()))
+        zoneReservations_[zone] = {&job, now_ + kZoneReservation, now_};
 }
 
 /// A gang that waits for machines like this one has bespoken the zone.
-bool Leader::bespokenAgainst(const Job& job, const Machine& machine) const {
-    if (bespoken_.empty() || !machine.kind || job.priority() == Priority::production) return false;
-    return std::any_of(bespoken_.begin(), bespoken_.end(), [&](const auto& entry) {
+bool Leader::reservedForOther(const Job& job, const Machine& machine) const {
+    if (zoneReservations_.empty() || !machine.kind || job.priority() == Priority::production) return false;
+    return std::any_of(zoneReservations_.begin(), zoneReservations_.end(), [&](const auto& entry) {
         const auto& [zone, by] = entry;
         if (by.until <= now_ || by.job == &job || (!zone.empty() && machine.zone != zone)) return false;
-        const bool othersTurn = (now_ - by.since) % (kBespokenTurn + kOthersTurn) >= kBespokenTurn;
-        if (othersTurn && heldBackFor(job, kBrieflyWaited)) return false;
+        const bool othersTurn = (now_ - by.since) % (kReservationTurn + kReservationGap) >= kReservationTurn;
+        if (othersTurn && hasWaitedUnstarted(job, kReservationGapMinWait)) return false;
         const auto& spec = by.job->spec;
         if (job.priority() < by.job->priority()) return false;
         if (spec.gpus > 0 ? job.spec.gpus <= 0 : job.spec.kind != Kind::gang) return false;
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -16,23 +16,23 @@
 
 namespace {
 
-constexpr std::uint32_t kMostPerRequest = 50;
-constexpr std::size_t kMostPerRelease = 100;
+constexpr std::uint32_t kMaxPerRequest = 50;
+constexpr std::size_t kMaxPerRelease = 100;
 constexpr auto kDeleted = std::numeric_limits<std::uint64_t>::max();
-constexpr std::uint32_t kFew = 3;
-constexpr bool kKinds[] = {false, true};  // ordinary and spot
+constexpr std::uint32_t kMaxAfterRefusal = 3;
+constexpr bool kSpotChoices[] = {false, true};  // ordinary and spot
 
 Clock::duration ticks(Seconds s) { return std::chrono::duration_cast<Clock::duration>(s); }
 
 }  // namespace
 
-bool Leader::refused(const Shape& shape) const {
-    const auto found = refusals_.find(shape);
+bool Leader::refused(const Offering& offering) const {
+    const auto found = refusals_.find(offering);
     return found != refusals_.end() && found->second.until > now_;
 }
 
-void Leader::refuse(const Shape& shape) {
-    auto& refusal = refusals_[shape];
+void Leader::noteRefusal(const Offering& offering) {
+    auto& refusal = refusals_[offering];
     refusal.pause = std::clamp<Clock::duration>(refusal.pause * 2, 4s, 16s);
     refusal.until = now_ + refusal.pause;
 }
@@ -46,7 +46,7 @@
         const auto& type = entry.second;
         if (!bookkeeping::sizeOf(type).covers(bookkeeping::needOf(job.spec))) return false;
         if (std::find(type.zones.begin(), type.zones.end(), zone) == type.zones.end()) return false;
-        return std::any_of(std::begin(kKinds), std::end(kKinds), [&](bool spot) {
+        return std::any_of(std::begin(kSpotChoices), std::end(kSpotChoices), [&](bool spot) {
             return allows(job, type.name, zone, spot) && !refused({type.name, zone, spot});
         });
     });
@@ -54,7 +54,7 @@
 
 /// It needs no accelerators and may run nowhere else: its owner allows no machine without them, or none such
 /// is large enough.
-bool Leader::boundToAccelerators(const Job& job) const {
+bool Leader::needsAcceleratorMachine(const Job& job) const {
     const auto& s = job.spec;
     return s.gpus <= 0 && std::none_of(types_.begin(), types_.end(), [&](const auto& entry) {
                const auto& [name, type] = entry;
@@ -66,8 +66,8 @@
 
 /// Arrays that need no accelerators do not rent machines that have them, unless a processor costs there
 /// at most twice what it costs on an ordinary plain machine.
-bool Leader::worthIt(const Job& job, const MachineType& type, bool spot) const {
-    if (type.gpus <= 0 || job.spec.gpus > 0 || job.spec.kind != Kind::array || boundToAccelerators(job))
+bool Leader::worthRenting(const Job& job, const MachineType& type, bool spot) const {
+    if (type.gpus <= 0 || job.spec.gpus > 0 || job.spec.kind != Kind::array || needsAcceleratorMachine(job))
         return true;
     double plain = 0;
     for (const auto& [name, other] : types_)
@@ -91,10 +91,10 @@
     std::vector<Bin> bins;
     for (auto& [id, m] : fleet_.machines()) {
         const auto* type = m->kind;
-        if (!type || m->deafSince || m->draining || m->releasing || m->failed || m->recallAt ||
+        if (!type || m->unreachableSince || m->draining || m->releasing || m->failed || m->recallAt ||
             m->errorJobs.size() >= 2)
             continue;
-        if (m->settled && !m->reports && wasUp(*m)) continue;  // lost
+        if (m->reconciled && !m->reports && wasUp(*m)) continue;  // lost
         Bin bin{m->type, m->zone, m->spot, bookkeeping::sizeOf(*type) - m->used, m.get()};
         if (m->isReserved(now_)) bin.reservedFor = m->reservedFor;
         bins.push_back(std::move(bin));
@@ -106,7 +106,7 @@
             bins.push_back({rental.request.type, rental.request.zone, rental.request.spot,
                             bookkeeping::sizeOf(*type), nullptr});
     }
-    std::map<Shape, std::uint32_t> wanted;
+    std::map<Offering, std::uint32_t> wanted;
     std::map<std::string, Resources> teamUse;
     for (auto* job : order_) {
         const auto& spec = job->spec;
@@ -175,7 +175,7 @@
             if (fits == 0) return;
             // Work without accelerators fills machines that have them, and is no reason to keep one, unless
             // its owner allows it no others.
-            bin.used |= spec.gpus > 0 || types_.at(bin.type).gpus <= 0 || boundToAccelerators(*job);
+            bin.used |= spec.gpus > 0 || types_.at(bin.type).gpus <= 0 || needsAcceleratorMachine(*job);
             zones[bin.zone] += fits;
             waiting -= fits;
             bin.room -= {need.cpus * fits, need.gpus * fits, need.memoryGb * fits};
@@ -184,37 +184,38 @@
             if (waiting == 0) break;
             fill(bin);
         }
-        const bool plain = plainToBeHad(*job);
+        const bool plain = plainMachineRentable(*job);
         while (waiting > 0) {
             // The cheapest machine for what is left; unused room counts against large ones.
-            const Shape* best = nullptr;
-            Shape bestShape;
+            const Offering* best = nullptr;
+            Offering bestOffering;
             double bestCost = 0;
             for (const auto& [name, type] : types_) {
                 const auto size = bookkeeping::sizeOf(type);
                 if (!size.covers(need)) continue;
                 if (type.gpus > 0 && spec.gpus <= 0 && plain) continue;
                 for (const auto& zone : type.zones) {
-                    for (const bool spot : kKinds) {
-                        if (!worthIt(*job, type, spot)) continue;
+                    for (const bool spot : kSpotChoices) {
+                        if (!worthRenting(*job, type, spot)) continue;
                         if (!allows(*job, name, zone, spot)) continue;
-                        const Shape shape{name, zone, spot};
+                        const Offering offering{name, zone, spot};
                         const auto count = std::min({size.times(need), waiting, zoneRoom(zone)});
-                        if (count == 0 || refused(shape)) continue;
+                        if (count == 0 || refused(offering)) continue;
                         // What was refused lately is asked for a few only, and the rest elsewhere.
-                        if (refusals_.contains(shape) && wanted[shape] >= kFew) continue;
+                        if (refusals_.contains(offering) && wanted[offering] >= kMaxAfterRefusal) continue;
                         const double cost = (spot ? type.spotPrice : type.price) / count;
                         if (best && cost >= bestCost) continue;
-                        bestShape = shape;
-                        best = &bestShape;
+                        bestOffering = offering;
+                        best = &bestOffering;
                         bestCost = cost;
                     }
                 }
             }
             if (!best) break;
-            ++wanted[bestShape];
-            bins.push_back({bestShape.type, bestShape.zone, bestShape.spot,
-                            bookkeeping::sizeOf(types_.at(bestShape.type)), nullptr, nullptr, true, false});
+            ++wanted[bestOffering];
+            bins.push_back({bestOffering.type, bestOffering.zone, bestOffering.spot,
+                            bookkeeping::sizeOf(types_.at(bestOffering.type)), nullptr, nullptr, true,
+                            false});
             const auto before = waiting;
             fill(bins.back());
             if (waiting == before) break;
@@ -236,13 +237,13 @@
     }
 }
 
-void Leader::requestRentals(const std::map<Shape, std::uint32_t>& wanted) {
-    for (const auto& [shape, count] : wanted)
+void Leader::requestRentals(const std::map<Offering, std::uint32_t>& wanted) {
+    for (const auto& [offering, count] : wanted)
         for (std::uint32_t left = count; left > 0;) {
-            const auto some = std::min(left, kMostPerRequest);
+            const auto some = std::min(left, kMaxPerRequest);
             left -= some;
             rentalsPending_.push_back({{"r-" + std::to_string(token_) + "-" + std::to_string(++rentals_),
-                                        shape.type, shape.zone, shape.spot, some},
+                                        offering.type, offering.zone, offering.spot, some},
                                        now_,
                                        now_,
                                        false,
@@ -263,7 +264,7 @@
                                     [&](const auto& r) { return r.request.name == command.name; });
     if (found == rentalsPending_.end()) return;
     const auto request = found->request;
-    const Shape shape{request.type, request.zone, request.spot};
+    const Offering offering{request.type, request.zone, request.spot};
     found->asked = false;
     if (!command.rented && !command.noCapacity && !command.malformed) {
         found->nextTry = now_ + 2s;
@@ -271,16 +272,16 @@
     }
     rentalsPending_.erase(found);
     if (!command.rented || command.machines.size() < request.count) {
-        refuse(shape);
+        noteRefusal(offering);
         std::erase_if(rentalsPending_, [&](const auto& other) {
             const auto& r = other.request;
-            return other.fresh && Shape{r.type, r.zone, r.spot} == shape;
+            return other.fresh && Offering{r.type, r.zone, r.spot} == offering;
         });
     }
-    if (command.rented && command.machines.size() >= request.count) refusals_.erase(shape);
+    if (command.rented && command.machines.size() >= request.count) refusals_.erase(offering);
     for (const auto& id : command.machines) {
-        if (departed_.contains(id) || fleet_.find(id)) continue;
-        identify(id, request.type, request.zone, request.spot);
+        if (removedMachines_.contains(id) || fleet_.find(id)) continue;
+        findOrAddMachine(id, request.type, request.zone, request.spot);
         rosterAdd_.insert(id);  // noted for the next leader, which would rent it again
     }
 }
@@ -288,12 +289,12 @@
 void Leader::releaseIdle(const std::set<std::string>& needed) {
     std::vector<std::string> machines;
     for (auto& [id, m] : fleet_.machines()) {
-        if (machines.size() >= kMostPerRelease) break;
+        if (machines.size() >= kMaxPerRelease) break;
         if (m->releasing || m->failed) {
             machines.push_back(id);
             continue;
         }
-        if (!m->places.empty() || !m->settled) continue;
+        if (!m->placements.empty() || !m->reconciled) continue;
         const auto* type = typeOf(m->type);
         const bool neverUp = !wasUp(*m);
         const auto known = now_ - m->knownSince;
@@ -324,8 +325,8 @@
         return;
     }
     for (const auto& id : command.machines) {
-        if (auto* machine = fleet_.find(id)) forget(*machine);
-        departed_[id] = {kDeleted, kDeleted};  // deleted: whatever still comes of it is late
+        if (auto* machine = fleet_.find(id)) removeMachine(*machine);
+        removedMachines_[id] = {kDeleted, kDeleted};  // deleted: whatever still comes of it is late
     }
 }
 
@@ -335,10 +336,10 @@
     std::set<std::string> seen;
     for (const Rented& rented : command.machines) {
         seen.insert(rented.id);
-        const auto left = departed_.find(rented.id);
-        if (left != departed_.end() && left->second.first == kDeleted) continue;
+        const auto left = removedMachines_.find(rented.id);
+        if (left != removedMachines_.end() && left->second.first == kDeleted) continue;
         const bool known = fleet_.find(rented.id) != nullptr;
-        auto& machine = identify(rented.id, rented.type, rented.zone, rented.spot);
+        auto& machine = findOrAddMachine(rented.id, rented.type, rented.zone, rented.spot);
         // Rented by an earlier leader, or by a request that was carried out late. One that may have had tasks
         // is silent, not booting, and its age says nothing.
         if (machine.session == 0 && !mayHoldTasks(rented.id))
@@ -352,11 +353,12 @@
     const auto lag = ticks(settings_.listLag * 2.5);
     std::vector<Machine*> vanished;
     for (auto& [id, m] : fleet_.machines()) {
-        if (seen.contains(id) || m->releasing || !m->places.empty() || !m->settled || m->reports) continue;
+        if (seen.contains(id) || m->releasing || !m->placements.empty() || !m->reconciled || m->reports)
+            continue;
         const auto newest = m->session == 0 ? m->knownSince : std::max(m->lastReport, m->knownSince);
         if (command.asked - newest > lag) vanished.push_back(m.get());
     }
-    for (auto* machine : vanished) forget(*machine);
+    for (auto* machine : vanished) removeMachine(*machine);
 }
 
 void Leader::on(TypesListed& command) {
--- a/src/coordination/sync.cpp
+++ b/src/coordination/state_watcher.cpp
@@ -1,4 +1,4 @@
-#include "coordination/sync.h"
+#include "coordination/state_watcher.h"
 
 #include <spdlog/spdlog.h>
 
@@ -18,23 +18,23 @@
 constexpr double kReserve = 10;  // requests kept for lease renewals and a leader's writes
 }  // namespace
 
-Sync::Sync(asio::io_context& io, storage::StateClient& state, bookkeeping::Mirror& mirror, Changed changed,
-           transport::Duration spacing)
+StateWatcher::StateWatcher(asio::io_context& io, storage::StateClient& state,
+                           bookkeeping::StateReplica& replica, Changed changed, transport::Duration spacing)
     : spacing_(spacing),
       state_(state),
-      mirror_(mirror),
+      replica_(replica),
       changed_(std::move(changed)),
       pollTimer_(io),
       freshTimer_(io) {}
 
-void Sync::later(asio::steady_timer& timer, transport::Duration pause, void (Sync::*next)()) {
+void StateWatcher::later(asio::steady_timer& timer, transport::Duration pause, void (StateWatcher::*next)()) {
     timer.expires_after(pause);
     timer.async_wait([this, next](auto error) {
         if (!error) (this->*next)();
     });
 }
 
-void Sync::load() {
+void StateWatcher::load() {
     if (loading_) return;
     loading_ = true;
     read_.clear();
@@ -42,72 +42,72 @@
     loadPage("");
 }
 
-void Sync::loadPage(const std::string& after) {
+void StateWatcher::loadPage(const std::string& after) {
     state_.page(storage::keys::kAll, after, [this](ReadStatus status, const KeyPage& page) {
         if (status != ReadStatus::ok) {
             loading_ = false;
-            return later(pollTimer_, kRetry, &Sync::load);
+            return later(pollTimer_, kRetry, &StateWatcher::load);
         }
         if (loadRevision_ == 0) loadRevision_ = page.revision;
         std::vector<Change> changes;
         for (const auto& entry : page.entries) {
             read_.insert(entry.key);
-            if (!mirror_.apply(entry, changes))
+            if (!replica_.apply(entry, changes))
                 spdlog::error("the value of {} in the state service is malformed", entry.key);
         }
         const bool more = page.more && !page.entries.empty();
-        if (!more) mirror_.dropUnread(read_, changes);
+        if (!more) replica_.dropUnread(read_, changes);
         if (!changes.empty()) changed_(changes);
         if (more) return loadPage(page.entries.back().key);
         loading_ = false;
         // What changed while the pages were read follows from the first page's revision on.
-        mirror_.revision = loadRevision_;
-        mirror_.settleUrgency();
+        replica_.revision = loadRevision_;
+        replica_.updateUrgency();
         poll();
         fresh([](bool) {});
     });
 }
 
-void Sync::take(const KeyPage& page) {
+void StateWatcher::take(const KeyPage& page) {
     std::vector<Change> changes;
     for (const auto& entry : page.entries) {
-        if (entry.version <= mirror_.revision) continue;
-        if (!mirror_.apply(entry, changes))
+        if (entry.version <= replica_.revision) continue;
+        if (!replica_.apply(entry, changes))
             spdlog::error("the value of {} in the state service is malformed", entry.key);
     }
-    mirror_.revision = std::max(mirror_.revision, page.revision);
-    mirror_.settleUrgency();
+    replica_.revision = std::max(replica_.revision, page.revision);
+    replica_.updateUrgency();
     if (!changes.empty()) changed_(changes);
 }
 
-void Sync::noteCancelled(const std::string& id, std::uint64_t version) {
+void StateWatcher::noteCancelled(const std::string& id, std::uint64_t version) {
     std::vector<Change> changes;
-    mirror_.noteCancelled(id, version, changes);
+    replica_.noteCancelled(id, version, changes);
     if (!changes.empty()) changed_(changes);
 }
 
-void Sync::poll() {
+void StateWatcher::poll() {
     if (polling_ || loading_) return;
     if (!state_.requests().take(0, kReserve, Clock::now()))
-        return later(pollTimer_, spacing_ * 2, &Sync::poll);
+        return later(pollTimer_, spacing_ * 2, &StateWatcher::poll);
     polling_ = true;
-    state_.watch(storage::keys::kAll, mirror_.revision, kWatch, kWatchTimeout,
+    state_.watch(storage::keys::kAll, replica_.revision, kWatch, kWatchTimeout,
                  [this, sent = Clock::now()](ReadStatus status, const KeyPage& page) {
                      polling_ = false;
                      if (status == ReadStatus::tooOld) return load();
-                     if (status == ReadStatus::failed) return later(pollTimer_, kRetry, &Sync::poll);
+                     if (status == ReadStatus::failed) return later(pollTimer_, kRetry, &StateWatcher::poll);
                      take(page);
                      asOf_ = std::max(asOf_, sent);
-                     later(pollTimer_, spacing_ * 2, &Sync::poll);
+                     later(pollTimer_, spacing_ * 2, &StateWatcher::poll);
                  });
 }
 
-void Sync::fresh(Fresh done) {
+void StateWatcher::fresh(Fresh done) {
     next_.push_back(std::move(done));
     if (!asking_ && !waiting_) sendFresh();
 }
 
-void Sync::sendFresh() {
+void StateWatcher::sendFresh() {
     waiting_ = false;
     if (asking_ || next_.empty()) return;
     asking_ = true;
@@ -117,12 +117,12 @@
         for (auto& done : std::exchange(asked_, {})) done(ok);
         if (waiting_) return;
         waiting_ = true;
-        later(freshTimer_, spacing_, &Sync::sendFresh);
+        later(freshTimer_, spacing_, &StateWatcher::sendFresh);
     };
-    state_.watch(storage::keys::kAll, mirror_.revision, 0s, kFreshTimeout,
+    state_.watch(storage::keys::kAll, replica_.revision, 0s, kFreshTimeout,
                  [this, answer, sent = Clock::now()](ReadStatus status, const KeyPage& page) {
                      if (status == ReadStatus::tooOld) load();
-                     // While all keys are read anew the mirror is a mixture of times and proves nothing.
+                     // While all keys are read anew the replica is a mixture of times and proves nothing.
                      if (status == ReadStatus::ok && !loading_) {
                          take(page);
                          asOf_ = std::max(asOf_, sent);
--- a/src/coordination/frontdesk.cpp
+++ b/src/coordination/user_api.cpp
@@ -1,4 +1,4 @@
-#include "coordination/frontdesk.h"
+#include "coordination/user_api.h"
 
 #include <spdlog/spdlog.h>
 
@@ -28,12 +28,12 @@
 namespace {
 
 constexpr auto kStoreTimeout = 1200ms;
-constexpr auto kLongestWait = 1200ms;  // in a team's queue, refusals by the state service included
-constexpr std::size_t kMostStoring = 8;
+constexpr auto kMaxWait = 1200ms;  // in a team's queue, refusals by the state service included
+constexpr std::size_t kMaxStoring = 8;
 // Of the state service's changes. A leader's writes are paced by a budget of their own: were both one, its
 // node would turn users away whenever it has much to store.
 constexpr double kShare = 0.3;
-constexpr std::size_t kMostQueued = 400;
+constexpr std::size_t kMaxQueued = 400;
 constexpr char kTooLarge[] = "larger than the state service takes";
 
 Response respond(int status, std::string body = {}) {
@@ -43,7 +43,7 @@
     return r;
 }
 
-Response comeBack(int status, std::string_view why, std::chrono::seconds after = 1s) {
+Response retryLater(int status, std::string_view why, std::chrono::seconds after = 1s) {
     auto r = respond(status, protocol::errorReply(why));
     r.retryAfter = after;
     return r;
@@ -57,8 +57,8 @@
 
 }  // namespace
 
-std::optional<std::string> neverRuns(const JobSpec& spec, const protocol::Settings& settings,
-                                     const std::vector<protocol::MachineType>& types) {
+std::optional<std::string> reasonItCannotRun(const JobSpec& spec, const protocol::Settings& settings,
+                                             const std::vector<protocol::MachineType>& types) {
     const auto* team = settings.team(spec.team);
     if (!team) return "unknown team";
     const double tasks = spec.kind == Kind::array ? 1 : spec.tasks;
@@ -75,16 +75,16 @@
     return "fits no allowed machine type";
 }
 
-FrontDesk::FrontDesk(asio::io_context& io, const protocol::Settings& settings, storage::StateClient& state,
-                     bookkeeping::Mirror& mirror, Sync& sync)
+UserApi::UserApi(asio::io_context& io, const protocol::Settings& settings, storage::StateClient& state,
+                 bookkeeping::StateReplica& replica, StateWatcher& watcher)
     : settings_(settings),
       state_(state),
-      mirror_(mirror),
-      sync_(sync),
+      replica_(replica),
+      watcher_(watcher),
       timer_(io),
-      writes_(settings.stateWriteRps * kShare, Clock::now(), settings.leastWriteRps() * kShare) {}
+      writes_(settings.stateWriteRps * kShare, Clock::now(), settings.minWriteRps() * kShare) {}
 
-bool FrontDesk::handle(const Request& request, const Reply& reply) {
+bool UserApi::handle(const Request& request, const Reply& reply) {
     const std::string& path = request.path;
     if (path == paths::kSubmissions) {
         if (request.method != "POST") return reply(wrongMethod("POST")), true;
@@ -101,7 +101,7 @@
         return reply(wrongMethod(cancels ? "POST" : "GET")), true;
     // An id of another form cannot have been accepted.
     if (!protocol::isJobId(id)) return reply(respond(404, protocol::errorReply("no such job"))), true;
-    if (const auto* job = mirror_.find(id); job && job->final != Final::open)
+    if (const auto* job = replica_.find(id); job && job->final != Final::open)
         answerState(*job, reply);
     else if (cancels)
         cancel(id, reply, 3);
@@ -110,28 +110,28 @@
     return true;
 }
 
-void FrontDesk::setRunning(const std::vector<std::pair<std::string, std::uint32_t>>& running) {
+void UserApi::setRunning(const std::vector<std::pair<std::string, std::uint32_t>>& running) {
     running_.clear();
     running_.insert(running.begin(), running.end());
 }
 
-void FrontDesk::answerState(const Job& job, const Reply& reply) const {
+void UserApi::answerState(const Job& job, const Reply& reply) const {
     const auto found = running_.find(job.spec.id);
     const auto running = found == running_.end() || job.final != Final::open ? 0 : found->second;
     const auto state = job.state(running);
     reply(respond(200, protocol::jobReply(job.spec.id, state, job.doneCount, running)));
 }
 
-void FrontDesk::status(const std::string& id, const Reply& reply) {
-    sync_.fresh([this, id, reply](bool ok) {
-        if (!ok) return reply(comeBack(503, "the state service does not answer"));
-        const auto* job = mirror_.find(id);
+void UserApi::status(const std::string& id, const Reply& reply) {
+    watcher_.fresh([this, id, reply](bool ok) {
+        if (!ok) return reply(retryLater(503, "the state service does not answer"));
+        const auto* job = replica_.find(id);
         if (!job) return reply(respond(404, protocol::errorReply("no such job")));
         answerState(*job, reply);
     });
 }
 
-void FrontDesk::submit(const Request& request, const Reply& reply) {
+void UserApi::submit(const Request& request, const Reply& reply) {
     JobSpec spec;
     try {
         const auto handle = protocol::unpackBody(request.body);
@@ -139,48 +139,48 @@
     } catch (const protocol::Malformed& error) {
         return reply(respond(400, protocol::errorReply(error.what())));
     }
-    if (const auto* job = mirror_.find(spec.id)) {
+    if (const auto* job = replica_.find(spec.id)) {
         if (job->final != Final::open) return answerState(*job, reply);
         return status(spec.id, reply);
     }
-    if (!sync_.synced() || mirror_.types.empty()) return reply(comeBack(503, "not able to decide yet"));
-    auto why = neverRuns(spec, settings_, mirror_.types);
+    if (!watcher_.synced() || replica_.types.empty()) return reply(retryLater(503, "not able to decide yet"));
+    auto why = reasonItCannotRun(spec, settings_, replica_.types);
     // Nothing of it may be left out and nothing be kept elsewhere, so it can never run here: 422.
     if (!why && !storage::jobFits(spec, settings_.valueBytes())) why = kTooLarge;
-    if (why) return turnDown(spec.id, *why, reply);
+    if (why) return reject(spec.id, *why, reply);
     if (!missingDependency(spec)) return enqueue(std::move(spec), reply);
     // Another node may have accepted that one a moment ago.
-    sync_.fresh([this, spec = std::move(spec), reply](bool ok) mutable {
-        if (!ok) return reply(comeBack(503, "the state service does not answer"));
-        if (const auto* job = mirror_.find(spec.id)) return answerState(*job, reply);
+    watcher_.fresh([this, spec = std::move(spec), reply](bool ok) mutable {
+        if (!ok) return reply(retryLater(503, "the state service does not answer"));
+        if (const auto* job = replica_.find(spec.id)) return answerState(*job, reply);
         const auto missing = missingDependency(spec);
         if (!missing) return enqueue(std::move(spec), reply);
         reply(respond(422, protocol::errorReply("needs " + *missing + ", which was never accepted")));
     });
 }
 
-std::optional<std::string> FrontDesk::missingDependency(const JobSpec& spec) const {
+std::optional<std::string> UserApi::missingDependency(const JobSpec& spec) const {
     for (const auto& id : spec.dependencies)
-        if (!mirror_.find(id)) return id;
+        if (!replica_.find(id)) return id;
     return std::nullopt;
 }
 
 /// Not even a job that can't run may be turned down if another node has accepted it.
-void FrontDesk::turnDown(const std::string& id, const std::string& why, const Reply& reply) {
-    sync_.fresh([this, id, why, reply](bool ok) {
-        if (!ok) return reply(comeBack(503, "the state service does not answer"));
-        if (const auto* job = mirror_.find(id)) return answerState(*job, reply);
+void UserApi::reject(const std::string& id, const std::string& why, const Reply& reply) {
+    watcher_.fresh([this, id, why, reply](bool ok) {
+        if (!ok) return reply(retryLater(503, "the state service does not answer"));
+        if (const auto* job = replica_.find(id)) return answerState(*job, reply);
         reply(respond(422, protocol::errorReply(why)));
     });
 }
 
-void FrontDesk::enqueue(JobSpec spec, const Reply& reply) {
+void UserApi::enqueue(JobSpec spec, const Reply& reply) {
     // What cannot be stored soon is turned away at once, with the time to come back.
     const double rate = writes_.rate(Clock::now());
     const Seconds expected(static_cast<double>(queued_) / rate);
-    if (queued_ >= kMostQueued || expected > kLongestWait) {
+    if (queued_ >= kMaxQueued || expected > kMaxWait) {
         const auto after = std::chrono::ceil<std::chrono::seconds>(std::min<Seconds>(expected, 30s));
-        return reply(comeBack(429, "too many submissions", std::max(after, 1s)));
+        return reply(retryLater(429, "too many submissions", std::max(after, 1s)));
     }
     const auto team = spec.team;
     queues_[team].push_back({std::move(spec), reply, Clock::now()});
@@ -188,7 +188,7 @@
     serveQueues();
 }
 
-void FrontDesk::serveLater(Duration pause) {
+void UserApi::serveLater(Duration pause) {
     if (timing_) return;
     timing_ = true;
     timer_.expires_after(pause);
@@ -199,17 +199,17 @@
 }
 
 /// One submission of each team in turn, as the state service's rate allows.
-void FrontDesk::serveQueues() {
+void UserApi::serveQueues() {
     const auto now = Clock::now();
     for (auto& [team, queue] : queues_) {
-        while (!queue.empty() && now - queue.front().since > kLongestWait) {
-            queue.front().reply(comeBack(503, "the state service is busy"));
+        while (!queue.empty() && now - queue.front().since > kMaxWait) {
+            queue.front().reply(retryLater(503, "the state service is busy"));
             queue.pop_front();
             --queued_;
         }
     }
     std::erase_if(queues_, [](const auto& entry) { return entry.second.empty(); });
-    while (!queues_.empty() && storing_ < kMostStoring) {
+    while (!queues_.empty() && storing_ < kMaxStoring) {
         if (!writes_.take(1, 0, now)) break;
         auto next = queues_.upper_bound(lastTeam_);
         if (next == queues_.end()) next = queues_.begin();
@@ -223,11 +223,11 @@
     if (!queues_.empty()) serveLater(50ms);
 }
 
-void FrontDesk::store(Waiting waiting) {
+void UserApi::store(Waiting waiting) {
     ++storing_;
     const auto key = keys::job(waiting.spec.id);
     const storage::JobRecord record{waiting.spec, Final::open, transport::timeOfDayMs(), 0,
-                                    storage::chunkTasks(settings_.leastValueKb())};
+                                    storage::chunkTasks(settings_.minValueKb())};
     state_.transact({{key, 0}}, {{key, storage::encodeJob(record), 0}}, kStoreTimeout,
                     [this, waiting = std::move(waiting)](const TxnResult& result) {
                         --storing_;
@@ -240,34 +240,34 @@
                                 status(id, waiting.reply);
                                 break;
                             case TxnStatus::tooLarge:  // for a limit lower than the settings say
-                                turnDown(id, kTooLarge, waiting.reply);
+                                reject(id, kTooLarge, waiting.reply);
                                 break;
                             case TxnStatus::tooMany:
                                 writes_.refused(Clock::now());
                                 [[fallthrough]];
                             case TxnStatus::refused:
-                                if (Clock::now() - waiting.since < kLongestWait / 2) {
+                                if (Clock::now() - waiting.since < kMaxWait / 2) {
                                     queues_[waiting.spec.team].push_front(waiting);
                                     ++queued_;
                                     return serveLater(120ms);
                                 }
                                 [[fallthrough]];
                             default:
-                                waiting.reply(comeBack(503, "the state service does not answer"));
+                                waiting.reply(retryLater(503, "the state service does not answer"));
                         }
                         serveQueues();
                     });
 }
 
-void FrontDesk::cancel(const std::string& id, const Reply& reply, int tries) {
-    sync_.fresh([this, id, reply, tries](bool ok) {
-        if (!ok) return reply(comeBack(503, "the state service does not answer"));
+void UserApi::cancel(const std::string& id, const Reply& reply, int tries) {
+    watcher_.fresh([this, id, reply, tries](bool ok) {
+        if (!ok) return reply(retryLater(503, "the state service does not answer"));
         writeCancelled(id, reply, tries);
     });
 }
 
-void FrontDesk::writeCancelled(const std::string& id, const Reply& reply, int tries) {
-    const auto* job = mirror_.find(id);
+void UserApi::writeCancelled(const std::string& id, const Reply& reply, int tries) {
+    const auto* job = replica_.find(id);
     if (!job) return reply(respond(404, protocol::errorReply("no such job")));
     if (job->final != Final::open) return answerState(*job, reply);
     const auto key = keys::job(id);
@@ -281,13 +281,13 @@
                         if (result.status == TxnStatus::applied) {
                             // No read may come through for a while: whoever asks this node from now on, its
                             // own leadership and a leader that wants its promise first of all, is told.
-                            sync_.noteCancelled(id, result.revision);
+                            watcher_.noteCancelled(id, result.revision);
                             return reply(respond(200, protocol::jobReply(id, JobState::cancelled)));
                         }
                         if (result.status == TxnStatus::tooLarge && tries > 1) return cancel(id, reply, 1);
                         if (result.status == TxnStatus::conflict && tries > 1)
                             return cancel(id, reply, tries - 1);
-                        reply(comeBack(503, "the state service does not answer"));
+                        reply(retryLater(503, "the state service does not answer"));
                     });
 }
 
--- a/src/coordination/frontdesk.h
+++ b/src/coordination/user_api.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 
 #include "bookkeeping/jobs.h"
-#include "coordination/sync.h"
+#include "coordination/state_watcher.h"
 #include "protocol/settings.h"
 #include "storage/store.h"
 #include "transport/http.h"
@@ -15,15 +15,16 @@
 namespace burlpoint::coordination {
 
 /// Why a job can never run, or nothing.
-std::optional<std::string> neverRuns(const protocol::JobSpec& spec, const protocol::Settings& settings,
-                                     const std::vector<protocol::MachineType>& types);
+std::optional<std::string> reasonItCannotRun(const protocol::JobSpec& spec,
+                                             const protocol::Settings& settings,
+                                             const std::vector<protocol::MachineType>& types);
 
 /// Answers users, on every node. Nothing is acknowledged before it is stored, and only a final state is told
 /// without asking the state service first.
-class FrontDesk {
+class UserApi {
   public:
-    FrontDesk(asio::io_context& io, const protocol::Settings& settings, storage::StateClient& state,
-              bookkeeping::Mirror& mirror, Sync& sync);
+    UserApi(asio::io_context& io, const protocol::Settings& settings, storage::StateClient& state,
+            bookkeeping::StateReplica& replica, StateWatcher& watcher);
 
     /// False: the path is none of the users'.
     bool handle(const transport::Request& request, const transport::Reply& reply);
@@ -40,7 +41,7 @@
     void submit(const transport::Request& request, const transport::Reply& reply);
     /// A job that it needs and that was never accepted, as far as is known here.
     std::optional<std::string> missingDependency(const protocol::JobSpec& spec) const;
-    void turnDown(const std::string& id, const std::string& why, const transport::Reply& reply);
+    void reject(const std::string& id, const std::string& why, const transport::Reply& reply);
     void enqueue(protocol::JobSpec spec, const transport::Reply& reply);
     void serveQueues();
     void store(Waiting waiting);
@@ -52,8 +53,8 @@
 
     const protocol::Settings& settings_;
     storage::StateClient& state_;
-    bookkeeping::Mirror& mirror_;
-    Sync& sync_;
+    bookkeeping::StateReplica& replica_;
+    StateWatcher& watcher_;
     asio::steady_timer timer_;
     storage::RateBudget writes_;
     bool timing_ = false;
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -11,7 +11,8 @@
 template <typename E, std::size_t N>
 using Names = std::array<std::pair<std::string_view, E>, N>;
 
-constexpr Names<Kind, 3> kKinds{{{"sweep", Kind::array}, {"gang", Kind::gang}, {"standing", Kind::service}}};
+constexpr Names<Kind, 3> kJobKinds{
+    {{"sweep", Kind::array}, {"gang", Kind::gang}, {"standing", Kind::service}}};
 constexpr Names<Priority, 4> kPriorities{{{"prod", Priority::production},
                                           {"urgent", Priority::high},
                                           {"normal", Priority::normal},
@@ -63,7 +64,7 @@
     attempt.job = name.substr(0, slash);
     const char* end = name.data() + name.size();
     const auto [stop, error] = std::from_chars(name.data() + slash + 1, end, attempt.task);
-    if (error != std::errc() || stop != end || attempt.task >= kMostTasks)
+    if (error != std::errc() || stop != end || attempt.task >= kMaxTasks)
         throw Malformed("not a task: " + name);
     attempt.number = fields.integer("launch");
     return attempt;
@@ -98,10 +99,10 @@
     if (!isJobId(s.id)) throw Malformed("field uid is invalid");
     s.jobClass = f.text("berth", kName);
     s.team = f.text("crew", kName);
-    s.kind = parse(kKinds, f.text("rig"));
+    s.kind = parse(kJobKinds, f.text("rig"));
     s.priority = parse(kPriorities, f.text("tide"));
     const auto tasks = f.integer("hands");
-    if (tasks < 1 || tasks > kMostTasks) throw Malformed("field hands is invalid");
+    if (tasks < 1 || tasks > kMaxTasks) throw Malformed("field hands is invalid");
     s.tasks = static_cast<std::uint32_t>(tasks);
     s.cpus = f.amount("cores");
     s.gpus = f.amount("accelerators");
@@ -131,7 +132,7 @@
 void packSpec(Packer& p, const JobSpec& s, std::size_t extraFields) {
     p.map(20 + extraFields + !s.dependencies.empty());
     p.field("uid", s.id).field("berth", s.jobClass).field("crew", s.team);
-    p.field("rig", wordFor(kKinds, s.kind)).field("tide", wordFor(kPriorities, s.priority));
+    p.field("rig", wordFor(kJobKinds, s.kind)).field("tide", wordFor(kPriorities, s.priority));
     p.field("hands", s.tasks).field("cores", s.cpus).field("accelerators", s.gpus).field("ramGb", s.memoryGb);
     p.field("cargo", s.image).field("pullGb", s.imageGb);
     p.maybe("hulls", s.types).maybe("quay", s.zone);
@@ -311,14 +312,14 @@
     PeerStatus s;
     s.node = f.text("node");
     s.token = f.integer("token");
-    s.givenUp = f.integerOr("given_up", 0);
+    s.resignedToken = f.integerOr("given_up", 0);
     s.stateAgeMs = f.integer("state_age_ms");
-    s.hears = f.integerOr("hears", 0);
-    s.promiseMs = f.integerOr("promise_ms", 0);
+    s.leaderToken = f.integerOr("hears", 0);
+    s.grantMs = f.integerOr("promise_ms", 0);
     s.revision = f.integerOr("revision", 0);
     s.log = f.integerOr("log", 0);
     s.logAt = f.integerOr("log_at", 0);
-    s.told = f.flagOr("told", false);
+    s.complete = f.flagOr("told", false);
     f.each("cancelled", [&](const msgpack::object& element) {
         const Fields c(element);
         s.cancelled.push_back({c.text("job"), c.integer("version")});
@@ -326,7 +327,7 @@
     f.each("running", [&](const msgpack::object& element) {
         const Fields r(element);
         s.running.emplace_back(r.text("job"), static_cast<std::uint32_t>(
-                                                  std::min<std::uint64_t>(r.integer("count"), kMostTasks)));
+                                                  std::min<std::uint64_t>(r.integer("count"), kMaxTasks)));
     });
     return s;
 }
@@ -336,11 +337,11 @@
     p.map(12)
         .field("node", s.node)
         .field("token", s.token)
-        .field("given_up", s.givenUp)
+        .field("given_up", s.resignedToken)
         .field("state_age_ms", s.stateAgeMs)
-        .field("hears", s.hears)
-        .field("promise_ms", s.promiseMs);
-    p.field("revision", s.revision).field("log", s.log).field("log_at", s.logAt).field("told", s.told);
+        .field("hears", s.leaderToken)
+        .field("promise_ms", s.grantMs);
+    p.field("revision", s.revision).field("log", s.log).field("log_at", s.logAt).field("told", s.complete);
     p.key("cancelled").list(s.cancelled.size());
     for (const auto& c : s.cancelled) p.map(2).field("job", c.job).field("version", c.version);
     p.key("running").list(s.running.size());
