--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -21,7 +21,7 @@
 enum class ExitReason { none, done, stopped, peers, alone, error, noRoom, busy, unknown };
 enum class Op { start, stop, forget };
 
-constexpr std::uint32_t kMostTasks = 100'000;
+constexpr std::uint32_t kMaxTasks = 100'000;
 
 /// A job as its user describes it.
 struct JobSpec {
@@ -111,11 +111,11 @@
 /// What nodes tell each other.
 struct PeerStatus {
     std::string node;
-    std::uint64_t token = 0;       // of the sender's leadership, 0 for a follower
-    std::uint64_t givenUp = 0;     // a token that the sender led with and will not act under again
-    std::uint64_t stateAgeMs = 0;  // since the state service last answered the sender
-    std::uint64_t hears = 0;       // token of the leader that the sender is or is in touch with
-    std::uint64_t promiseMs = 0;   // in an answer to a leader: so long the sender will not try to lead
+    std::uint64_t token = 0;          // of the sender's leadership, 0 for a follower
+    std::uint64_t resignedToken = 0;  // a token that the sender led with and will not act under again
+    std::uint64_t stateAgeMs = 0;     // since the state service last answered the sender
+    std::uint64_t leaderToken = 0;    // token of the leader that the sender is or is in touch with
+    std::uint64_t grantMs = 0;        // in an answer to a leader: so long the sender will not try to lead
     std::vector<std::pair<std::string, std::uint32_t>> running;  // a leader's counts per job
     // A leader asks for the cancellations that the other side knows and it may not.
     std::uint64_t revision = 0;  // it knows all that was stored up to here
@@ -123,7 +123,7 @@
     // In a question: whose log, and from where on; in an answer: the own one, and up to where it was told.
     std::uint64_t log = 0, logAt = 0;
     std::vector<Cancellation> cancelled;
-    bool told = false;  // in an answer: nothing is left to tell
+    bool complete = false;  // in an answer: nothing is left to tell
     bool operator==(const PeerStatus&) const = default;
 };
 
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -98,7 +98,7 @@
 };
 
 constexpr double kDay = 86'400;
-constexpr double kMany = 1e9;
+constexpr double kLargestAmount = 1e9;
 
 }  // namespace
 
@@ -137,8 +137,9 @@
     s.clockError = std::chrono::milliseconds(static_cast<long>(cluster.number("clock_error_ms", 0, 1e7)));
     std::set<std::string> teams;
     for (const auto& t : cluster.sections("teams")) {
-        Team team{t.text("name"), t.number("cpus", 0, kMany), t.number("cpus_max", 0, kMany),
-                  t.number("gpus", 0, kMany), t.number("gpus_max", 0, kMany)};
+        Team team{t.text("name"), t.number("cpus", 0, kLargestAmount),
+                  t.number("cpus_max", 0, kLargestAmount), t.number("gpus", 0, kLargestAmount),
+                  t.number("gpus_max", 0, kLargestAmount)};
         if (!teams.insert(team.name).second) throw BadSettings("cluster.teams: two teams named " + team.name);
         s.teams.push_back(std::move(team));
     }
@@ -153,16 +154,16 @@
     s.cancel = Seconds(workers.number("cancel_s", 0, kDay));
     if (s.lease <= s.report) throw BadSettings("cluster.workers.lease_s: must be longer than report_s");
     const auto state = cluster.section("state");
-    s.stateRps = state.number("rps", 1, kMany);
-    s.stateWriteRps = state.number("write_rps", 1, kMany);
+    s.stateRps = state.number("rps", 1, kLargestAmount);
+    s.stateWriteRps = state.number("write_rps", 1, kLargestAmount);
     s.valueKb = state.number("value_kb", 1, 1e6);
     s.txnOps = static_cast<unsigned>(state.number("txn_ops", 2, 1e6));
     if (const auto next = state.maybeSection("next"))  // a limit that it does not name stays
-        s.nextState = {next->numberOr("write_rps", 1, kMany, s.stateWriteRps),
+        s.nextState = {next->numberOr("write_rps", 1, kLargestAmount, s.stateWriteRps),
                        next->numberOr("value_kb", 1, 1e6, s.valueKb),
                        static_cast<unsigned>(next->numberOr("txn_ops", 2, 1e6, s.txnOps))};
     const auto cloud = cluster.section("cloud");
-    s.cloudRps = cloud.number("rps", 0.01, kMany);
+    s.cloudRps = cloud.number("rps", 0.01, kLargestAmount);
     s.listLag = Seconds(cloud.number("list_lag_s", 0, kDay));
     const auto limits = cluster.section("limits");
     s.coreShare = limits.number("core_share", 0.001, 1024);
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -61,12 +61,12 @@
     const Team* team(const std::string& name) const;
     // What is written keeps from the start to the smaller of the limits now and next: nothing tells when the
     // next ones begin, and what is stored by then stays.
-    double leastValueKb() const { return nextState ? std::min(valueKb, nextState->valueKb) : valueKb; }
-    unsigned leastTxnOps() const { return nextState ? std::min(txnOps, nextState->txnOps) : txnOps; }
-    double leastWriteRps() const {
+    double minValueKb() const { return nextState ? std::min(valueKb, nextState->valueKb) : valueKb; }
+    unsigned minTxnOps() const { return nextState ? std::min(txnOps, nextState->txnOps) : txnOps; }
+    double minWriteRps() const {
         return nextState ? std::min(stateWriteRps, nextState->writeRps) : stateWriteRps;
     }
-    std::size_t valueBytes() const { return static_cast<std::size_t>(leastValueKb() * 1024); }
+    std::size_t valueBytes() const { return static_cast<std::size_t>(minValueKb() * 1024); }
 };
 
 /// The operators' own settings (XML). Each has a default that suits both first deployments.
--- a/src/storage/records.cpp
+++ b/src/storage/records.cpp
@@ -27,22 +27,22 @@
     return p.field("ended_ms", r.endedMs).take();
 }
 
-std::string encodeFinal(JobRecord record, std::size_t mostBytes) {
+std::string encodeFinal(JobRecord record, std::size_t maxBytes) {
     auto value = encodeJob(record);
-    if (protocol::jsonBytes(value) <= mostBytes) return value;
+    if (protocol::jsonBytes(value) <= maxBytes) return value;
     record.spec.types.reset();
     record.spec.dependencies.clear();
     value = encodeJob(record);
-    if (protocol::jsonBytes(value) <= mostBytes) return value;
+    if (protocol::jsonBytes(value) <= maxBytes) return value;
     record.spec.zone.reset();
     for (auto* text : {&record.spec.jobClass, &record.spec.team, &record.spec.image}) text->assign(1, '-');
     return encodeJob(record);
 }
 
-bool jobFits(const protocol::JobSpec& spec, std::size_t mostBytes) {
+bool jobFits(const protocol::JobSpec& spec, std::size_t maxBytes) {
     constexpr std::uint64_t kLate = 99'999'999'999'999;  // a time of day with a digit more than today's
     const auto value = encodeJob({spec, Final::cancelled, kLate, spec.tasks, 1u << 30, kLate});
-    return protocol::jsonBytes(value) <= mostBytes;
+    return protocol::jsonBytes(value) <= maxBytes;
 }
 
 JobRecord decodeJob(const msgpack::object& value) {
--- a/src/storage/records.h
+++ b/src/storage/records.h
@@ -62,11 +62,11 @@
 // Each encode function returns a packed value; each decode function throws protocol::Malformed.
 std::string encodeJob(const JobRecord& record);
 JobRecord decodeJob(const msgpack::object& value);
-/// A record of a job that is over. If it would take more than `mostBytes` as JSON, it goes without what is of
+/// A record of a job that is over. If it would take more than `maxBytes` as JSON, it goes without what is of
 /// no use any more: a job accepted under a higher limit must come to its end under a lower one.
-std::string encodeFinal(JobRecord record, std::size_t mostBytes);
-/// The record of an accepted job, at its longest, is within `mostBytes`.
-bool jobFits(const protocol::JobSpec& spec, std::size_t mostBytes);
+std::string encodeFinal(JobRecord record, std::size_t maxBytes);
+/// The record of an accepted job, at its longest, is within `maxBytes`.
+bool jobFits(const protocol::JobSpec& spec, std::size_t maxBytes);
 std::string encodeLeader(const LeaderRecord& record);
 LeaderRecord decodeLeader(const msgpack::object& value);
 std::string encodeToken(std::uint64_t token);
--- a/src/storage/store.cpp
+++ b/src/storage/store.cpp
@@ -26,7 +26,8 @@
 void RateBudget::refill(Time now) {
     if (now > at_) {
         const auto seconds = std::chrono::duration<double>(now - at_).count();
-        rate_ = std::min(lowered_ ? std::min(top_, next_) : top_, rate_ + top_ * kFaster * seconds);
+        rate_ =
+            std::min(lowered_ ? std::min(maxRate_, next_) : maxRate_, rate_ + maxRate_ * kFaster * seconds);
         // Room for one change at least: below that a low rate would never let anything through.
         level_ = std::min(std::max(1.0, rate_), level_ + rate_ * seconds);
         at_ = now;
@@ -38,7 +39,7 @@
     level_ = std::min(level_, 0.0);  // the service has nothing saved up
     if (lowered_ && now - *lowered_ < kOneSign) return;
     lowered_ = now;
-    rate_ = std::max(least_, std::min(rate_, next_) * kSlower);
+    rate_ = std::max(minRate_, std::min(rate_, next_) * kSlower);
 }
 
 bool RateBudget::take(double n, double reserve, Time now) {
@@ -58,7 +59,7 @@
 /// Why a transaction was not carried out, with a word about the first of each kind of limit met.
 TxnStatus StateClient::refusal(const Outcome& outcome, std::size_t writes, std::size_t bytes) {
     if (outcome.status == 429) {
-        if (!std::exchange(saidTooMany_, true))
+        if (!std::exchange(loggedTooMany_, true))
             spdlog::info("the state service refuses changes as too many; writing slows down");
         return TxnStatus::tooMany;
     }
@@ -71,7 +72,7 @@
         // No reason given. A lease that has ended is always named.
     }
     if (why == kNoSuchLease) return TxnStatus::noLease;
-    if (!std::exchange(saidTooLarge_, true))
+    if (!std::exchange(loggedTooLarge_, true))
         spdlog::error("the state service does not take {} changes of {} bytes: {}", writes, bytes,
                       why.empty() ? "400" : why);
     return TxnStatus::tooLarge;
--- a/src/storage/store.h
+++ b/src/storage/store.h
@@ -22,7 +22,7 @@
     /// rate gone back to: either the lower limit is in force, or the higher one is shared by too many
     /// already.
     RateBudget(double rate, Time now, double next = 1e9)
-        : top_(rate), next_(next), least_(rate / 8), rate_(rate), level_(rate), at_(now) {}
+        : maxRate_(rate), next_(next), minRate_(rate / 8), rate_(rate), level_(rate), at_(now) {}
     /// Takes `n` if at least `reserve` remains afterwards for what matters more.
     bool take(double n, double reserve, Time now);
     double available(Time now) { return refill(now), level_; }
@@ -34,7 +34,7 @@
 
   private:
     void refill(Time now);
-    double top_, next_, least_;
+    double maxRate_, next_, minRate_;
     double rate_, level_;
     Time at_;
     std::optional<Time> lowered_;
@@ -90,7 +90,7 @@
     std::string address_;
     RateBudget requests_;
     Time lastAnswer_;
-    bool saidTooLarge_ = false, saidTooMany_ = false;
+    bool loggedTooLarge_ = false, loggedTooMany_ = false;
 };
 
 }  // namespace burlpoint::storage
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -24,7 +24,7 @@
     s.team = shortName();
     s.kind = *rc::gen::element(Kind::array, Kind::gang, Kind::service);
     s.priority = *rc::gen::element(Priority::low, Priority::normal, Priority::high, Priority::production);
-    s.tasks = *rc::gen::inRange<std::uint32_t>(1, kMostTasks + 1);
+    s.tasks = *rc::gen::inRange<std::uint32_t>(1, kMaxTasks + 1);
     s.cpus = amount();
     s.gpus = amount();
     s.memoryGb = amount();
@@ -51,7 +51,7 @@
     const int tasks = *rc::gen::inRange(0, 20);
     for (int i = 0; i < tasks; ++i) {
         TaskReport t;
-        t.attempt = {jobId(), *rc::gen::inRange<std::uint32_t>(0, kMostTasks), big()};
+        t.attempt = {jobId(), *rc::gen::inRange<std::uint32_t>(0, kMaxTasks), big()};
         t.state = *rc::gen::element(TaskState::fetching, TaskState::waiting, TaskState::running,
                                     TaskState::saving, TaskState::exited);
         if (t.state == TaskState::exited) {
@@ -156,7 +156,7 @@
                  big(),
                  5,
                  7,
-                 {{jobId(), 3}, {jobId(), kMostTasks}},
+                 {{jobId(), 3}, {jobId(), kMaxTasks}},
                  big(),
                  big(),
                  big(),
@@ -205,7 +205,7 @@
     refused([](auto& s) { s.id = "wk-"; });
     refused([](auto& s) { s.id = "job-12"; });
     refused([](auto& s) { s.tasks = 0; });
-    refused([](auto& s) { s.tasks = kMostTasks + 1; });
+    refused([](auto& s) { s.tasks = kMaxTasks + 1; });
     refused([](auto& s) { s.cpus = -1; });
     refused([](auto& s) { s.memoryGb = std::numeric_limits<double>::infinity(); });
     refused([](auto& s) { s.estimate = Seconds(std::nan("")); });
--- a/tests/jobs_test.cpp
+++ b/tests/jobs_test.cpp
@@ -24,10 +24,10 @@
 }
 
 /// Applies a packed value as a stored change.
-bool store(Mirror& mirror, const std::string& key, const std::string& value, std::uint64_t version) {
+bool store(StateReplica& replica, const std::string& key, const std::string& value, std::uint64_t version) {
     const auto handle = protocol::unpackBody(value);
     std::vector<Change> changes;
-    return mirror.apply({key, &handle.get(), version}, changes);
+    return replica.apply({key, &handle.get(), version}, changes);
 }
 
 std::string record(const protocol::JobSpec& spec, Final final, std::uint32_t done = 0) {
@@ -54,10 +54,10 @@
         switch (*rc::gen::inRange(0, 5)) {
             case 0:
             case 1:
-                fleet.place(machine, job, task, ++attempt, PlaceState::running, Time{});
+                fleet.place(machine, job, task, ++attempt, PlacementState::running, Time{});
                 break;
             case 2:
-                if (!machine.places.empty()) fleet.remove(machine, machine.places.begin());
+                if (!machine.placements.empty()) fleet.remove(machine, machine.placements.begin());
                 break;
             case 3:
                 job.finish(task);
@@ -72,7 +72,7 @@
         }
         RC_ASSERT(job.run->waiting == waiting);
         RC_ASSERT(job.run->liveTotal == live);
-        RC_ASSERT(live == a.places.size() + b.places.size());
+        RC_ASSERT(live == a.placements.size() + b.placements.size());
         RC_ASSERT(job.run->running == live);
         RC_ASSERT(std::abs(fleet.teamUse("t").cpus - 0.1 * live) < 1e-6);
         const auto first = job.firstWaiting();
@@ -82,70 +82,70 @@
 }
 
 // Reads that cross on the way must not bring an older value back.
-TEST(Mirror, KeepsTheNewestOfEachKey) {
-    Mirror mirror;
+TEST(StateReplica, KeepsTheNewestOfEachKey) {
+    StateReplica replica;
     const auto spec = arrayOf(20);
     const auto key = storage::keys::job(spec.id);
-    EXPECT_TRUE(store(mirror, key, record(spec, Final::open), 5));
-    EXPECT_TRUE(store(mirror, key, record(spec, Final::cancelled, 3), 9));
-    EXPECT_TRUE(store(mirror, key, record(spec, Final::open), 5));
-    ASSERT_NE(mirror.find(spec.id), nullptr);
-    EXPECT_EQ(mirror.find(spec.id)->final, Final::cancelled);
-    EXPECT_EQ(mirror.find(spec.id)->accepted, 5u);
-    EXPECT_TRUE(mirror.openJobs().empty());
+    EXPECT_TRUE(store(replica, key, record(spec, Final::open), 5));
+    EXPECT_TRUE(store(replica, key, record(spec, Final::cancelled, 3), 9));
+    EXPECT_TRUE(store(replica, key, record(spec, Final::open), 5));
+    ASSERT_NE(replica.find(spec.id), nullptr);
+    EXPECT_EQ(replica.find(spec.id)->final, Final::cancelled);
+    EXPECT_EQ(replica.find(spec.id)->accepted, 5u);
+    EXPECT_TRUE(replica.openJobs().empty());
 }
 
 // A cancellation heard of from a peer, of a job known and of one whose record is read only afterwards,
 // perhaps as it stood before.
-TEST(Mirror, ACancellationHeardOfStays) {
-    Mirror mirror;
+TEST(StateReplica, ACancellationHeardOfStays) {
+    StateReplica replica;
     const auto spec = arrayOf(20);
     const auto key = storage::keys::job(spec.id);
     std::vector<Change> changes;
-    mirror.noteCancelled(spec.id, 9, changes);
+    replica.noteCancelled(spec.id, 9, changes);
     EXPECT_TRUE(changes.empty());
-    EXPECT_TRUE(store(mirror, key, record(spec, Final::open), 5));
-    EXPECT_EQ(mirror.find(spec.id)->final, Final::cancelled);
-    EXPECT_TRUE(store(mirror, storage::keys::doneChunk(spec.id, 0), storage::encodeBits({true}, 0, 8), 6));
-    EXPECT_TRUE(store(mirror, key, record(spec, Final::cancelled, 3), 9));
-    mirror.noteCancelled(spec.id, 9, changes);
+    EXPECT_TRUE(store(replica, key, record(spec, Final::open), 5));
+    EXPECT_EQ(replica.find(spec.id)->final, Final::cancelled);
+    EXPECT_TRUE(store(replica, storage::keys::doneChunk(spec.id, 0), storage::encodeBits({true}, 0, 8), 6));
+    EXPECT_TRUE(store(replica, key, record(spec, Final::cancelled, 3), 9));
+    replica.noteCancelled(spec.id, 9, changes);
     EXPECT_TRUE(changes.empty());
-    ASSERT_EQ(mirror.cancelled().size(), 1u);
-    EXPECT_EQ(mirror.cancelled()[0]->version, 9u);
-    EXPECT_TRUE(mirror.openJobs().empty());
+    ASSERT_EQ(replica.cancelled().size(), 1u);
+    EXPECT_EQ(replica.cancelled()[0]->version, 9u);
+    EXPECT_TRUE(replica.openJobs().empty());
 
     auto other = arrayOf(3);
     other.id = "wk-2";
-    EXPECT_TRUE(store(mirror, storage::keys::job(other.id), record(other, Final::open), 11));
-    mirror.noteCancelled(other.id, 12, changes);
+    EXPECT_TRUE(store(replica, storage::keys::job(other.id), record(other, Final::open), 11));
+    replica.noteCancelled(other.id, 12, changes);
     ASSERT_EQ(changes.size(), 1u);
     EXPECT_EQ(changes[0].id, other.id);
-    EXPECT_EQ(mirror.find(other.id)->final, Final::cancelled);
-    EXPECT_EQ(mirror.cancelled().size(), 2u);
+    EXPECT_EQ(replica.find(other.id)->final, Final::cancelled);
+    EXPECT_EQ(replica.cancelled().size(), 2u);
 }
 
-TEST(Mirror, ReadsBitmapsInChunks) {
-    Mirror mirror;
+TEST(StateReplica, ReadsBitmapsInChunks) {
+    StateReplica replica;
     const auto spec = arrayOf(20);
-    EXPECT_TRUE(store(mirror, storage::keys::job(spec.id), record(spec, Final::open), 1));
+    EXPECT_TRUE(store(replica, storage::keys::job(spec.id), record(spec, Final::open), 1));
     std::vector<bool> bits(20);
     bits[9] = bits[17] = true;
-    EXPECT_TRUE(store(mirror, storage::keys::doneChunk(spec.id, 1), storage::encodeBits(bits, 8, 8), 2));
-    EXPECT_TRUE(store(mirror, storage::keys::doneChunk(spec.id, 2), storage::encodeBits(bits, 16, 8), 3));
-    const auto* job = mirror.find(spec.id);
+    EXPECT_TRUE(store(replica, storage::keys::doneChunk(spec.id, 1), storage::encodeBits(bits, 8, 8), 2));
+    EXPECT_TRUE(store(replica, storage::keys::doneChunk(spec.id, 2), storage::encodeBits(bits, 16, 8), 3));
+    const auto* job = replica.find(spec.id);
     EXPECT_EQ(job->doneCount, 2u);
     EXPECT_TRUE(job->isDone(9) && job->isDone(17) && !job->isDone(8));
     EXPECT_EQ(job->chunkVersion(1), 2u);
 }
 
-TEST(Mirror, MalformedValuesChangeNothing) {
-    Mirror mirror;
+TEST(StateReplica, MalformedValuesChangeNothing) {
+    StateReplica replica;
     const auto spec = arrayOf(3);
     EXPECT_FALSE(
-        store(mirror, storage::keys::job("wk-2"), record(spec, Final::open), 1));  // under another's key
-    EXPECT_FALSE(store(mirror, storage::keys::kToken, protocol::Packer().value(7).take(), 1));
-    EXPECT_EQ(mirror.find("wk-2"), nullptr);
-    EXPECT_EQ(mirror.tokenVersion, 0u);
+        store(replica, storage::keys::job("wk-2"), record(spec, Final::open), 1));  // under another's key
+    EXPECT_FALSE(store(replica, storage::keys::kToken, protocol::Packer().value(7).take(), 1));
+    EXPECT_EQ(replica.find("wk-2"), nullptr);
+    EXPECT_EQ(replica.tokenVersion, 0u);
 }
 
 TEST(Tenure, CountsFromTheSendingOfTheRenewal) {
@@ -184,18 +184,18 @@
 
 // Seen on a simulated day: workers cut off from the leader's zone lost their leases beside a node that saw
 // both.
-TEST(Detour, StandsInForAWorkerThatComesBackFromTheLeader) {
-    coordination::Detour detour;
+TEST(RelayDecider, StandsInForAWorkerThatComesBackFromTheLeader) {
+    coordination::RelayDecider detour;
     Time now{1000s};
-    EXPECT_TRUE(detour.passOn(now));
-    EXPECT_FALSE(detour.passOn(now += 2s));  // try the leader
-    EXPECT_TRUE(detour.passOn(now += 5s));   // it was in vain
-    for (int i = 0; i < 14; ++i) EXPECT_TRUE(detour.passOn(now += 2s));
-    EXPECT_FALSE(detour.passOn(now += 2s));  // try again
-    EXPECT_TRUE(detour.passOn(now += 5s));
+    EXPECT_TRUE(detour.shouldRelay(now));
+    EXPECT_FALSE(detour.shouldRelay(now += 2s));  // try the leader
+    EXPECT_TRUE(detour.shouldRelay(now += 5s));   // it was in vain
+    for (int i = 0; i < 14; ++i) EXPECT_TRUE(detour.shouldRelay(now += 2s));
+    EXPECT_FALSE(detour.shouldRelay(now += 2s));  // try again
+    EXPECT_TRUE(detour.shouldRelay(now += 5s));
     EXPECT_TRUE(detour.over(now += 60s));
-    EXPECT_TRUE(detour.passOn(now));  // from the beginning
-    EXPECT_FALSE(detour.passOn(now += 2s));
+    EXPECT_TRUE(detour.shouldRelay(now));  // from the beginning
+    EXPECT_FALSE(detour.shouldRelay(now += 2s));
 }
 
 TEST(Machine, CacheKeepsTheLatestImagesWithinItsSize) {
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -22,7 +22,7 @@
 struct Bench {
     protocol::Settings settings;
     protocol::Policy policy;
-    bookkeeping::Mirror mirror;
+    bookkeeping::StateReplica replica;
     Time now{1000s};
     std::unique_ptr<Leader> leader;
     std::map<std::string, std::uint64_t> sequences;
@@ -34,21 +34,21 @@
         settings.teams = {{"t", 0, 0, 0, 0}, {"limited", 0, 8, 0, 0}};
         settings.report = protocol::Seconds(2);
         settings.lease = protocol::Seconds(20);
-        mirror.types = {{"plain", 8, 0, 32, 50, 1, 1, 0.3, protocol::Seconds(10), {"z", "y"}},
-                        {"gpu", 16, 2, 64, 50, 1, 8, 3, protocol::Seconds(30), {"z", "y"}}};
-        mirror.token = 5;
-        mirror.tokenVersion = 5;
+        replica.types = {{"plain", 8, 0, 32, 50, 1, 1, 0.3, protocol::Seconds(10), {"z", "y"}},
+                         {"gpu", 16, 2, 64, 50, 1, 8, 3, protocol::Seconds(30), {"z", "y"}}};
+        replica.token = 5;
+        replica.tokenVersion = 5;
     }
     void roster(const std::string& id, const std::string& type = "plain", const std::string& zone = "z") {
-        mirror.roster[id] = {{id, type, zone, false}, ++revision};
+        replica.roster[id] = {{id, type, zone, false}, ++revision};
     }
-    void lead() { leader = std::make_unique<Leader>(settings, policy, mirror, 5, now, 0); }
+    void lead() { leader = std::make_unique<Leader>(settings, policy, replica, 5, now, 0); }
 
     void job(JobSpec spec) {
         const auto value = storage::encodeJob({spec, storage::Final::open, 0, 0, storage::chunkTasks(8)});
         const auto handle = protocol::unpackBody(value);
         std::vector<bookkeeping::Change> changes;
-        mirror.apply({storage::keys::job(spec.id), &handle.get(), ++revision}, changes);
+        replica.apply({storage::keys::job(spec.id), &handle.get(), ++revision}, changes);
         if (leader) tell(JobsChanged{{spec.id}});
     }
     std::vector<Action> tell(Command command) { return leader->handle(std::move(command), now); }
@@ -57,7 +57,7 @@
         return tell(Tick{});
     }
     protocol::Report message(const std::string& id, std::vector<TaskReport> tasks, std::uint64_t token) {
-        const auto& machine = mirror.roster.at(id).record;
+        const auto& machine = replica.roster.at(id).record;
         return {id, id, machine.type, machine.zone, false, 1, ++sequences[id], token, {}, std::move(tasks)};
     }
     /// The starts in the response to a report, as "job/task".
@@ -280,7 +280,7 @@
 TEST(Leader, AMachineThatWasOnlyRentedIsNeitherWaitedForNorGivenUp) {
     Bench b;
     b.roster("m1");
-    b.mirror.roster["m2"] = {{"", "plain", "z", false}, 9};
+    b.replica.roster["m2"] = {{"", "plain", "z", false}, 9};
     b.job(make("wk-1", 1, 8));
     b.lead();
     EXPECT_EQ(b.report("m1"), Names{"wk-1/0"});  // it can't be on m2
@@ -341,7 +341,7 @@
     const auto& m1 = *b.leader->fleet().machines().at("m1");
     Names starts;
     for (int second = 0; second < 30 && starts.empty(); ++second) {
-        EXPECT_EQ(m1.places.size(), 1u);  // a copy without the task does not settle it
+        EXPECT_EQ(m1.placements.size(), 1u);  // a copy without the task does not settle it
         b.now += 1s;
         b.tell(ReportArrived{7, empty});
         b.tell(Tick{});
@@ -448,12 +448,12 @@
     }
     ASSERT_TRUE(probe);
     const auto& m1 = *b.leader->fleet().machines().at("m1");
-    const auto possible = m1.places.size();
+    const auto possible = m1.placements.size();
     ASSERT_GT(possible, 0u);
     b.tell(WorkerAnswered{"m1", b.message("m1", {}, 5), probe->known});
     b.sequences["m1"] = 50;  // beyond what was known: a late copy could look like this, too
     EXPECT_EQ(b.report("m1"), Names{});
-    EXPECT_EQ(m1.places.size(), possible);  // and would settle what is running now
+    EXPECT_EQ(m1.placements.size(), possible);  // and would settle what is running now
     bool released = false;
     for (int i = 0; i < 10; ++i)
         for (const auto& action : b.tick())
@@ -605,7 +605,7 @@
             if (round == 1) before = LeaderProbe::visited(*b.leader);
             for (const auto& id : machines) {
                 std::vector<TaskReport> tasks;
-                for (const auto& [key, place] : b.leader->fleet().machines().at(id)->places)
+                for (const auto& [key, place] : b.leader->fleet().machines().at(id)->placements)
                     tasks.push_back({{key.job->spec.id, key.task, key.attempt},
                                      TaskState::running,
                                      protocol::ExitReason::none,
@@ -675,7 +675,7 @@
     ASSERT_EQ(b.report("m1").size() + b.report("m2").size(), 2u);
     std::map<std::string, protocol::Attempt> on;
     for (const auto& [id, m] : b.leader->fleet().machines())
-        for (const auto& [key, place] : m->places) on[id] = {"wk-1", key.task, key.attempt};
+        for (const auto& [key, place] : m->placements) on[id] = {"wk-1", key.task, key.attempt};
     for (const auto& [id, attempt] : on) b.report(id, {{attempt, TaskState::running, {}, false}});
     auto notice = b.message("m1", {{on.at("m1"), TaskState::running, {}, false}}, 5);
     notice.notice = protocol::Seconds(15);
@@ -772,7 +772,7 @@
     const auto value = storage::encodeJob({spec, storage::Final::cancelled, 0, 0, storage::chunkTasks(8)});
     const auto handle = protocol::unpackBody(value);
     std::vector<bookkeeping::Change> changes;
-    b.mirror.apply({storage::keys::job("wk-1"), &handle.get(), ++b.revision}, changes);
+    b.replica.apply({storage::keys::job("wk-1"), &handle.get(), ++b.revision}, changes);
     b.lead();
     const std::vector<TaskReport> tasks{{{"wk-1", 0, 7}, TaskState::running, {}, false},
                                         {{"wk-1", 1, 8}, TaskState::fetching, {}, false},
@@ -799,15 +799,15 @@
     b.job(spec);
     ASSERT_EQ(b.report("m1"), Names{"wk-1/0"});
     const std::vector<TaskReport> running{b.task("wk-1/0", TaskState::running)};
-    const auto overtaken = b.message("m1", running, 5);
+    const auto staleReports = b.message("m1", running, 5);
     b.tell(WorkerAnswered{"m1", b.message("m1", running, 5), {}});
     const auto value = storage::encodeJob({spec, storage::Final::cancelled, 0, 0, storage::chunkTasks(8)});
     const auto handle = protocol::unpackBody(value);
     std::vector<bookkeeping::Change> changes;
-    b.mirror.apply({storage::keys::job("wk-1"), &handle.get(), ++b.revision}, changes);
+    b.replica.apply({storage::keys::job("wk-1"), &handle.get(), ++b.revision}, changes);
     b.tell(JobsChanged{{"wk-1"}});
     std::size_t stops = 0;
-    for (const auto& action : b.tell(ReportArrived{1, overtaken}))
+    for (const auto& action : b.tell(ReportArrived{1, staleReports}))
         if (const auto* answer = std::get_if<AnswerReport>(&action)) {
             EXPECT_TRUE(answer->accepted);
             for (const auto& order : answer->orders) stops += order.op == Op::stop;
@@ -824,9 +824,9 @@
     b.job(make("wk-1", 1, 2));
     int resigned = 0, rented = 0;
     for (std::uint64_t token = 6; token < 10 && rented == 0; ++token) {
-        b.mirror.token = token;
+        b.replica.token = token;
         b.leader.reset();
-        b.leader = std::make_unique<Leader>(b.settings, b.policy, b.mirror, token, b.now, 0);
+        b.leader = std::make_unique<Leader>(b.settings, b.policy, b.replica, token, b.now, 0);
         bool leads = true;
         for (int i = 0; i < 40 * 5 && leads; ++i)
             for (const auto& action : b.tick()) {
@@ -846,7 +846,7 @@
         Bench b;
         b.settings.peers = {{"two", "z", ""}, {"three", "y", ""}};
         for (const char* id : {"m1", "m2", "m3", "m4"}) b.roster(id);
-        b.leader = std::make_unique<Leader>(b.settings, b.policy, b.mirror, 8, b.now, 0);
+        b.leader = std::make_unique<Leader>(b.settings, b.policy, b.replica, 8, b.now, 0);
         if (heard) b.report("m1", {}, 8);
         int seconds = 0;
         for (bool leads = true; leads && seconds < 120; ++seconds)
@@ -893,9 +893,9 @@
     const auto value = storage::encodeJob({spec, storage::Final::cancelled, 0, 0, storage::chunkTasks(8)});
     const auto handle = protocol::unpackBody(value);
     std::vector<bookkeeping::Change> changes;
-    b.mirror.apply({storage::keys::job("wk-1"), &handle.get(), ++b.revision}, changes);
+    b.replica.apply({storage::keys::job("wk-1"), &handle.get(), ++b.revision}, changes);
     EXPECT_EQ(answerProbes(b.tell(JobsChanged{{"wk-1"}}), {}), 1u);
-    EXPECT_TRUE(b.leader->fleet().machines().at("m1")->places.empty());
+    EXPECT_TRUE(b.leader->fleet().machines().at("m1")->placements.empty());
     std::set<std::string> released;
     for (int i = 0; i < 80 && !released.contains("m1"); ++i) {
         b.report("m2", other);
@@ -1049,7 +1049,7 @@
     b.tell(StateWritten{});
     EXPECT_EQ(b.report("m1", {done}), Names{});
     writing = false;
-    for (const auto& action : b.tell(MirrorRefreshed{true}))
+    for (const auto& action : b.tell(ReplicaRefreshed{true}))
         writing |= std::holds_alternative<WriteState>(action);
     ASSERT_TRUE(writing);
     EXPECT_EQ(b.report("m1", {done}), Names{});
@@ -1057,7 +1057,7 @@
     stored.status = storage::TxnStatus::applied;
     stored.revision = ++b.revision;
     b.tell(StateWritten{stored});
-    EXPECT_EQ(b.mirror.find("wk-1")->final, storage::Final::done);
+    EXPECT_EQ(b.replica.find("wk-1")->final, storage::Final::done);
     EXPECT_EQ(b.report("m1", {done}), Names{"wk-2/0"});
 }
 
@@ -1075,20 +1075,20 @@
     const auto bits = storage::encodeBits({true, true}, 0, storage::chunkTasks(8));
     std::vector<bookkeeping::Change> changes;
     auto handle = protocol::unpackBody(bits);
-    b.mirror.apply({storage::keys::doneChunk("wk-1", 0), &handle.get(), ++b.revision}, changes);
+    b.replica.apply({storage::keys::doneChunk("wk-1", 0), &handle.get(), ++b.revision}, changes);
     b.leader.reset();
-    b.leader = std::make_unique<Leader>(b.settings, b.policy, b.mirror, 5, b.now, 100'000);
+    b.leader = std::make_unique<Leader>(b.settings, b.policy, b.replica, 5, b.now, 100'000);
     // All its bits are stored, and its end is not.
     EXPECT_EQ(b.report("m1"), Names{});
     const auto value =
         storage::encodeJob({first, storage::Final::done, 0, 2, storage::chunkTasks(8), 60'000});
     handle = protocol::unpackBody(value);
-    b.mirror.apply({storage::keys::job("wk-1"), &handle.get(), ++b.revision}, changes);
+    b.replica.apply({storage::keys::job("wk-1"), &handle.get(), ++b.revision}, changes);
     b.leader.reset();
-    b.leader = std::make_unique<Leader>(b.settings, b.policy, b.mirror, 5, b.now, 100'000);
+    b.leader = std::make_unique<Leader>(b.settings, b.policy, b.replica, 5, b.now, 100'000);
     EXPECT_EQ(b.report("m1"), Names{"wk-2/0"});
-    EXPECT_EQ(b.mirror.find("wk-2")->run->readyAt, b.now - 200ms - 40s);
-    EXPECT_EQ(b.mirror.find("wk-3")->run, nullptr);
+    EXPECT_EQ(b.replica.find("wk-2")->run->readyAt, b.now - 200ms - 40s);
+    EXPECT_EQ(b.replica.find("wk-3")->run, nullptr);
 }
 
 // While it waits for others a job holds no part of its team's guarantee or limit, and is no backlog.
@@ -1102,7 +1102,7 @@
     waits.dependencies = {"wk-1"};
     for (const auto& job : {first, waits, other}) b.job(job);
     EXPECT_EQ(b.report("m1").size(), 4u);
-    EXPECT_TRUE(b.mirror.find("wk-3")->run->guaranteed);
+    EXPECT_TRUE(b.replica.find("wk-3")->run->guaranteed);
     bool rents = false;
     for (int i = 0; i < 20; ++i)
         for (const auto& action : b.tick()) rents |= std::holds_alternative<Rent>(action);
@@ -1129,8 +1129,8 @@
     b.leader.reset();
     b.lead();
     b.tick();
-    EXPECT_EQ(b.mirror.find("wk-2")->run->priority, protocol::Priority::high);
-    EXPECT_EQ(*b.mirror.find("wk-2")->dueMs, 270'000u);
+    EXPECT_EQ(b.replica.find("wk-2")->run->priority, protocol::Priority::high);
+    EXPECT_EQ(*b.replica.find("wk-2")->dueMs, 270'000u);
     b.report("m1", {b.task("wk-1/0", TaskState::running), b.task("wk-1/1", TaskState::running)});
     EXPECT_EQ(b.report("m2"), (Names{"wk-2/0", "wk-2/1"}));
     // The rest of it has to yield nothing: the rival's tasks stop for it.
@@ -1146,11 +1146,11 @@
     EXPECT_TRUE(stops);
     EXPECT_EQ(LeaderProbe::recount(*b.leader), "");
     std::vector<bookkeeping::Change> changes;
-    b.mirror.noteCancelled("wk-3", ++b.revision, changes);
+    b.replica.noteCancelled("wk-3", ++b.revision, changes);
     b.tell(JobsChanged{{"wk-3"}});
     for (int i = 0; i < 3; ++i) b.tick();
-    EXPECT_EQ(b.mirror.find("wk-2")->run->priority, protocol::Priority::low);
-    EXPECT_EQ(b.mirror.find("wk-2")->dueMs, std::nullopt);
+    EXPECT_EQ(b.replica.find("wk-2")->run->priority, protocol::Priority::low);
+    EXPECT_EQ(b.replica.find("wk-2")->dueMs, std::nullopt);
     EXPECT_EQ(LeaderProbe::recount(*b.leader), "");
 }
 
@@ -1164,7 +1164,7 @@
     ASSERT_EQ(b.report("m1"), Names{"wk-1/0"});
     b.job(make("wk-2", 1, 2));
     std::vector<bookkeeping::Change> changes;
-    b.mirror.noteCancelled("wk-1", ++b.revision, changes);
+    b.replica.noteCancelled("wk-1", ++b.revision, changes);
     b.tell(JobsChanged{{"wk-1"}});
     b.tick();  // wk-2 has its place in the order
     b.now += 200ms;
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -65,7 +65,7 @@
     protocol::Settings settings;
     protocol::Policy policy;
     Store store;
-    bookkeeping::Mirror mirror;
+    bookkeeping::StateReplica replica;
     std::unique_ptr<Leader> leader;
     std::size_t read = 0;
     std::uint64_t sequence = 0, token = 5;
@@ -98,19 +98,19 @@
         store.limits = {ops, valueBytes, perSecond};
         changes = perSecond;
     }
-    static void apply(const Store& store, std::size_t& from, bookkeeping::Mirror& mirror,
+    static void apply(const Store& store, std::size_t& from, bookkeeping::StateReplica& replica,
                       std::vector<bookkeeping::Change>& changed) {
         for (; from < store.log.size(); ++from) {
             const auto& event = store.log[from];
             msgpack::object_handle handle;
             if (event.data) handle = protocol::unpackBody(*event.data);
             EXPECT_TRUE(
-                mirror.apply({event.key, event.data ? &handle.get() : nullptr, event.version}, changed));
+                replica.apply({event.key, event.data ? &handle.get() : nullptr, event.version}, changed));
         }
     }
     void readLog() {
         std::vector<bookkeeping::Change> changed;
-        apply(store, read, mirror, changed);
+        apply(store, read, replica, changed);
         JobsChanged jobs;
         for (const auto& change : changed)
             if (change.kind == bookkeeping::ChangeKind::job) jobs.ids.push_back(change.id);
@@ -118,7 +118,7 @@
     }
     void lead() {
         readLog();
-        leader = std::make_unique<Leader>(settings, policy, mirror, token, now, 0);
+        leader = std::make_unique<Leader>(settings, policy, replica, token, now, 0);
     }
     void tell(Command command) {
         for (auto& action : leader->handle(std::move(command), now)) {
@@ -132,9 +132,9 @@
                         result.revision ? storage::TxnStatus::applied : storage::TxnStatus::conflict;
                 }
                 tell(StateWritten{result});
-            } else if (std::holds_alternative<RefreshMirror>(action)) {
+            } else if (std::holds_alternative<RefreshReplica>(action)) {
                 readLog();
-                tell(MirrorRefreshed{true});
+                tell(ReplicaRefreshed{true});
             } else if (std::holds_alternative<Resign>(action)) {
                 resigned = true;
             }
@@ -157,7 +157,7 @@
     }
     /// As a node that starts now reads it.
     std::vector<bool> stored(const std::string& id) const {
-        bookkeeping::Mirror fresh;
+        bookkeeping::StateReplica fresh;
         std::vector<bookkeeping::Change> changed;
         for (const auto& [key, value] : store.values) {
             const auto handle = protocol::unpackBody(value.data);
@@ -196,7 +196,7 @@
 
 // What each version chose fits where it is written: half a value's bytes in digits of four tasks, two quotes.
 TEST(Limits, ChunksForTheLowerLimitFitAndOldOnesMayNot) {
-    std::vector<bool> bits(protocol::kMostTasks, true);
+    std::vector<bool> bits(protocol::kMaxTasks, true);
     for (const double kb : {1.0, 2.0, 8.0, 32.0}) {
         const auto tasks = storage::chunkTasks(kb);
         for (std::size_t first = 0; first < bits.size(); first += tasks)
@@ -231,7 +231,7 @@
     const auto spec = arrayOf("wk-1", *rc::gen::inRange<std::uint32_t>(20, 3000));
     const auto chunkTasks = *rc::gen::inRange<std::uint32_t>(1, 300) * 4;
     c.accept(spec, chunkTasks);
-    const auto* job = c.mirror.find("wk-1");
+    const auto* job = c.replica.find("wk-1");
     std::vector<bool> set(spec.tasks), inChunks(spec.tasks);
     for (int i = 0; i < 12; ++i) {
         const auto task = *rc::gen::inRange<std::uint32_t>(0, spec.tasks);
@@ -352,7 +352,7 @@
         c.report("wk-" + std::to_string(100 + i), {0, 1});
     }
     c.run(20);
-    for (const auto& [id, job] : c.mirror.jobs()) EXPECT_EQ(c.finalOf(id), Final::done);
+    for (const auto& [id, job] : c.replica.jobs()) EXPECT_EQ(c.finalOf(id), Final::done);
     EXPECT_EQ(c.store.tooLarge, 0u);
 }
 
@@ -365,7 +365,7 @@
     c.lower(32, 8192, 6);
     for (int i = 0; i < 120; ++i) c.report("wk-" + std::to_string(1000 + i), {0});
     c.run(60);
-    for (const auto& [id, job] : c.mirror.jobs()) EXPECT_EQ(c.finalOf(id), Final::done);
+    for (const auto& [id, job] : c.replica.jobs()) EXPECT_EQ(c.finalOf(id), Final::done);
     EXPECT_GT(c.store.tooMany, 0u);
     EXPECT_LT(c.store.tooMany, 30u);
     EXPECT_FALSE(c.resigned);
@@ -394,7 +394,7 @@
     finish(16);
     c.run(4);
     EXPECT_LE(c.store.revision - from, 16u + 4u);  // 16 acceptances, and the ends together
-    for (const auto& [id, job] : c.mirror.jobs()) EXPECT_EQ(c.finalOf(id), Final::done);
+    for (const auto& [id, job] : c.replica.jobs()) EXPECT_EQ(c.finalOf(id), Final::done);
 }
 
 // The rate settles near what the service takes, without being told, and comes back when it takes more.
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -17,7 +17,7 @@
     f.lose = 0.02;
     f.late = 0.02;
     f.crash = 0;
-    f.die = f.hang = f.cut = f.recall = 0.0005;
+    f.die = f.hang = f.cut = f.drainForRecall = 0.0005;
     f.error = 0.01;
     f.deaf = f.back = f.anew = f.sever = 0;
     f.copy = 0.01;
@@ -187,7 +187,7 @@
     Meeting m;
     m.faults = {};
     m.faults.lose = m.faults.late = m.faults.crash = m.faults.die = m.faults.hang = m.faults.cut = 0;
-    m.faults.error = m.faults.recall = m.faults.deaf = m.faults.copy = m.faults.back = 0;
+    m.faults.error = m.faults.drainForRecall = m.faults.deaf = m.faults.copy = m.faults.back = 0;
     m.faults.anew = m.faults.sever = 0;
     m.faults.atEnd = 0.8;
     m.met = [](const World& world) { return world.met.endCancels; };
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -244,16 +244,16 @@
     while (ask(two.listen, std::string(protocol::paths::kSubmissions) + "/wk-0/cancel").status != 200)
         runFor(50ms);
     stub.outage = true;
-    while (question(two, asking).promiseMs == 0) runFor(50ms);
+    while (question(two, asking).grantMs == 0) runFor(50ms);
     EXPECT_TRUE(question(two, asking).cancelled.empty());  // it knows all of them
 
     asking.revision = 0;
     std::set<std::string> heard;
     protocol::PeerStatus answer;
     int parts = 0;
-    for (; !answer.told; ++parts) {
+    for (; !answer.complete; ++parts) {
         answer = question(two, asking);
-        EXPECT_EQ(answer.promiseMs > 0, answer.told);
+        EXPECT_EQ(answer.grantMs > 0, answer.complete);
         for (const auto& c : answer.cancelled) EXPECT_TRUE(heard.insert(c.job).second);
         asking.log = answer.log;
         asking.logAt = answer.logAt;
@@ -264,5 +264,5 @@
     asking.log += 1;  // of a process that has ended
     EXPECT_EQ(question(two, asking).cancelled.size(), answer.cancelled.size() + 300);
     asking.revision = middle;
-    EXPECT_FALSE(question(two, asking).told);
+    EXPECT_FALSE(question(two, asking).complete);
 }
--- a/tests/pipeline_test.cpp
+++ b/tests/pipeline_test.cpp
@@ -21,10 +21,10 @@
     std::string key, value;
     std::uint64_t version = 0;
 
-    void to(Mirror& mirror) const {
+    void to(StateReplica& replica) const {
         const auto handle = protocol::unpackBody(value);
         std::vector<Change> changes;
-        ASSERT_TRUE(mirror.apply({key, &handle.get(), version}, changes));
+        ASSERT_TRUE(replica.apply({key, &handle.get(), version}, changes));
     }
 };
 
@@ -57,7 +57,7 @@
 // A graph of jobs, its records read in any order and its ends coming in between, against the definition: a
 // job is ready when all that it needs are done, cancelled when one of them is, and as urgent as what needs
 // it.
-RC_GTEST_PROP(Pipeline, TheMirrorFollowsTheDefinition, ()) {
+RC_GTEST_PROP(Pipeline, TheReplicaFollowsTheDefinition, ()) {
     const auto count = *rc::gen::inRange<std::size_t>(1, 14);
     std::vector<JobSpec> specs;
     std::vector<Final> finals(count, Final::open);  // as recorded
@@ -89,12 +89,12 @@
         });
     };
     std::uint64_t version = 100;
-    const auto agrees = [&](Mirror& mirror) {
-        mirror.settleUrgency();
+    const auto agrees = [&](StateReplica& replica) {
+        replica.updateUrgency();
         std::vector<Priority> urgency(count);
         std::vector<std::optional<std::uint64_t>> due(count);
         for (std::size_t n = count; n-- > 0;) {
-            auto* job = mirror.find(idOf(n));
+            auto* job = replica.find(idOf(n));
             const bool cancelled = over(n);
             RC_ASSERT((job->final == Final::cancelled) == cancelled);
             RC_ASSERT((job->final == Final::done) == (finals[n] == Final::done));
@@ -121,10 +121,10 @@
             RC_ASSERT(job->dueMs == due[n]);
         }
     };
-    Mirror live;  // reads each change as it comes
+    StateReplica live;  // reads each change as it comes
     for (std::size_t n = 0; n < count; ++n) {
         record(specs[n], Final::open, n + 1).to(live);
-        if (*rc::gen::inRange(0, 2) == 0) live.settleUrgency();
+        if (*rc::gen::inRange(0, 2) == 0) live.updateUrgency();
     }
     for (std::size_t step = 0; step < 2 * count; ++step) {
         const auto n = *rc::gen::inRange<std::size_t>(0, count);
@@ -134,7 +134,7 @@
         ended[n] = ends ? 500'000 + step : 0;
         record(specs[n], finals[n], ++version, ended[n]).to(live);
         agrees(live);
-        Mirror
+        StateReplica
             late;  // a process that starts now and reads all keys, in the order of their names or any other
         std::vector<std::size_t> order(count);
         for (std::size_t k = 0; k < count; ++k) order[k] = k;
@@ -150,29 +150,29 @@
 // go.
 TEST(Pipeline, LongChainsAndWideFans) {
     constexpr std::size_t kLong = 200'000;
-    Mirror mirror;
+    StateReplica replica;
     for (std::size_t n = 0; n < kLong; ++n)
         record(spec(n, n ? std::vector{idOf(n - 1)} : std::vector<std::string>{}), Final::open, n + 1)
-            .to(mirror);
+            .to(replica);
     auto last = spec(kLong, {idOf(kLong - 1)});
     last.priority = Priority::high;
-    record(last, Final::open, kLong + 1).to(mirror);
-    mirror.settleUrgency();
-    EXPECT_EQ(mirror.find(idOf(0))->urgency, Priority::high);
-    record(spec(0), Final::cancelled, kLong + 2).to(mirror);
-    EXPECT_EQ(mirror.find(idOf(kLong))->final, Final::cancelled);
-    EXPECT_EQ(mirror.cancelled().size(), 1u);  // one record stands for them all
-
-    Mirror fan;
+    record(last, Final::open, kLong + 1).to(replica);
+    replica.updateUrgency();
+    EXPECT_EQ(replica.find(idOf(0))->urgency, Priority::high);
+    record(spec(0), Final::cancelled, kLong + 2).to(replica);
+    EXPECT_EQ(replica.find(idOf(kLong))->final, Final::cancelled);
+    EXPECT_EQ(replica.cancelled().size(), 1u);  // one record stands for them all
+
+    StateReplica fan;
     record(spec(0), Final::open, 1).to(fan);
     for (std::size_t n = 1; n < 20'000; ++n) record(spec(n, {idOf(0)}), Final::open, n + 1).to(fan);
     auto urgent = spec(20'000, {idOf(0)});
     urgent.priority = Priority::high;
     record(urgent, Final::open, 20'001).to(fan);
-    fan.settleUrgency();
+    fan.updateUrgency();
     EXPECT_EQ(fan.find(idOf(0))->urgency, Priority::high);
     record(urgent, Final::cancelled, 20'002).to(fan);
-    fan.settleUrgency();
+    fan.updateUrgency();
     EXPECT_EQ(fan.find(idOf(0))->urgency, Priority::normal);
     record(spec(0), Final::done, 20'003, 5).to(fan);
     EXPECT_TRUE(fan.find(idOf(19'999))->ready());
@@ -208,12 +208,12 @@
     EXPECT_EQ(read.final, Final::done);
     EXPECT_TRUE(read.spec.dependencies.empty());
     EXPECT_EQ(read.endedMs, 0u);
-    Mirror mirror;
-    Stored{storage::keys::job("wk-1"), old, 5}.to(mirror);
+    StateReplica replica;
+    Stored{storage::keys::job("wk-1"), old, 5}.to(replica);
     auto next = spec(0, {"wk-1"});
-    record(next, Final::open, 6).to(mirror);
-    EXPECT_TRUE(mirror.find(next.id)->ready());  // since it was accepted, as far as can be known
-    EXPECT_EQ(mirror.find(next.id)->readyMs, 6000u);
+    record(next, Final::open, 6).to(replica);
+    EXPECT_TRUE(replica.find(next.id)->ready());  // since it was accepted, as far as can be known
+    EXPECT_EQ(replica.find(next.id)->readyMs, 6000u);
 
     // The rules by which the version before reads: each of its fields by name, others passed over.
     next.cpus = 1.5;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -104,9 +104,9 @@
 TEST(Settings, TheStateServicesNextLimits) {
     const auto without = parseSettings(kGood);
     EXPECT_FALSE(without.nextState);
-    EXPECT_EQ(without.leastValueKb(), 8);
-    EXPECT_EQ(without.leastTxnOps(), 32u);
-    EXPECT_EQ(without.leastWriteRps(), 40);
+    EXPECT_EQ(without.minValueKb(), 8);
+    EXPECT_EQ(without.minTxnOps(), 32u);
+    EXPECT_EQ(without.minWriteRps(), 40);
     const std::string at = "[cluster.cloud]", table = "[cluster.state.next]\n";
     const auto with = [&](const std::string& next) {
         auto text = kGood;
@@ -114,17 +114,17 @@
     };
     const auto lower = with(table + "write_rps = 28.0\nvalue_kb = 2.0\ntxn_ops = 10");
     EXPECT_EQ(lower.stateWriteRps, 40);
-    EXPECT_EQ(lower.leastValueKb(), 2);
+    EXPECT_EQ(lower.minValueKb(), 2);
     EXPECT_EQ(lower.valueBytes(), 2048u);
-    EXPECT_EQ(lower.leastTxnOps(), 10u);
-    EXPECT_EQ(lower.leastWriteRps(), 28);
+    EXPECT_EQ(lower.minTxnOps(), 10u);
+    EXPECT_EQ(lower.minWriteRps(), 28);
     const auto higher = with(table + "write_rps = 50.0\nvalue_kb = 9.0\ntxn_ops = 40\nnew = 1");
-    EXPECT_EQ(higher.leastValueKb(), 8);
-    EXPECT_EQ(higher.leastTxnOps(), 32u);
-    EXPECT_EQ(higher.leastWriteRps(), 40);
+    EXPECT_EQ(higher.minValueKb(), 8);
+    EXPECT_EQ(higher.minTxnOps(), 32u);
+    EXPECT_EQ(higher.minWriteRps(), 40);
     const auto some = with(table + "value_kb = 2.0");
-    EXPECT_EQ(some.leastValueKb(), 2);
-    EXPECT_EQ(some.leastTxnOps(), 32u);
+    EXPECT_EQ(some.minValueKb(), 2);
+    EXPECT_EQ(some.minTxnOps(), 32u);
     const auto wrong = [&](const std::string& next) { return complaint(at, next + "\n" + at); };
     EXPECT_TRUE(names(wrong("[cluster.state]\nnext = 1"), "line "));  // the table twice
     EXPECT_TRUE(names(complaint("txn_ops = 32", "txn_ops = 32\nnext = 1"), "cluster.state.next: a table"));
--- a/tests/state_stub.h
+++ b/tests/state_stub.h
@@ -195,14 +195,14 @@
                 writes.push_back({w.text("write"), p.take(), w.integerOr("mooring", 0)});
             }
         });
-        const auto refuse = [&](int status, const char* why) {
+        const auto noteRefusal = [&](int status, const char* why) {
             answer(status, Packer().map(1).field("error", why).take());
         };
         for (const auto& w : writes)
-            if (w.lease && !store.leases.contains(w.lease)) return refuse(400, "no such lease");
+            if (w.lease && !store.leases.contains(w.lease)) return noteRefusal(400, "no such lease");
         if (const auto refusal = store.refusal(conditions, writes))
-            return *refusal == storage::TxnStatus::tooLarge ? refuse(400, "too large")
-                                                            : refuse(429, "too many changes");
+            return *refusal == storage::TxnStatus::tooLarge ? noteRefusal(400, "too large")
+                                                            : noteRefusal(429, "too many changes");
         std::vector<std::string> failed;
         const auto revision = store.transact(conditions, writes, failed);
         wake();
--- a/tests/frontdesk_test.cpp
+++ b/tests/user_api_test.cpp
@@ -1,4 +1,4 @@
-#include "coordination/frontdesk.h"
+#include "coordination/user_api.h"
 
 #include <gtest/gtest.h>
 #include <spdlog/sinks/ostream_sink.h>
@@ -33,12 +33,12 @@
           config(settings(name)),
           policy{leadership},
           state(http, stub.address(), 1000, 1, Clock::now()),
-          sync(io, state, mirror, [](const auto&) {}),
-          desk(io, config, state, mirror, sync),
+          watcher(io, state, replica, [](const auto&) {}),
+          userApi(io, config, state, replica, watcher),
           election(
-              config, policy, state, mirror, sync, [this](std::uint64_t t) { token = t; },
+              config, policy, state, replica, watcher, [this](std::uint64_t t) { token = t; },
               [this] { token = 0; }) {
-        sync.start();
+        watcher.start();
     }
     void until(const std::function<bool()>& holds) {
         while (!holds()) io.run_one();
@@ -49,7 +49,7 @@
         request.method = method;
         request.path = path;
         request.body = std::move(body);
-        if (!desk.handle(request, [&](transport::Response r) { out = std::move(r); }))
+        if (!userApi.handle(request, [&](transport::Response r) { out = std::move(r); }))
             return {599, "", 0s, ""};
         until([&] { return out.has_value(); });
         return *out;
@@ -65,9 +65,9 @@
     protocol::Policy policy;
     transport::Client http{io, 50};
     storage::StateClient state;
-    bookkeeping::Mirror mirror;
-    coordination::Sync sync;
-    coordination::FrontDesk desk;
+    bookkeeping::StateReplica replica;
+    coordination::StateWatcher watcher;
+    coordination::UserApi userApi;
     coordination::Election election;
     std::uint64_t token = 0;
 };
@@ -92,7 +92,7 @@
     return body(id, 1, "team", 2, protocol::Kind::array, std::move(dependencies));
 }
 
-struct FrontDeskTest : testing::Test {
+struct UserApiTest : testing::Test {
     asio::io_context io{1};
     StateStub stub{io};
 
@@ -108,9 +108,9 @@
 
 }  // namespace
 
-TEST_F(FrontDeskTest, EveryStatusOfTheUsersInterface) {
+TEST_F(UserApiTest, EveryStatusOfTheUsersInterface) {
     Desk d(io, stub);
-    d.until([&] { return d.sync.synced(); });
+    d.until([&] { return d.watcher.synced(); });
     EXPECT_EQ(d.ask("POST", "/submissions", "nonsense").status, 400);
     EXPECT_EQ(d.ask("POST", "/submissions", Packer().map(0).take()).status, 400);
     EXPECT_EQ(d.ask("POST", "/submissions", body("wk-1", 1, "nobody")).status, 422);
@@ -131,9 +131,9 @@
     EXPECT_EQ(d.ask("GET", "/elsewhere").status, 599);
 }
 
-TEST_F(FrontDeskTest, NothingIsSaidThatAnOutageKeepsFromBeingKnown) {
+TEST_F(UserApiTest, NothingIsSaidThatAnOutageKeepsFromBeingKnown) {
     Desk d(io, stub);
-    d.until([&] { return d.sync.synced(); });
+    d.until([&] { return d.watcher.synced(); });
     EXPECT_EQ(d.ask("POST", "/submissions", body("wk-1")).status, 201);
     EXPECT_EQ(d.ask("POST", "/submissions", body("wk-2")).status, 201);
     EXPECT_EQ(d.ask("POST", "/submissions/wk-2/cancel").status, 200);
@@ -149,9 +149,9 @@
 }
 
 // Each node sees at once what another has acknowledged.
-TEST_F(FrontDeskTest, NodesNeverAnswerWithOlderStates) {
+TEST_F(UserApiTest, NodesNeverAnswerWithOlderStates) {
     Desk a(io, stub), b(io, stub, "two");
-    a.until([&] { return a.sync.synced() && b.sync.synced(); });
+    a.until([&] { return a.watcher.synced() && b.watcher.synced(); });
     for (int i = 0; i < 20; ++i) {
         const auto id = "wk-" + std::to_string(i);
         EXPECT_EQ(b.bearing(id), "404");
@@ -164,35 +164,35 @@
 }
 
 // A write that was carried out without an answer is found again by the user's retry.
-TEST_F(FrontDeskTest, UnansweredWritesAreNotTakenForFailures) {
+TEST_F(UserApiTest, UnansweredWritesAreNotTakenForFailures) {
     Desk d(io, stub);
-    d.until([&] { return d.sync.synced(); });
+    d.until([&] { return d.watcher.synced(); });
     stub.swallowWrites = true;
     EXPECT_EQ(d.ask("POST", "/submissions", body("wk-1")).status, 503);
     stub.swallowWrites = false;
     EXPECT_EQ(d.ask("POST", "/submissions", body("wk-1")).status, 200);
 }
 
-TEST_F(FrontDeskTest, ANodeThatCannotDecideSaysSo) {
+TEST_F(UserApiTest, ANodeThatCannotDecideSaysSo) {
     asio::io_context other{1};
     StateStub empty(other);
     Desk d(other, empty);
-    d.until([&] { return d.sync.synced(); });
+    d.until([&] { return d.watcher.synced(); });
     EXPECT_EQ(d.ask("POST", "/submissions", body("wk-1")).status, 503);  // no machine types yet
 }
 
-TEST_F(FrontDeskTest, AStoreReadInPagesIsWhole) {
+TEST_F(UserApiTest, AStoreReadInPagesIsWhole) {
     Desk writer(io, stub);
-    writer.until([&] { return writer.sync.synced(); });
+    writer.until([&] { return writer.watcher.synced(); });
     for (int i = 0; i < 25; ++i)
         EXPECT_EQ(writer.ask("POST", "/submissions", body("wk-" + std::to_string(i))).status, 201);
     stub.pageEntries = 4;
     Desk reader(io, stub, "two");
-    reader.until([&] { return reader.sync.synced(); });
-    EXPECT_EQ(reader.mirror.jobs().size(), 25u);
+    reader.until([&] { return reader.watcher.synced(); });
+    EXPECT_EQ(reader.replica.jobs().size(), 25u);
 }
 
-TEST_F(FrontDeskTest, OneLeaderAtATimeAndTokensRise) {
+TEST_F(UserApiTest, OneLeaderAtATimeAndTokensRise) {
     Desk a(io, stub), b(io, stub, "two");
     const auto tick = [&] {
         a.election.tick(Clock::now());
@@ -214,10 +214,10 @@
 }
 
 // The lease ended behind the leader's back: its next renewal tells it, and its writes fail by the token.
-TEST_F(FrontDeskTest, ALeaderWhoseLeaseEndedStops) {
+TEST_F(UserApiTest, ALeaderWhoseLeaseEndedStops) {
     Desk a(io, stub);
     while (!a.token) a.election.tick(Clock::now()), io.run_one_for(5ms);
-    const auto old = a.mirror.tokenVersion;
+    const auto old = a.replica.tokenVersion;
     stub.store.endLease(stub.store.leases.begin()->first);
     while (a.token) a.election.tick(Clock::now()), io.run_one_for(5ms);
     while (!a.token) a.election.tick(Clock::now()), io.run_one_for(5ms);
@@ -228,9 +228,9 @@
 }
 
 // A node that set out to lead while nobody did must not depose the one that was quicker.
-TEST_F(FrontDeskTest, ACandidateDoesNotDeposeAQuickerOne) {
+TEST_F(UserApiTest, ACandidateDoesNotDeposeAQuickerOne) {
     Desk a(io, stub);
-    a.until([&] { return a.sync.synced(); });
+    a.until([&] { return a.watcher.synced(); });
     stub.holdLeases = true;
     while (stub.store.leases.empty()) a.election.tick(Clock::now()), io.run_one_for(5ms);
     std::vector<std::string> failed;
@@ -239,7 +239,7 @@
                          {storage::keys::kToken, storage::encodeToken(1), 0}},
                         failed);
     stub.wake();
-    a.until([&] { return a.mirror.leader.has_value(); });
+    a.until([&] { return a.replica.leader.has_value(); });
     stub.release();
     for (int i = 0; i < 200; ++i) a.election.tick(Clock::now()), io.run_one_for(5ms);
     EXPECT_EQ(a.token, 0u);
@@ -249,7 +249,7 @@
 }
 
 // Should the token rise in any way, a leader stops even though its own lease goes on.
-TEST_F(FrontDeskTest, ALeaderStopsWhenTheTokenRises) {
+TEST_F(UserApiTest, ALeaderStopsWhenTheTokenRises) {
     Desk a(io, stub);
     while (!a.token) a.election.tick(Clock::now()), io.run_one_for(5ms);
     std::vector<std::string> failed;
@@ -258,77 +258,77 @@
                          {storage::keys::kToken, storage::encodeToken(9), 0}},
                         failed);
     stub.wake();
-    a.until([&] { return a.mirror.token == 9; });
+    a.until([&] { return a.replica.token == 9; });
     a.election.tick(Clock::now());
     EXPECT_EQ(a.token, 0u);
 }
 
 // A leader that the state service refuses cannot end its lease. Its peers need not wait for that.
-TEST_F(FrontDeskTest, APeerTakesOverFromALeaderThatGaveUp) {
+TEST_F(UserApiTest, APeerTakesOverFromALeaderThatGaveUp) {
     Desk a(io, stub), b(io, stub, "two");
     while (!a.token) a.election.tick(Clock::now()), io.run_one_for(5ms);
-    b.until([&] { return b.mirror.leader.has_value(); });
+    b.until([&] { return b.replica.leader.has_value(); });
     for (int i = 0; i < 100; ++i) b.election.tick(Clock::now()), io.run_one_for(2ms);
-    EXPECT_EQ(b.token, 0u);                  // no reason yet
-    b.election.noteAbdication(a.token - 1);  // of an earlier leadership
+    EXPECT_EQ(b.token, 0u);                   // no reason yet
+    b.election.noteResignation(a.token - 1);  // of an earlier leadership
     for (int i = 0; i < 100; ++i) b.election.tick(Clock::now()), io.run_one_for(2ms);
     EXPECT_EQ(b.token, 0u);
     const auto token = a.token;
     a.election.resign(Clock::now(), true);
-    EXPECT_EQ(a.election.givenUp(), token);
-    b.election.noteAbdication(token);
+    EXPECT_EQ(a.election.resignedToken(), token);
+    b.election.noteResignation(token);
     while (!b.token) b.election.tick(Clock::now()), io.run_one_for(5ms);
     EXPECT_GT(b.token, token);
 }
 
 // In an outage nobody can take the key. Promises of all peers stand in for the lease, so that workers keep
 // their tasks; each peer keeps its promise whatever becomes of the key.
-TEST_F(FrontDeskTest, PromisesOfAllPeersCarryALeaderThroughAnOutage) {
+TEST_F(UserApiTest, PromisesOfAllPeersCarryALeaderThroughAnOutage) {
     Desk a(io, stub), b(io, stub, "two");
     a.config.peers = {{"two", "z", ""}, {"three", "z", ""}};
     while (!a.token) a.election.tick(Clock::now()), io.run_one_for(5ms);
-    b.until([&] { return b.mirror.leader && b.mirror.leader->token == a.token; });
-    EXPECT_EQ(b.election.promise("one", a.token, Clock::now()), 0ms);  // the state service answers
+    b.until([&] { return b.replica.leader && b.replica.leader->token == a.token; });
+    EXPECT_EQ(b.election.grantExtension("one", a.token, Clock::now()), 0ms);  // the state service answers
     const auto later = Clock::now() + 20s;
-    EXPECT_EQ(b.election.promise("one", a.token + 1, later), 0ms);
-    EXPECT_EQ(b.election.promise("two", a.token, later), 0ms);
-    const auto life = b.election.promise("one", a.token, later);
+    EXPECT_EQ(b.election.grantExtension("one", a.token + 1, later), 0ms);
+    EXPECT_EQ(b.election.grantExtension("two", a.token, later), 0ms);
+    const auto life = b.election.grantExtension("one", a.token, later);
     ASSERT_GT(life, 0ms);
-    a.election.notePromise("two", life, later);
+    a.election.noteGrant("two", life, later);
     EXPECT_FALSE(a.election.valid(later));  // one of two
-    a.election.notePromise("three", life, later);
+    a.election.noteGrant("three", life, later);
     EXPECT_TRUE(a.election.valid(later + life / 2));
     EXPECT_FALSE(a.election.valid(later + life));
     stub.store.endLease(stub.store.leases.begin()->first);
     stub.wake();
-    b.until([&] { return !b.mirror.leader; });
+    b.until([&] { return !b.replica.leader; });
     for (int i = 0; i < 100; ++i) b.election.tick(later + i * life / 120), io.run_one_for(2ms);
     EXPECT_EQ(b.token, 0u);
     while (!b.token) b.election.tick(later + 2 * life), io.run_one_for(5ms);
     // A process that is back at once has forgotten what it promised.
     Desk c(io, stub, "three");
-    c.until([&] { return c.mirror.leader && c.mirror.leader->node == "two"; });
+    c.until([&] { return c.replica.leader && c.replica.leader->node == "two"; });
     stub.store.endLease(stub.store.leases.rbegin()->first);
     stub.wake();
-    c.until([&] { return !c.mirror.leader; });
+    c.until([&] { return !c.replica.leader; });
     for (int i = 0; i < 300; ++i) c.election.tick(Clock::now()), io.run_one_for(2ms);
     EXPECT_EQ(c.token, 0u);
     while (!c.token) c.election.tick(Clock::now() + 10s), io.run_one_for(5ms);
 }
 
 // A leader whose lease goes on while its reads fail does not see what others confirm.
-TEST_F(FrontDeskTest, ALeaderThatReadsNothingStopsThoughItsLeaseGoesOn) {
+TEST_F(UserApiTest, ALeaderThatReadsNothingStopsThoughItsLeaseGoesOn) {
     Desk a(io, stub);
     a.config.lease = protocol::Seconds(10);
     a.config.cancel = protocol::Seconds(14);
     coordination::Election election(
-        a.config, a.policy, a.state, a.mirror, a.sync, [&](std::uint64_t t) { a.token = t; }, [] {});
+        a.config, a.policy, a.state, a.replica, a.watcher, [&](std::uint64_t t) { a.token = t; }, [] {});
     while (!a.token) election.tick(Clock::now()), io.run_one_for(5ms);
     EXPECT_TRUE(election.valid(Clock::now()));
-    EXPECT_TRUE(election.informed(Clock::now()));
+    EXPECT_TRUE(election.cancellationsCurrent(Clock::now()));
     // It is entitled for longer than it may start anything.
-    EXPECT_FALSE(election.informed(a.sync.asOf() + 1900ms));
-    EXPECT_TRUE(election.valid(a.sync.asOf() + 1500ms));
+    EXPECT_FALSE(election.cancellationsCurrent(a.watcher.asOf() + 1900ms));
+    EXPECT_TRUE(election.valid(a.watcher.asOf() + 1500ms));
     stub.readsFail = true;
     int rounds = 0;
     for (; election.valid(Clock::now()) && rounds < 1000; ++rounds)
@@ -337,39 +337,40 @@
     EXPECT_TRUE(election.leading());
     EXPECT_FALSE(stub.store.leases.empty());
     stub.readsFail = false;
-    a.sync.fresh([](bool) {});
+    a.watcher.fresh([](bool) {});
     while (!election.valid(Clock::now())) election.tick(Clock::now()), io.run_one_for(20ms);
 }
 
 // What a cancellation has and a lease takes leave a leader this long without a read, at every deployment.
-TEST_F(FrontDeskTest, LeasesEndWithinTheTimeOfACancellation) {
+TEST_F(UserApiTest, LeasesEndWithinTheTimeOfACancellation) {
     for (const auto& [lease, cancel] : {std::pair(26.5, 46.5), {13, 33}, {24, 44}, {10, 30}, {30, 40}}) {
         auto s = settings("one");
         s.lease = protocol::Seconds(lease);
         s.cancel = protocol::Seconds(cancel);
-        EXPECT_LT(coordination::Election::longestBlind(s) + s.lease * 1.002 + protocol::Seconds(4), s.cancel);
+        EXPECT_LT(coordination::Election::maxTimeWithoutRead(s) + s.lease * 1.002 + protocol::Seconds(4),
+                  s.cancel);
     }
 }
 
 // The node that confirmed a cancellation knows it at once, though no read comes through any more.
-TEST_F(FrontDeskTest, AConfirmedCancellationIsKnownWhereItWasConfirmed) {
+TEST_F(UserApiTest, AConfirmedCancellationIsKnownWhereItWasConfirmed) {
     Desk d(io, stub);
-    d.until([&] { return d.sync.synced(); });
+    d.until([&] { return d.watcher.synced(); });
     EXPECT_EQ(d.ask("POST", "/submissions", body("wk-1")).status, 201);
     EXPECT_EQ(d.bearing("wk-1"), "pending");
-    EXPECT_TRUE(d.mirror.cancelled().empty());
+    EXPECT_TRUE(d.replica.cancelled().empty());
     stub.holdWatches = true;
     EXPECT_EQ(d.ask("POST", "/submissions/wk-1/cancel").status, 200);
     stub.outage = true;
     EXPECT_EQ(d.bearing("wk-1"), "cancelled");
-    ASSERT_EQ(d.mirror.cancelled().size(), 1u);
-    EXPECT_EQ(d.mirror.cancelled()[0]->version, stub.store.revision);
+    ASSERT_EQ(d.replica.cancelled().size(), 1u);
+    EXPECT_EQ(d.replica.cancelled()[0]->version, stub.store.revision);
 }
 
 // Whether a job was accepted is asked of the store, however short ago and by whichever node that was.
-TEST_F(FrontDeskTest, AJobMayNeedOnlyWhatWasAccepted) {
+TEST_F(UserApiTest, AJobMayNeedOnlyWhatWasAccepted) {
     Desk a(io, stub), b(io, stub, "two");
-    a.until([&] { return a.sync.synced() && b.sync.synced(); });
+    a.until([&] { return a.watcher.synced() && b.watcher.synced(); });
     EXPECT_EQ(a.ask("POST", "/submissions", after("wk-1", {"wk-1"})).status, 422);
     EXPECT_EQ(a.ask("POST", "/submissions", after("wk-2", {"wk-1"})).status, 422);
     for (int i = 0; i < 20; ++i) {
@@ -386,9 +387,9 @@
 }
 
 // One record cancels all that need the job: on every node, for those submitted later, and after restarts.
-TEST_F(FrontDeskTest, WhatNeedsACancelledJobIsCancelledWithIt) {
+TEST_F(UserApiTest, WhatNeedsACancelledJobIsCancelledWithIt) {
     Desk a(io, stub), b(io, stub, "two");
-    a.until([&] { return a.sync.synced() && b.sync.synced(); });
+    a.until([&] { return a.watcher.synced() && b.watcher.synced(); });
     for (const auto& job : {body("wk-1"), after("wk-2", {"wk-1"}), body("wk-9"),
                             after("wk-3", {"wk-9", "wk-2"}), after("wk-4", {"wk-9"})})
         EXPECT_EQ(a.ask("POST", "/submissions", job).status, 201);
@@ -397,12 +398,12 @@
     EXPECT_EQ(a.ask("POST", "/submissions/wk-1/cancel").status, 200);
     EXPECT_EQ(stub.store.revision, before + 1);
     Desk c(io, stub, "three");
-    c.until([&] { return c.sync.synced(); });
-    for (auto* desk : {&a, &b, &c}) {
-        EXPECT_EQ(desk->bearing("wk-2"), "cancelled");
-        EXPECT_EQ(desk->bearing("wk-3"), "cancelled");
-        EXPECT_EQ(desk->bearing("wk-4"), "pending");
-        EXPECT_EQ(desk->bearing("wk-9"), "pending");
+    c.until([&] { return c.watcher.synced(); });
+    for (auto* userApi : {&a, &b, &c}) {
+        EXPECT_EQ(userApi->bearing("wk-2"), "cancelled");
+        EXPECT_EQ(userApi->bearing("wk-3"), "cancelled");
+        EXPECT_EQ(userApi->bearing("wk-4"), "pending");
+        EXPECT_EQ(userApi->bearing("wk-9"), "pending");
     }
     EXPECT_EQ(b.ask("POST", "/submissions", after("wk-5", {"wk-3"})).status, 201);
     EXPECT_EQ(a.bearing("wk-5"), "cancelled");
@@ -417,7 +418,7 @@
     EXPECT_EQ(b.ask("POST", "/submissions/wk-9/cancel").status, 200);
     EXPECT_EQ(b.bearing("wk-9"), "done");
     EXPECT_EQ(b.bearing("wk-4"), "pending");
-    EXPECT_TRUE(b.mirror.find("wk-4")->ready());
+    EXPECT_TRUE(b.replica.find("wk-4")->ready());
     // In an outage a node answers what it knows to be final.
     stub.outage = true;
     EXPECT_EQ(b.bearing("wk-3"), "cancelled");
@@ -425,10 +426,10 @@
 
 // A record beyond the smaller of both limits is refused before anything is stored, unless the job was
 // accepted under the higher one; and chunks are chosen for the smaller.
-TEST_F(FrontDeskTest, WhatTheNextLimitsWouldNotTakeIsRefusedAtOnce) {
+TEST_F(UserApiTest, WhatTheNextLimitsWouldNotTakeIsRefusedAtOnce) {
     Desk d(io, stub);
     d.config.nextState = protocol::StateLimits{28, 2, 10};
-    d.until([&] { return d.sync.synced(); });
+    d.until([&] { return d.watcher.synced(); });
     const auto longTexts = [](const std::string& id) {
         protocol::JobSpec spec;
         spec.id = id;
@@ -463,9 +464,9 @@
 
 // Limits lower than the settings say: nothing that was accepted is lost, and nothing is called accepted
 // that was not stored.
-TEST_F(FrontDeskTest, LimitsThatNobodyAnnounced) {
+TEST_F(UserApiTest, LimitsThatNobodyAnnounced) {
     Desk d(io, stub);
-    d.until([&] { return d.sync.synced(); });
+    d.until([&] { return d.watcher.synced(); });
     auto spec = protocol::JobSpec{};
     spec.id = "wk-1";
     spec.jobClass = spec.image = "x";
@@ -490,9 +491,9 @@
 }
 
 // Changes beyond the rate are told from other refusals; the user comes back, and then it is stored.
-TEST_F(FrontDeskTest, ChangesBeyondTheRateAreTriedAgain) {
+TEST_F(UserApiTest, ChangesBeyondTheRateAreTriedAgain) {
     Desk d(io, stub);
-    d.until([&] { return d.sync.synced(); });
+    d.until([&] { return d.watcher.synced(); });
     stub.store.limits.changes = 0;
     const auto refused = d.ask("POST", "/submissions", body("wk-1"));
     EXPECT_EQ(refused.status, 503);
@@ -505,7 +506,7 @@
 }
 
 // The service's refusals of a transaction, told apart.
-TEST_F(FrontDeskTest, RefusalsOfATransactionAreToldApart) {
+TEST_F(UserApiTest, RefusalsOfATransactionAreToldApart) {
     Desk d(io, stub);
     std::ostringstream log;
     const auto before = spdlog::default_logger();
@@ -543,7 +544,7 @@
 
 // While no change is taken, a leader stays one; a candidate goes on trying and wins as soon as changes
 // are.
-TEST_F(FrontDeskTest, LeadershipsOutlastRefusedChanges) {
+TEST_F(UserApiTest, LeadershipsOutlastRefusedChanges) {
     Desk a(io, stub, "one", protocol::Seconds(1));
     while (!a.token) a.election.tick(Clock::now()), io.run_one_for(5ms);
     const auto unrenewed = Clock::now() + 1s;
@@ -553,7 +554,7 @@
     EXPECT_EQ(a.token, token);
     EXPECT_TRUE(a.election.valid(Clock::now()));
     Desk b(io, stub, "two", protocol::Seconds(1));
-    b.until([&] { return b.sync.synced(); });
+    b.until([&] { return b.watcher.synced(); });
     a.election.resign(Clock::now(), true);
     const auto before = stub.store.tooMany;
     while (stub.store.tooMany < before + 3) b.election.tick(Clock::now()), io.run_one_for(5ms);
--- a/tests/world.h
+++ b/tests/world.h
@@ -22,7 +22,7 @@
         std::string out;
         std::map<std::string, Resources> teams;
         std::map<const Job*, std::map<std::string, std::uint32_t>> machines, zones;
-        std::map<Shape, std::uint32_t> unsettled;
+        std::map<Offering, std::uint32_t> unreconciled;
         const auto differs = [](const Resources& a, const Resources& b) {
             return std::abs(a.cpus - b.cpus) + std::abs(a.gpus - b.gpus) + std::abs(a.memoryGb - b.memoryGb) >
                    1e-6;
@@ -31,7 +31,7 @@
             Resources used;
             std::array<Resources, 5> plain;
             std::array<Resources, 4> stoppable;
-            for (const auto& [key, place] : m->places) {
+            for (const auto& [key, place] : m->placements) {
                 const auto& spec = place.job->spec;
                 const auto need = bookkeeping::needOf(spec);
                 const auto priority = static_cast<std::size_t>(place.job->priority());
@@ -49,8 +49,8 @@
                 if (differs(plain[i], m->plainUse[i])) out += "plain use of " + id + "; ";
             for (std::size_t i = 0; i < 4; ++i)
                 if (differs(stoppable[i], m->stoppable[i])) out += "stoppable on " + id + "; ";
-            if (m->roster == bookkeeping::RosterState::stored && !m->settled)
-                ++unsettled[{m->type, m->zone, m->spot}];
+            if (m->roster == bookkeeping::RosterState::stored && !m->reconciled)
+                ++unreconciled[{m->type, m->zone, m->spot}];
             for (const auto& [image, gb] : m->images) {
                 const auto& with = l.fleet_.withImage(image);
                 if (std::count(with.begin(), with.end(), m.get()) != 1) out += "image on " + id + "; ";
@@ -58,8 +58,8 @@
         }
         for (const auto& [team, use] : teams)
             if (differs(use, l.fleet_.teamUse(team))) out += "use of team " + team + "; ";
-        if (unsettled != l.fleet_.unsettled()) out += "unsettled machines; ";
-        for (const auto& [id, job] : l.mirror_.jobs())
+        if (unreconciled != l.fleet_.unreconciled()) out += "unsettled machines; ";
+        for (const auto& [id, job] : l.replica_.jobs())
             if (job->run &&
                 (job->run->machines != machines[job.get()] || job->run->zones != zones[job.get()]))
                 out += "machines of " + id + "; ";
@@ -92,19 +92,19 @@
 class World {
   public:
     struct Faults {
-        double lose = 0.03;     // a message
-        double late = 0.03;     // a direct order, transaction or cloud request carried out much later
-        double crash = 0.01;    // the leader, per second
-        double die = 0.002;     // a worker, per second
-        double hang = 0.003;    // a worker, for up to its lease and beyond, per second
-        double cut = 0.005;     // a worker from the controllers, per second
-        double error = 0.02;    // a task
-        double recall = 0.002;  // a spot machine, per second
-        double deaf = 0.003;    // a worker whose reports arrive and that nothing reaches, per second
-        double copy = 0.05;     // a report of which a copy comes again, up to several leases later
-        double back = 0.001;    // a worker that ends and is back at once, per second
-        double anew = 0.0005;   // the same, and it counts its reports from the beginning
-        double sever = 0.003;   // the leader from the store, not from the workers, per second
+        double lose = 0.03;             // a message
+        double late = 0.03;             // a direct order, transaction or cloud request carried out much later
+        double crash = 0.01;            // the leader, per second
+        double die = 0.002;             // a worker, per second
+        double hang = 0.003;            // a worker, for up to its lease and beyond, per second
+        double cut = 0.005;             // a worker from the controllers, per second
+        double error = 0.02;            // a task
+        double drainForRecall = 0.002;  // a spot machine, per second
+        double deaf = 0.003;            // a worker whose reports arrive and that nothing reaches, per second
+        double copy = 0.05;             // a report of which a copy comes again, up to several leases later
+        double back = 0.001;            // a worker that ends and is back at once, per second
+        double anew = 0.0005;           // the same, and it counts its reports from the beginning
+        double sever = 0.003;           // the leader from the store, not from the workers, per second
         double mute = 0;        // a worker that reaches no controller, direct commands reach it, per second
         double afterwards = 0;  // a transaction without an answer, carried out 2 to 12 s later
         double heldBack = 0;    // a report of which a copy arrives once a new leader has acted
@@ -324,7 +324,7 @@
                           std::to_string(s.gpus) + " zone " + s.zone.value_or("-") + " together " +
                           std::to_string(s.oneZone) + " apart " + std::to_string(s.spread);
         if (!tenant_) return out + ": no leader";
-        const auto* job = tenant_->mirror.find(id);
+        const auto* job = tenant_->replica.find(id);
         out += ": done " + std::to_string(job->doneCount);
         if (job->run)
             out += " waiting " + std::to_string(job->run->waiting) + " possible " +
@@ -334,10 +334,10 @@
         out += "; last conflict " + lastFailed_ + "; " + coordination::LeaderProbe::writing(*tenant_->leader);
         for (const auto& [name, m] : tenant_->leader->fleet().machines())
             out += "\n  " + name + " " + m->type + "/" + m->zone + (m->spot ? "/spot" : "") + " heard " +
-                   std::to_string(m->heard) + " settled " + std::to_string(m->settled) + " roster " +
-                   std::to_string(static_cast<int>(m->roster)) + " draining " + std::to_string(m->draining) +
-                   " releasing " + std::to_string(m->releasing) + " errors " +
-                   std::to_string(m->errorJobs.size()) + " tasks " + std::to_string(m->places.size());
+                   std::to_string(m->acknowledged) + " settled " + std::to_string(m->reconciled) +
+                   " roster " + std::to_string(static_cast<int>(m->roster)) + " draining " +
+                   std::to_string(m->draining) + " releasing " + std::to_string(m->releasing) + " errors " +
+                   std::to_string(m->errorJobs.size()) + " tasks " + std::to_string(m->placements.size());
         return out;
     }
     double random01() { return std::uniform_real_distribution<>(0, 1)(random_); }
@@ -371,7 +371,7 @@
     /// One leadership: its messages name it, and it may be gone when answers come.
     struct Tenant {
         std::uint64_t token = 0;
-        bookkeeping::Mirror mirror;
+        bookkeeping::StateReplica replica;
         std::size_t read = 0;
         Time lastRead{};
         bool inside = false;  // of the zone that is cut off
@@ -434,7 +434,7 @@
         std::vector<std::string> failed;
         store.transact({}, {{storage::keys::kToken, storage::encodeToken(tenant->token), 0}}, failed);
         readStore(*tenant);
-        tenant->leader = std::make_unique<Leader>(settings, policy, tenant->mirror, tenant->token, now_, 0);
+        tenant->leader = std::make_unique<Leader>(settings, policy, tenant->replica, tenant->token, now_, 0);
         tenant_ = std::move(tenant);
         for (auto& report : std::exchange(held_, {})) at(span(0.1, 6), std::move(report));
     }
@@ -452,19 +452,19 @@
             met.fullTeams += silent && team->cpusMax > 0 && cpus + 3 > team->cpusMax;
         }
     }
-    std::vector<bookkeeping::Change> read(bookkeeping::Mirror& mirror, std::size_t& at) {
+    std::vector<bookkeeping::Change> read(bookkeeping::StateReplica& replica, std::size_t& at) {
         std::vector<bookkeeping::Change> changes;
         for (; at < store.log.size(); ++at) {
             const auto& event = store.log[at];
             msgpack::object_handle handle;
             if (event.data) handle = protocol::unpackBody(*event.data);
-            mirror.apply({event.key, event.data ? &handle.get() : nullptr, event.version}, changes);
+            replica.apply({event.key, event.data ? &handle.get() : nullptr, event.version}, changes);
         }
         return changes;
     }
     void readStore(Tenant& tenant) {
         tenant.lastRead = now_;
-        const auto changes = read(tenant.mirror, tenant.read);
+        const auto changes = read(tenant.replica, tenant.read);
         coordination::JobsChanged jobs;
         for (const auto& change : changes)
             if (change.kind == bookkeeping::ChangeKind::job) jobs.ids.push_back(change.id);
@@ -483,7 +483,7 @@
         }
     }
     /// Tells the leadership that asked, unless it is gone.
-    void tellLater(Clock::duration delay, std::uint64_t token, coordination::Command command) {
+    void deliverLater(Clock::duration delay, std::uint64_t token, coordination::Command command) {
         at(delay, [this, token, command = std::move(command)]() mutable {
             if (tenant_ && tenant_->token == token) tell(std::move(command));
         });
@@ -515,10 +515,11 @@
         const auto token = tenant_->token;
         const bool late = chance(faults_.late);
         if (late || chance(faults_.lose))
-            tellLater(2500ms, token, coordination::WorkerAnswered{a.machine, std::nullopt, a.known});
+            deliverLater(2500ms, token, coordination::WorkerAnswered{a.machine, std::nullopt, a.known});
         else if (!hearing(a.machine, tenant_->inside)) {
             if (rarely(faults_.heldUp)) later(a, token, tenant_->inside);
-            return tellLater(2500ms, token, coordination::WorkerAnswered{a.machine, std::nullopt, a.known});
+            return deliverLater(2500ms, token,
+                                coordination::WorkerAnswered{a.machine, std::nullopt, a.known});
         }
         deliver(late ? span(3, 40) : span(0, 0.2), a.machine,
                 [this, late, token, a, inside = tenant_->inside] {
@@ -531,8 +532,8 @@
                         for (const auto& order : a.orders) execute(*w, order);
                     }
                     if (!late)
-                        tellLater(span(0, 0.2), token,
-                                  coordination::WorkerAnswered{a.machine, reportOf(*w), a.known});
+                        deliverLater(span(0, 0.2), token,
+                                     coordination::WorkerAnswered{a.machine, reportOf(*w), a.known});
                 });
     }
     /// Held up on the way to a machine that hangs or is cut off, a message arrives as that ends.
@@ -574,7 +575,7 @@
         if (a.writes.size() > settings.txnOps) broken.push_back("transaction over its limit");
         if (tenant_->severed() || chance(faults_.late)) {  // no answer; carried out later or never
             if (chance(0.7)) at(span(0, 25), [this, write, a] { lateWrites += write(a).revision != 0; });
-            return tellLater(1500ms, token, coordination::StateWritten{});
+            return deliverLater(1500ms, token, coordination::StateWritten{});
         }
         if (rarely(faults_.afterwards)) {
             at(span(2, 12), [this, write, a] {
@@ -582,32 +583,32 @@
                 lateWrites += applied;
                 met.lateWritesFailed += !applied;
             });
-            return tellLater(1500ms, token, coordination::StateWritten{});
+            return deliverLater(1500ms, token, coordination::StateWritten{});
         }
         if (latency_ > Seconds(0)) {
             // Carried out somewhere on the way there and back, whether or not anybody still waits.
             const auto there = span(0, latency_.count()), back = span(0, latency_.count());
             at(there, [this, token, write, a, there, back] {
                 const auto result = outage() ? refusal() : write(a);
-                if (there + back <= 1500ms) tellLater(back, token, coordination::StateWritten{result});
+                if (there + back <= 1500ms) deliverLater(back, token, coordination::StateWritten{result});
             });
-            if (there + back > 1500ms) tellLater(1500ms, token, coordination::StateWritten{});
+            if (there + back > 1500ms) deliverLater(1500ms, token, coordination::StateWritten{});
             return;
         }
         if (outage() || chance(faults_.lose)) {
             storage::TxnResult refused;
             refused.status = storage::TxnStatus::refused;
-            return tellLater(10ms, token, coordination::StateWritten{refused});
+            return deliverLater(10ms, token, coordination::StateWritten{refused});
         }
         at(span(0, 0.1),
-           [this, token, write, a] { tellLater(5ms, token, coordination::StateWritten{write(a)}); });
+           [this, token, write, a] { deliverLater(5ms, token, coordination::StateWritten{write(a)}); });
     }
-    void perform(coordination::RefreshMirror&) {
+    void perform(coordination::RefreshReplica&) {
         at(20ms, [this, token = tenant_->token] {
             if (!tenant_ || tenant_->token != token) return;
-            if (tenant_->severed() || outage()) return tell(coordination::MirrorRefreshed{false});
+            if (tenant_->severed() || outage()) return tell(coordination::ReplicaRefreshed{false});
             readStore(*tenant_);
-            tell(coordination::MirrorRefreshed{true});
+            tell(coordination::ReplicaRefreshed{true});
         });
     }
     void perform(coordination::Rent& a) {
@@ -632,14 +633,14 @@
             at(span(0, 20), [rent] { rent(); });
             coordination::RentalAnswered unknown;
             unknown.name = a.request.name;
-            return tellLater(6s, token, unknown);
+            return deliverLater(6s, token, unknown);
         }
         coordination::RentalAnswered answer;
         answer.name = a.request.name;
         answer.machines = rent();
         answer.rented = !answer.machines.empty();
         answer.noCapacity = !answer.rented;
-        tellLater(span(0.1, 0.4), token, answer);
+        deliverLater(span(0.1, 0.4), token, answer);
     }
     void perform(coordination::Release& a) {
         const auto remove = [this, a] {
@@ -649,11 +650,11 @@
         const auto token = tenant_->token;
         if (chance(faults_.late)) {
             at(span(0, 20), remove);
-            return tellLater(6s, token, coordination::ReleaseAnswered{a.machines, false});
+            return deliverLater(6s, token, coordination::ReleaseAnswered{a.machines, false});
         }
         at(span(0.05, 0.2), [this, remove, token, a] {
             remove();
-            tellLater(50ms, token, coordination::ReleaseAnswered{a.machines, true});
+            deliverLater(50ms, token, coordination::ReleaseAnswered{a.machines, true});
         });
     }
     void perform(coordination::ListMachines&) {
@@ -665,10 +666,10 @@
             listed.machines.push_back(
                 {id, id, w.type, w.zone, w.spot, protocol::MachineState::running, Seconds(1)});
         }
-        tellLater(span(0.1, 4), tenant_->token, std::move(listed));
+        deliverLater(span(0.1, 4), tenant_->token, std::move(listed));
     }
     void perform(coordination::ListTypes&) {
-        tellLater(200ms, tenant_->token, coordination::TypesListed{types_});
+        deliverLater(200ms, tenant_->token, coordination::TypesListed{types_});
     }
     void perform(coordination::Resign&) { crash(); }
 
@@ -732,7 +733,7 @@
             w.changed = true;
             w.troubledAt = now_;
         }
-        if (w.spot && !w.recallAt && chance(faults_.recall * perStep)) w.recallAt = now_ + span(3, 9);
+        if (w.spot && !w.recallAt && chance(faults_.drainForRecall * perStep)) w.recallAt = now_ + span(3, 9);
         if (w.hungUntil > now_) return;
         if (!present(w)) {
             w.tasks.clear();
@@ -936,7 +937,7 @@
         if (order.op != protocol::Op::start) return;
         const auto gone = cancelled_.find(order.attempt.job);
         if (gone == cancelled_.end()) return;
-        const auto* job = tenant_->mirror.find(order.attempt.job);
+        const auto* job = tenant_->replica.find(order.attempt.job);
         const bool inTouch = !tenant_->severed() && !outage();
         if ((job && job->final != storage::Final::open) ||
             (inTouch && now_ - gone->second > 1s + ticks(latency_)))
@@ -1078,7 +1079,7 @@
     std::size_t refusals = 0;
 
   private:
-    bookkeeping::Mirror asked_;  // of a node that only answers users
+    bookkeeping::StateReplica asked_;  // of a node that only answers users
     std::size_t askedRead_ = 0;
     std::optional<StoreLimits> lowered_;
     Time nextSecond_{};
