--- a/tests/state_stub.h
+++ b/tests/state_stub.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -90,14 +91,17 @@
 
 class StateStub {
   public:
-    /// With `other`, one more way to what that one stores, which may fail for itself.
-    explicit StateStub(asio::io_context& io, StateStub* other = nullptr)
-        : store(other ? other->store : own_),
+    /// With `first`, one more way to what that one stores, which may fail for itself.
+    explicit StateStub(asio::io_context& io, StateStub* first = nullptr)
+        : store(first ? first->store : own_),
           server_(io, transport::parseEndpoint("127.0.0.1:0"), {},
                   [this](transport::Request&& r, transport::Reply reply) { serve(r, reply); }),
-          other_(other) {
-        if (other) other->other_ = this;
+          first_(first ? *first : *this) {
+        first_.ways_.push_back(this);
     }
+    ~StateStub() { std::erase(first_.ways_, this); }
+    StateStub(const StateStub&) = delete;
+    StateStub& operator=(const StateStub&) = delete;
 
     std::string address() const { return "127.0.0.1:" + std::to_string(server_.localEndpoint().port()); }
 
@@ -120,16 +124,53 @@
 
     /// Lets open watches see what has changed; during an outage they stay open.
     void wake() {
-        wakeOwn();
-        if (other_) other_->wakeOwn();
+        for (auto* way : first_.ways_) way->wakeOwn();
+    }
+    /// For tests with a clock: ends the leases and the watches of all ways whose time is over. Without a call
+    /// of this, leases are ended by the test and watches wait for a change.
+    void passTime(transport::Time now) {
+        auto& deadlines = first_.leaseDeadlines_;
+        std::vector<std::uint64_t> over;
+        for (const auto& [lease, deadline] : deadlines)
+            if (now > deadline.at) over.push_back(lease);
+        for (const auto lease : over) {
+            deadlines.erase(lease);
+            store.endLease(lease);
+        }
+        if (!over.empty()) wake();
+        for (auto* way : first_.ways_) way->endWatches(now);
+    }
+    /// An outage is over: all leases have their full time again.
+    void restartLeases(transport::Time now) {
+        for (auto& [lease, deadline] : first_.leaseDeadlines_) deadline.at = now + deadline.life;
     }
 
   private:
     using Packer = protocol::Packer;
+    using Answer = std::function<void(int, std::string)>;
+
+    struct Watch {
+        std::string query;
+        Answer answer;
+        transport::Time until;
+    };
+    struct Deadline {
+        transport::Time at;
+        transport::Duration life;
+    };
 
     void wakeOwn() {
         if (outage || holdWatches) return;
-        for (auto& check : std::exchange(watches_, {})) check();
+        for (auto& open : std::exchange(watches_, {})) watch(open);
+    }
+    void endWatches(transport::Time now) {
+        if (outage) return;
+        for (auto& open : std::exchange(watches_, {})) {
+            if (now < open.until)
+                watches_.push_back(std::move(open));
+            else
+                answerWatch(open);
+        }
     }
     static std::string parameter(const std::string& query, const std::string& name) {
         std::size_t at = 0;
@@ -144,7 +185,7 @@
     static std::uint64_t number(const std::string& text) { return text.empty() ? 0 : std::stoull(text); }
 
     void serve(const transport::Request& r, const transport::Reply& reply) {
-        const auto answer = [reply](int status, std::string body) {
+        const Answer answer = [reply](int status, std::string body) {
             transport::Response response;
             response.status = status;
             response.body = std::move(body);
@@ -153,9 +194,15 @@
         if (outage || (readsFail && (r.path == "/kv" || r.path == "/watch"))) return answer(503, "");
         if (r.path == "/multi") return transaction(r, answer);
         if (r.path == "/kv") return page(r, answer);
-        if (r.path == "/watch") return watch(r.query, answer);
+        if (r.path == "/watch") {
+            const transport::Duration wait(number(parameter(r.query, "blockMs")));
+            return watch({r.query, answer, transport::Clock::now() + wait});
+        }
         if (r.path == "/holds") {
             store.leases[++store.nextLease] = true;
+            const transport::Duration life(
+                protocol::Fields(protocol::unpackBody(r.body).get()).integer("lifeMs"));
+            first_.leaseDeadlines_[store.nextLease] = {transport::Clock::now() + life, life};
             const auto made = [answer, lease = store.nextLease] {
                 answer(200, Packer().map(1).field("mooring", lease).take());
             };
@@ -166,17 +213,20 @@
         if (r.path.starts_with("/holds/")) {
             const auto lease = number(r.path.substr(7, r.path.find('/', 7) - 7));
             if (!store.leases.contains(lease)) return answer(404, Packer().map(0).take());
+            auto& deadlines = first_.leaseDeadlines_;
             if (r.method == "DELETE") {
+                deadlines.erase(lease);
                 store.endLease(lease);
                 wake();
+            } else if (const auto found = deadlines.find(lease); found != deadlines.end()) {
+                found->second.at = transport::Clock::now() + found->second.life;
             }
             return answer(200, Packer().map(0).take());
         }
         answer(400, "");
     }
 
-    template <typename Answer>
-    void transaction(const transport::Request& r, Answer answer) {
+    void transaction(const transport::Request& r, const Answer& answer) {
         const auto handle = protocol::unpackBody(r.body);
         const protocol::Fields f(handle.get());
         std::vector<protocol::KeyCondition> conditions;
@@ -212,8 +262,7 @@
         answer(200, Packer().map(1).field("chart", revision).take());
     }
 
-    template <typename Answer>
-    void page(const transport::Request& r, Answer answer) {
+    void page(const transport::Request& r, const Answer& answer) {
         const auto prefix = parameter(r.query, "under"), after = parameter(r.query, "since");
         std::vector<const std::pair<const std::string, Store::Value>*> entries;
         bool more = false;
@@ -232,28 +281,38 @@
         answer(200, p.field("hasNext", more).field("chart", store.revision).take());
     }
 
-    void watch(const std::string& query, const std::function<void(int, std::string)>& answer) {
-        const auto since = number(parameter(query, "since"));
-        std::vector<const Store::Event*> events;
-        for (const auto& event : store.log)
-            if (event.version > since) events.push_back(&event);
-        if (events.empty() && number(parameter(query, "blockMs")) > 0) {
-            watches_.push_back([this, query, answer] { watch(query, answer); });
-            return;
-        }
+    std::span<const Store::Event> eventsAfter(std::uint64_t revision) const {
+        const auto first =
+            std::partition_point(store.log.begin(), store.log.end(),
+                                 [&](const Store::Event& event) { return event.version <= revision; });
+        return {first, store.log.end()};
+    }
+    void watch(const Watch& asked) {
+        const auto since = number(parameter(asked.query, "since"));
+        const bool waits = number(parameter(asked.query, "blockMs")) > 0;
+        if (waits && eventsAfter(since).empty())
+            watches_.push_back(asked);
+        else
+            answerWatch(asked);
+    }
+    void answerWatch(const Watch& asked) {
+        const auto events = eventsAfter(number(parameter(asked.query, "since")));
         Packer p;
         p.map(2).field("chart", store.revision).key("log").list(events.size());
-        for (const auto* e : events) {
-            p.map(e->data ? 3 : 2).field(e->data ? "write" : "remove", e->key);
-            if (e->data) p.key("data").raw(*e->data);
-            p.field("mark", e->version);
+        for (const auto& e : events) {
+            p.map(e.data ? 3 : 2).field(e.data ? "write" : "remove", e.key);
+            if (e.data) p.key("data").raw(*e.data);
+            p.field("mark", e.version);
         }
-        answer(200, p.take());
+        asked.answer(200, p.take());
     }
 
     transport::Server server_;
-    std::vector<std::function<void()>> watches_, held_;
-    StateStub* other_;
+    std::vector<Watch> watches_;
+    std::vector<std::function<void()>> held_;
+    StateStub& first_;              // the way that was made first; the others' lists are unused
+    std::vector<StateStub*> ways_;  // to the same store, this one included
+    std::map<std::uint64_t, Deadline> leaseDeadlines_;
 };
 
 }  // namespace burlpoint::tests
--- /dev/null
+++ b/tests/upgrade/cloud.cpp
@@ -0,0 +1,88 @@
+#include "upgrade/cloud.h"
+
+namespace burlpoint::tests {
+
+using protocol::Fields;
+using protocol::Packer;
+using protocol::Seconds;
+using transport::Clock;
+
+CloudStub::CloudStub(asio::io_context& io, Rules& rules, Machines& machines)
+    : rules_(rules),
+      machines_(machines),
+      type_{"plain", 16, 0, 64, 10, 1, 1, 1, Seconds(1), {"a", "b"}},
+      server_(
+          io, transport::parseEndpoint("127.0.0.1:0"), {},
+          [this](transport::Request&& request, const transport::Reply& reply) { serve(request, reply); }) {}
+
+std::string CloudStub::address() const {
+    return "127.0.0.1:" + std::to_string(server_.localEndpoint().port());
+}
+
+void CloudStub::serve(const transport::Request& request, const transport::Reply& reply) {
+    transport::Response response;
+    try {
+        if (request.path == protocol::paths::kTypes) {
+            response.body = protocol::encodeMachineTypes({type_});
+        } else if (request.path == protocol::paths::kRelease) {
+            release(request.body);
+        } else if (request.path != protocol::paths::kRentals) {
+            response.status = 404;
+        } else if (request.method == "POST") {
+            response = rent(request.body);
+        } else {
+            response.body = list();
+        }
+    } catch (const protocol::Malformed& error) {
+        rules_.require(false, std::string("malformed request to the cloud: ") + error.what());
+        response.status = 400;
+    }
+    reply(response);
+}
+
+/// All machines at once: there are never more than fit one page.
+std::string CloudStub::list() const {
+    Packer packer;
+    packer.map(2).key("bollards").list(machines_.workers().size());
+    for (const auto& [id, worker] : machines_.workers()) {
+        const Seconds held = Clock::now() - rentedAt_.at(id);
+        packer.map(7).field("uid", id).field("address", worker->address()).field("hull", type_.name);
+        packer.field("quay", worker->zone()).field("driftwood", false).field("bearing", "running");
+        packer.field("heldS", held.count());
+    }
+    return packer.field("hasNext", false).take();
+}
+
+std::size_t CloudStub::machinesIn(const std::string& zone) const {
+    std::size_t count = 0;
+    for (const auto& [id, worker] : machines_.workers()) count += worker->zone() == zone;
+    return count;
+}
+
+transport::Response CloudStub::rent(const std::string& body) {
+    const auto handle = protocol::unpackBody(body);
+    const Fields fields(handle.get());
+    const auto name = fields.text("charter"), zone = fields.text("quay");
+    auto& rented = rentals_[name];
+    transport::Response response;
+    if (rented.empty()) {
+        for (auto left = fields.integer("howMany"); left > 0 && machinesIn(zone) < kMostInZone; --left) {
+            rented.push_back(machines_.create(type_, zone));
+            rentedAt_[rented.back()] = Clock::now();
+        }
+    }
+    if (rented.empty()) {
+        response.status = 503;
+        response.body = protocol::errorReply("no capacity");
+    } else {
+        response.body = Packer().map(1).field("bollards", rented).take();
+    }
+    return response;
+}
+
+void CloudStub::release(const std::string& body) {
+    const auto handle = protocol::unpackBody(body);
+    for (const auto& id : Fields(handle.get()).texts("bollards")) machines_.remove(id);
+}
+
+}  // namespace burlpoint::tests
--- /dev/null
+++ b/tests/upgrade/cluster.cpp
@@ -0,0 +1,183 @@
+#include "upgrade/cluster.h"
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace burlpoint::tests {
+
+using namespace std::chrono_literals;
+using protocol::Seconds;
+using transport::Clock;
+
+namespace {
+
+constexpr auto kStep = 5ms;
+
+protocol::Settings commonSettings() {
+    protocol::Settings settings;
+    settings.report = Seconds(0.5);
+    settings.lease = Seconds(6);
+    settings.gangWait = Seconds(10);
+    settings.gangPeer = Seconds(3);
+    settings.cancel = Seconds(24);
+    return settings;
+}
+
+std::string nameOf(std::size_t controller) { return "controller-" + std::to_string(controller); }
+
+std::string zoneOf(std::size_t controller) { return controller % 2 == 0 ? "a" : "b"; }
+
+std::vector<std::unique_ptr<ReservedPort>> reservePorts() {
+    std::vector<std::unique_ptr<ReservedPort>> ports;
+    for (std::size_t i = 0; i < Cluster::kControllers; ++i) ports.push_back(std::make_unique<ReservedPort>());
+    return ports;
+}
+
+std::vector<Controller> controllersAt(const std::vector<std::unique_ptr<ReservedPort>>& ports) {
+    std::vector<Controller> controllers;
+    for (std::size_t i = 0; i < ports.size(); ++i) controllers.push_back({nameOf(i), ports[i]->address()});
+    return controllers;
+}
+
+std::vector<std::unique_ptr<StateStub>> makeWays(asio::io_context& io) {
+    std::vector<std::unique_ptr<StateStub>> ways;
+    for (std::size_t i = 0; i < Cluster::kControllers; ++i)
+        ways.push_back(std::make_unique<StateStub>(io, ways.empty() ? nullptr : ways.front().get()));
+    return ways;
+}
+
+}  // namespace
+
+Cluster::Cluster(ValueLimits limits)
+    : settings(commonSettings()),
+      limits_(limits),
+      ports_(reservePorts()),
+      peerPorts_(reservePorts()),
+      controllers_(controllersAt(ports_)),
+      ways_(makeWays(io_)),
+      stored(rules, ways_.front()->store),
+      machines(io_, rules, settings, controllers_,
+               [this](const std::string& job) { return stored.isDone(job); }),
+      users(io_, rules, controllers_),
+      cloud_(io_, rules, machines),
+      versions_(kControllers),
+      processes_(kControllers) {
+    for (std::size_t i = 0; i < kControllers; ++i) std::ofstream(settingsFile(i)) << settingsText(i);
+}
+
+Cluster::~Cluster() {
+    processes_.clear();
+    if (!rules.broken.empty()) printLogs();
+    while (ways_.size() > 1) ways_.pop_back();  // the first one knows the others
+}
+
+std::string Cluster::settingsFile(std::size_t controller) const {
+    return directory_.path() / (nameOf(controller) + ".toml");
+}
+
+std::string Cluster::logFile(std::size_t controller) const {
+    return directory_.path() / (nameOf(controller) + ".log");
+}
+
+std::string Cluster::settingsText(std::size_t controller) const {
+    std::ostringstream text;
+    text << "label = \"" << nameOf(controller) << "\"\n"
+         << "area = \"" << zoneOf(controller) << "\"\n"
+         << "bind = \"" << ports_[controller]->address() << "\"\n"
+         << "peer_bind = \"" << peerPorts_[controller]->address() << "\"\n";
+    for (std::size_t other = 0; other < kControllers; ++other) {
+        if (other == controller) continue;
+        text << "[[known]]\nlabel = \"" << nameOf(other) << "\"\narea = \"" << zoneOf(other) << "\"\n"
+             << "peer_addr = \"" << peerPorts_[other]->address() << "\"\n";
+    }
+    text << "[services]\ncloud = \"" << cloud_.address() << "\"\n"
+         << "state = \"" << ways_[controller]->address() << "\"\n"
+         << "[cluster]\nnodes = " << kControllers << "\nzones = [\"a\", \"b\"]\nclock_error_ms = 10.0\n"
+         << "[[cluster.teams]]\nname = \"team\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n"
+         << "[cluster.workers]\nreport_s = " << settings.report.count()
+         << "\nlease_s = " << settings.lease.count() << "\ngang_wait_s = " << settings.gangWait.count()
+         << "\ngang_peer_s = " << settings.gangPeer.count() << "\ncancel_s = " << settings.cancel.count()
+         << "\n[cluster.state]\nrps = 2000.0\nwrite_rps = 1000.0\nvalue_kb = " << limits_.nowKb
+         << "\ntxn_ops = " << limits_.nowOperations << "\n[cluster.state.next]\nvalue_kb = " << limits_.nextKb
+         << "\ntxn_ops = " << limits_.nextOperations << "\n[cluster.cloud]\nrps = 20.0\nlist_lag_s = 0.0\n"
+         << "[cluster.limits]\ncore_share = 1.0\nmem_mb = 200.0\nmax_connections = 500\n";
+    return text.str();
+}
+
+void Cluster::start(std::size_t controller, const Version& version) {
+    kill(controller);
+    versions_[controller] = version;
+    processes_[controller] =
+        std::make_unique<ControllerProcess>(version.binary, settingsFile(controller), logFile(controller));
+}
+
+void Cluster::startAll(const Version& version) {
+    for (std::size_t i = 0; i < kControllers; ++i) start(i, version);
+}
+
+std::optional<std::size_t> Cluster::leader() const {
+    const auto& values = ways_.front()->store.values;
+    const auto found = values.find(storage::keys::kLeader);
+    if (found == values.end()) return std::nullopt;
+    const auto record = storage::decodeLeader(protocol::unpackBody(found->second.data).get());
+    if (record.token != machines.newestToken()) return std::nullopt;
+    for (std::size_t i = 0; i < kControllers; ++i)
+        if (nameOf(i) == record.node && runs(i)) return i;
+    return std::nullopt;
+}
+
+void Cluster::makeLeader(std::size_t controller) {
+    for (std::size_t i = 0; i < kControllers; ++i)
+        if (i != controller) kill(i);
+    until(nameOf(controller) + " (" + versions_[controller].name + ") leads",
+          [&] { return leader() == controller; });
+}
+
+std::size_t Cluster::awaitLeader() {
+    until("some controller leads", [&] { return leader().has_value(); });
+    return *leader();
+}
+
+void Cluster::setOutage(bool outage) {
+    for (const auto& way : ways_) way->outage = outage;
+    if (outage_ && !outage) {
+        ways_.front()->restartLeases(Clock::now());
+        ways_.front()->wake();
+    }
+    outage_ = outage;
+}
+
+void Cluster::lowerLimits() {
+    auto& limits = ways_.front()->store.limits;
+    limits.valueBytes = static_cast<std::size_t>(limits_.nextKb * 1024);
+    limits.ops = limits_.nextOperations;
+}
+
+void Cluster::until(const std::string& what, const std::function<bool()>& holds) {
+    std::cout << "waiting until " << what << std::endl;
+    while (!holds()) step();
+}
+
+void Cluster::step() {
+    io_.run_for(kStep);
+    const auto now = Clock::now();
+    if (!outage_) ways_.front()->passTime(now);
+    stored.step();
+    machines.step(now);
+    users.step(now);
+    checkProcesses();
+    if (!rules.broken.empty()) throw RuleBroken(rules.broken.front());
+}
+
+void Cluster::checkProcesses() {
+    for (std::size_t i = 0; i < kControllers; ++i)
+        rules.require(!processes_[i] || processes_[i]->isRunning(), nameOf(i) + " has ended by itself");
+}
+
+void Cluster::printLogs() const {
+    for (std::size_t i = 0; i < kControllers; ++i)
+        std::cout << "--- log of " << nameOf(i) << "\n" << std::ifstream(logFile(i)).rdbuf() << std::endl;
+}
+
+}  // namespace burlpoint::tests
--- /dev/null
+++ b/tests/upgrade/users.cpp
@@ -0,0 +1,180 @@
+#include "upgrade/users.h"
+
+namespace burlpoint::tests {
+
+using namespace std::chrono_literals;
+using protocol::JobState;
+using transport::Clock;
+using transport::Outcome;
+using transport::Time;
+
+namespace {
+
+constexpr auto kRetry = 300ms;
+constexpr auto kSubmissionTimeout = 5s, kPollTimeout = 2s;
+constexpr auto kBetweenQuestions = 20ms;
+constexpr std::size_t kMostOpen = 40;    // questions under way
+constexpr std::size_t kRepeatEvery = 5;  // so many questions one is a submission repeated
+constexpr std::size_t kConnections = 200;
+
+std::string submissionOf(const protocol::JobSpec& spec) {
+    protocol::Packer packer;
+    protocol::packSpec(packer, spec);
+    return packer.take();
+}
+
+std::string pathOf(const std::string& id) { return std::string(protocol::paths::kSubmissions) + "/" + id; }
+
+JobState parseState(const std::string& word) {
+    static const std::map<std::string, JobState> states{{"pending", JobState::queued},
+                                                        {"running", JobState::running},
+                                                        {"done", JobState::done},
+                                                        {"cancelled", JobState::cancelled}};
+    const auto found = states.find(word);
+    if (found == states.end()) throw protocol::Malformed("unknown state " + word);
+    return found->second;
+}
+
+bool isFinal(JobState state) { return state == JobState::done || state == JobState::cancelled; }
+
+}  // namespace
+
+Users::Users(asio::io_context& io, Rules& rules, std::vector<Controller> controllers)
+    : rules_(rules), controllers_(std::move(controllers)), http_(io, kConnections) {}
+
+void Users::submit(const protocol::JobSpec& spec, std::size_t controller) {
+    auto& facts = rules_.jobs[spec.id];
+    facts.spec = spec;
+    for (const auto& needed : spec.dependencies) facts.cancelRequested |= rules_.job(needed).cancelRequested;
+    actions_.push_back(std::make_shared<Action>(Action{false, spec.id, controller}));
+}
+
+void Users::cancel(const std::string& id, std::size_t controller) {
+    rules_.noteCancelRequested(id);
+    actions_.push_back(std::make_shared<Action>(Action{true, id, controller}));
+}
+
+void Users::step(Time now) {
+    for (const auto& action : actions_)
+        if (!action->underWay && now >= action->next) send(action, now);
+    std::erase_if(actions_, [](const auto& action) { return action->over; });
+    if (now < nextQuestion_ || open_ >= kMostOpen) return;
+    nextQuestion_ = now + kBetweenQuestions;
+    askNext();
+}
+
+Users::Known Users::known(const std::string& id) const {
+    const auto& facts = rules_.jobs.at(id);
+    return {facts.accepted, facts.final};
+}
+
+void Users::send(const std::shared_ptr<Action>& action, Time now) {
+    action->underWay = true;
+    action->next = now + kRetry;
+    const auto& id = action->id;
+    const auto path = action->cancels ? pathOf(id) + protocol::paths::kCancel : protocol::paths::kSubmissions;
+    const auto body = action->cancels ? std::string() : submissionOf(rules_.job(id).spec);
+    http_.request(controllers_[action->controller].address, "POST", path, body, kSubmissionTimeout,
+                  [this, action, before = known(id)](const Outcome& outcome) {
+                      action->underWay = false;
+                      finished(*action, before, outcome);
+                  });
+}
+
+void Users::finished(Action& action, const Known& before, const Outcome& outcome) {
+    auto& facts = rules_.job(action.id);
+    check(action.id, action.controller, before, outcome);
+    const bool refused = outcome.status == 400 || outcome.status == 404 || outcome.status == 422;
+    rules_.require(!refused, action.id + " was refused with " + std::to_string(outcome.status));
+    action.over = outcome.status == 200 || outcome.status == 201;
+    if (!action.over) return;
+    const auto now = Clock::now();
+    if (!action.cancels) {
+        facts.accepted = true;
+        for (const auto& needed : facts.spec.dependencies)
+            if (rules_.job(needed).cancelConfirmed) rules_.noteCancelled(action.id, now);
+    } else if (facts.final == JobState::cancelled) {
+        rules_.noteCancelled(action.id, now);
+    }
+}
+
+/// One question at a time, about each job to each controller in turn.
+void Users::askNext() {
+    std::vector<std::string> accepted;
+    for (const auto& [id, facts] : rules_.jobs)
+        if (facts.accepted) accepted.push_back(id);
+    if (accepted.empty()) return;
+    const auto number = questions_++;
+    const auto controller = number % controllers_.size();
+    const auto& id = accepted[number / controllers_.size() % accepted.size()];
+    const auto round = number / controllers_.size() / accepted.size();
+    if ((round + controller) % kRepeatEvery == 0)
+        repeat(id, controller);
+    else
+        poll(id, controller);
+}
+
+void Users::poll(const std::string& id, std::size_t controller) {
+    ++open_;
+    http_.request(controllers_[controller].address, "GET", pathOf(id), "", kPollTimeout,
+                  [this, id, controller, before = known(id)](const Outcome& outcome) {
+                      --open_;
+                      check(id, controller, before, outcome);
+                  });
+}
+
+void Users::repeat(const std::string& id, std::size_t controller) {
+    ++open_;
+    http_.request(controllers_[controller].address, "POST", protocol::paths::kSubmissions,
+                  submissionOf(rules_.job(id).spec), kSubmissionTimeout,
+                  [this, id, controller, before = known(id)](const Outcome& outcome) {
+                      --open_;
+                      check(id, controller, before, outcome);
+                  });
+}
+
+void Users::check(const std::string& id, std::size_t controller, const Known& before,
+                  const Outcome& outcome) {
+    const auto status = outcome.status;
+    const auto who = id + " at " + controllers_[controller].name;
+    if (before.accepted) {
+        const bool refused = status == 400 || status == 404 || status == 422;
+        rules_.require(!refused, "forgotten: " + who + " answered " + std::to_string(status));
+        rules_.require(status != 201, "forgotten: " + who + " was accepted as new");
+    }
+    if (status != 200 && status != 201) return;
+    try {
+        const auto handle = protocol::unpackBody(outcome.body);
+        const protocol::Fields fields(handle.get());
+        const auto state = parseState(fields.text("bearing"));
+        rules_.require(fields.text("uid") == id, who + " answered for another job");
+        checkState(id, before, state);
+        auto& told = toldDone_[id];
+        told = std::max(told, static_cast<std::uint32_t>(fields.integerOr("done", 0)));
+        told_.emplace(controller, id, state);
+    } catch (const protocol::Malformed& error) {
+        rules_.require(false, who + " gave a malformed answer: " + error.what());
+    }
+}
+
+void Users::checkState(const std::string& id, const Known& before, JobState state) {
+    auto& facts = rules_.job(id);
+    rules_.require(!before.final || state == *before.final, "went_back: " + id);
+    if (!isFinal(state)) return;
+    rules_.require(state != JobState::done || facts.allCompleted(), "not_done: " + id + " is called done");
+    rules_.require(state != JobState::cancelled || facts.cancelRequested,
+                   "went_back: " + id + " is called cancelled without a request");
+    rules_.require(!facts.final || facts.final == state, "went_back: " + id + " has two ends");
+    facts.final = state;
+}
+
+std::uint32_t Users::toldDone(const std::string& id) const {
+    const auto found = toldDone_.find(id);
+    return found == toldDone_.end() ? 0 : found->second;
+}
+
+bool Users::toldBy(std::size_t controller, const std::string& id, JobState state) const {
+    return told_.contains({controller, id, state});
+}
+
+}  // namespace burlpoint::tests
--- /dev/null
+++ b/tests/upgrade/users.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "protocol/messages.h"
+#include "transport/http.h"
+#include "upgrade/machines.h"
+#include "upgrade/rules.h"
+
+namespace burlpoint::tests {
+
+/// Users who submit and cancel jobs at chosen controllers, and who all the time ask each controller about
+/// each accepted job and submit it again. Every answer is checked against what users were told before they
+/// asked.
+class Users {
+  public:
+    Users(asio::io_context& io, Rules& rules, std::vector<Controller> controllers);
+
+    /// Repeats the submission at this controller until it is accepted.
+    void submit(const protocol::JobSpec& spec, std::size_t controller);
+    /// Repeats the cancellation at this controller until it is confirmed.
+    void cancel(const std::string& id, std::size_t controller);
+    void step(transport::Time now);
+
+    /// The most tasks of the job that a controller has told to be done.
+    std::uint32_t toldDone(const std::string& id) const;
+    /// Since `forgetAnswers` this controller has told that the job is in this state.
+    bool toldBy(std::size_t controller, const std::string& id, protocol::JobState state) const;
+    void forgetAnswers() { told_.clear(); }
+
+  private:
+    struct Known {  // to users, at the time of a question
+        bool accepted = false;
+        std::optional<protocol::JobState> final;
+    };
+    struct Action {  // a submission or cancellation that is repeated until it is answered
+        bool cancels = false;
+        std::string id;
+        std::size_t controller = 0;
+        transport::Time next{};
+        bool underWay = false, over = false;
+    };
+
+    Known known(const std::string& id) const;
+    void send(const std::shared_ptr<Action>& action, transport::Time now);
+    void finished(Action& action, const Known& before, const transport::Outcome& outcome);
+    void askNext();
+    void poll(const std::string& id, std::size_t controller);
+    void repeat(const std::string& id, std::size_t controller);
+    void check(const std::string& id, std::size_t controller, const Known& before,
+               const transport::Outcome& outcome);
+    void checkState(const std::string& id, const Known& before, protocol::JobState state);
+
+    Rules& rules_;
+    const std::vector<Controller> controllers_;
+    transport::Client http_;
+    std::vector<std::shared_ptr<Action>> actions_;
+    std::map<std::string, std::uint32_t> toldDone_;
+    std::set<std::tuple<std::size_t, std::string, protocol::JobState>> told_;
+    std::size_t questions_ = 0, open_ = 0;
+    transport::Time nextQuestion_{};
+};
+
+}  // namespace burlpoint::tests
