--- a/tests/upgrade/cluster.cpp
+++ b/tests/upgrade/cluster.cpp
@@ -134,6 +134,13 @@
           [&] { return leader() == controller; });
 }
 
+void Cluster::makeLeaderAgain(std::size_t controller) {
+    refuse(controller, false);
+    makeLeader(controller);
+    for (std::size_t i = 0; i < kControllers; ++i)
+        if (i != controller) start(i, versions_[i]);
+}
+
 std::size_t Cluster::awaitLeader() {
     until("some controller leads", [&] { return leader().has_value(); });
     return *leader();
--- a/tests/upgrade/cluster.h
+++ b/tests/upgrade/cluster.h
@@ -54,6 +54,8 @@
     std::optional<std::size_t> leader() const;
     /// Kills the others, so that this one has to lead, and waits until it does.
     void makeLeader(std::size_t controller);
+    /// The same, and then the others come back as they were.
+    void makeLeaderAgain(std::size_t controller);
     /// Waits until some controller leads.
     std::size_t awaitLeader();
 
--- a/tests/upgrade/machines.cpp
+++ b/tests/upgrade/machines.cpp
@@ -337,6 +337,15 @@
     return true;
 }
 
+std::map<std::string, std::uint64_t> Machines::renewals(const std::string& job) const {
+    std::map<std::string, std::uint64_t> found;
+    for (const auto& [id, worker] : workers_)
+        for (const auto& [attempt, task] : worker->tasks())
+            if (attempt.job == job && task.state == TaskState::running)
+                found[id + " session " + std::to_string(worker->session())] = worker->renewals();
+    return found;
+}
+
 std::uint64_t Machines::starts(const std::string& job) const {
     const auto found = starts_.find(job);
     return found == starts_.end() ? 0 : found->second;
--- a/tests/upgrade/machines.h
+++ b/tests/upgrade/machines.h
@@ -97,6 +97,8 @@
     std::uint32_t count(const std::string& job, protocol::TaskState state) const;
     /// No task of the job is on any machine, exited ones aside.
     bool isGone(const std::string& job) const;
+    /// For each machine that runs a task of the job: its session, and how often its lease was renewed in it.
+    std::map<std::string, std::uint64_t> renewals(const std::string& job) const;
     /// The highest token that a worker has taken orders under.
     std::uint64_t newestToken() const { return newestToken_; }
     /// Tasks of the job that were started, refused ones aside.
--- a/tests/upgrade/upgrade_test.cpp
+++ b/tests/upgrade/upgrade_test.cpp
@@ -21,6 +21,8 @@
     bool knowsPipelines = false;  // and the state service's next limits
 };
 
+void PrintTo(const OldVersion& old, std::ostream* out) { *out << old.label; }
+
 const Version kNew{"new", BURLPOINT_NEW_BINARY};
 const OldVersion kOldVersions[] = {
     {"FromProduction", {"old", BURLPOINT_PRODUCTION_BINARY}, false},
@@ -35,6 +37,7 @@
     spec.jobClass = "class";
     spec.team = "team";
     spec.kind = kind;
+    if (kind == Kind::service) spec.priority = protocol::Priority::production;
     spec.tasks = tasks;
     spec.cpus = 1;
     spec.memoryGb = 1;
@@ -99,6 +102,143 @@
     }
     std::string freshId() { return "wk-" + std::to_string(++lastId_); }
 
+    /// An array, a gang that needs it, and an array that needs both. Their tasks go on until they may end.
+    struct Pipeline {
+        static constexpr std::uint32_t kTasks = 3;
+        std::string array, gang, last;
+    };
+    Pipeline submitPipeline(std::size_t controller) {
+        const Pipeline pipeline{freshId(), freshId(), freshId()};
+        submit(job(pipeline.array, Kind::array, Pipeline::kTasks), controller);
+        submit(job(pipeline.gang, Kind::gang, Pipeline::kTasks, {pipeline.array}), controller);
+        submit(job(pipeline.last, Kind::array, Pipeline::kTasks, {pipeline.gang, pipeline.array}),
+               controller);
+        return pipeline;
+    }
+    void complete(const std::string& id) {
+        cluster->rules.job(id).mayComplete = kAll;
+        untilDone(id);
+    }
+    void untilToldByAll(const std::string& id, JobState state) {
+        cluster->until("all controllers have told the state of " + id, [&] {
+            for (std::size_t i = 0; i < Cluster::kControllers; ++i)
+                if (!cluster->users.toldBy(i, id, state)) return false;
+            return true;
+        });
+    }
+    /// Cancels the first stage through this controller.
+    void cancelPipeline(const Pipeline& pipeline, std::size_t controller) {
+        cluster->users.cancel(pipeline.array, controller);
+        untilCancelled(pipeline.array);
+        for (const auto& id : {pipeline.array, pipeline.gang, pipeline.last}) {
+            untilToldByAll(id, JobState::cancelled);
+            untilGone(id);
+        }
+    }
+    void expectNeverStarted(const std::vector<std::string>& ids) {
+        for (const auto& id : ids) EXPECT_EQ(cluster->machines.starts(id), 0u) << id;
+    }
+    /// The version in production has no pipelines: they are submitted only once all processes are new.
+    void pipelinesAfterTheUpgrade() {
+        begin();
+        upgradeAll();
+        const auto first = cluster->awaitLeader();
+        const auto finished = submitPipeline(first), cancelled = submitPipeline(after(first));
+        untilRunning(finished.array, Pipeline::kTasks);
+        complete(finished.array);
+        untilRunning(finished.gang, Pipeline::kTasks);
+        cluster->makeLeader(after(first));
+        upgradeAll();
+        complete(finished.gang);
+        cancelPipeline(cancelled, after(first, 2));
+        complete(finished.last);
+        finish();
+        expectNeverStarted({cancelled.gang, cancelled.last});
+    }
+
+    /// One controller leads, another one of the other version confirms the cancellations.
+    void obeyCancellations(std::size_t leading, std::size_t confirming) {
+        const auto id = submitHeld(confirming);
+        cluster->users.cancel(id, confirming);
+        untilCancelled(id);
+        untilGone(id);
+
+        while (!obeyedInAnOutage(leading, confirming)) cluster->makeLeaderAgain(leading);
+
+        // Refused alone, the leader ends its term, and the next one obeys.
+        const auto other = submitHeld(confirming);
+        cluster->refuse(leading, true);
+        cluster->users.cancel(other, confirming);
+        untilCancelled(other);
+        untilGone(other);
+        cluster->until("another controller leads",
+                       [&] { return cluster->leader() && cluster->leader() != leading; });
+        cluster->refuse(leading, false);
+        untilRunning(kService, 3);
+    }
+    std::string submitHeld(std::size_t controller) {
+        constexpr std::uint32_t kTasks = 4;
+        const auto id = freshId();
+        submit(job(id, Kind::array, kTasks), controller);
+        untilRunning(id, kTasks);
+        return id;
+    }
+    /// The state service refuses the leader, another node confirms a cancellation, and then nobody is served.
+    /// The leader goes on by the promises of the others, which tell it the cancellation. False if its term
+    /// had ended before: then nobody can lead until the outage is over.
+    bool obeyedInAnOutage(std::size_t leading, std::size_t confirming) {
+        untilRunning(kService, 3);
+        const auto id = submitHeld(confirming);
+        cluster->refuse(leading, true);
+        cluster->users.cancel(id, confirming);
+        untilCancelled(id);
+        cluster->setOutage(true);
+        const auto atFirst = cluster->machines.renewals(kService);
+        // Reports are half a second apart at least, so this takes longer than the leader's own lease.
+        constexpr std::uint64_t kRenewals = 16;
+        bool carried = true;
+        cluster->until("the leader has gone on for long in an outage, or its term has ended", [&] {
+            const auto now = cluster->machines.renewals(kService);
+            carried = now.size() == atFirst.size();
+            bool enough = true;
+            for (const auto& [session, renewals] : atFirst) {
+                const auto found = now.find(session);
+                carried &= found != now.end();
+                enough &= found != now.end() && found->second >= renewals + kRenewals;
+            }
+            return !carried || (enough && cluster->machines.isGone(id));
+        });
+        cluster->setOutage(false);
+        return carried;
+    }
+
+    /// Tasks that take so little that a machine runs some hundreds of them.
+    JobSpec tiny(const std::string& id, std::uint32_t tasks) {
+        auto spec = job(id, Kind::array, tasks);
+        spec.cpus = spec.memoryGb = 0.05;
+        return spec;
+    }
+    JobSpec urgent(JobSpec spec) {
+        spec.priority = protocol::Priority::high;
+        return spec;
+    }
+    /// Two jobs whose records are larger than the next limit, accepted by a version that does not know it.
+    std::vector<std::string> submitJobsWithLongTexts(std::size_t controller) {
+        std::vector<std::string> ids{freshId(), freshId()};
+        for (const auto& id : ids) {
+            auto spec = urgent(job(id, Kind::array, 2));
+            spec.types = std::vector<std::string>{"plain"};
+            for (int i = 0; i < 15; ++i) spec.types->push_back(std::string(90, 'a') + std::to_string(i));
+            submit(spec, controller);
+        }
+        return ids;
+    }
+    void completeSomehow(const std::string& id, std::uint32_t tasks) {
+        cluster->rules.job(id).mayComplete = tasks;
+        cluster->until(std::to_string(tasks) + " tasks of " + id + " have completed",
+                       [&] { return cluster->rules.job(id).completed.size() >= tasks; });
+    }
+
     void upgradeAll() {
         for (std::size_t i = 0; i < Cluster::kControllers; ++i) {
             if (cluster->version(i) == kNew && cluster->runs(i)) continue;
@@ -190,6 +330,118 @@
     EXPECT_GE(cluster->stored.leaderships(), 4u);
 }
 
+// From a version that knows pipelines: submitted before and during the upgrade, they go on under either
+// version.
+TEST_P(Upgrade, PipelinesKeepTheirOrderWhicheverVersionLeads) {
+    if (!GetParam().knowsPipelines) return pipelinesAfterTheUpgrade();
+    begin();
+    const auto first = *cluster->leader();
+    const auto newOne = after(first), oldOne = after(first, 2);
+    const auto before = submitPipeline(first), cancelled = submitPipeline(oldOne);
+    cluster->start(newOne, kNew);
+    cluster->awaitLeader();
+    const auto during = submitPipeline(newOne), cancelledByNew = submitPipeline(newOne);
+    untilRunning(before.array, Pipeline::kTasks);
+    untilRunning(cancelled.array, Pipeline::kTasks);
+
+    // The old version starts the second stage, the new one the third.
+    complete(before.array);
+    untilRunning(before.gang, Pipeline::kTasks);
+    cluster->makeLeader(newOne);
+    cluster->start(first, old());
+    cluster->start(oldOne, old());
+    complete(before.gang);
+    untilRunning(before.last, Pipeline::kTasks);
+    cancelPipeline(cancelled, oldOne);
+
+    // The other way around.
+    complete(during.array);
+    untilRunning(during.gang, Pipeline::kTasks);
+    cluster->makeLeader(oldOne);
+    cluster->start(newOne, kNew);
+    cluster->start(first, old());
+    complete(during.gang);
+    untilRunning(during.last, Pipeline::kTasks);
+    cancelPipeline(cancelledByNew, newOne);
+
+    // Whoever leads next knows what is free and what is cancelled.
+    cluster->start(oldOne, kNew);
+    cluster->awaitLeader();
+    complete(before.last);
+    const auto late = freshId();
+    submit(job(late, Kind::array, 1, {before.last, cancelled.array}), first);
+    untilToldByAll(late, JobState::cancelled);
+    cluster->start(first, kNew);
+    cluster->awaitLeader();
+    finish();
+    expectNeverStarted({cancelled.gang, cancelled.last, cancelledByNew.gang, cancelledByNew.last, late});
+}
+
+// Cancellations that a node of one version confirms are obeyed by a leader of the other: when all is well,
+// when the state service refuses the leader alone, and when an outage follows at once.
+TEST_P(Upgrade, CancellationsOfOneVersionAreObeyedByTheOther) {
+    begin();
+    const auto first = *cluster->leader();
+    const auto newOne = after(first);
+    cluster->start(newOne, kNew);
+    obeyCancellations(first, newOne);
+
+    cluster->makeLeader(newOne);
+    cluster->start(first, old());
+    cluster->start(after(first, 2), old());
+    obeyCancellations(newOne, first);
+    upgradeAll();
+    finish();
+}
+
+// Records and bitmaps that one version writes are read by the other, and nothing is lost when the state
+// service takes less than before. The bitmap of the large job takes more than the next limit.
+TEST_P(Upgrade, RecordsAndBitmapsAreReadByBothVersions) {
+    ValueLimits limits;
+    limits.nowKb = 4;
+    limits.nextKb = 1;
+    limits.nextOperations = 16;
+    begin(limits);
+    const auto first = *cluster->leader();
+    const auto newOne = after(first), oldOne = after(first, 2);
+    const std::string large = "wk-2", small = "wk-3";
+    std::vector<std::string> longTexts;
+    if (!GetParam().knowsPipelines) longTexts = submitJobsWithLongTexts(oldOne);
+    // The large job takes all room that there is, and its tasks hold it until they may end.
+    submit(urgent(tiny(small, 40)), newOne);
+    submit(tiny(large, 4400), first);
+    completeUpTo(large, 1500);
+    completeUpTo(small, 10);
+
+    cluster->start(newOne, kNew);
+    cluster->makeLeader(newOne);
+    cluster->start(first, old());
+    cluster->start(oldOne, old());
+    completeUpTo(large, 2500);
+    completeUpTo(small, 20);
+    // A version that knows the next limits cuts bitmaps for these from the start.
+    EXPECT_EQ(cluster->stored.partsWritten() > 0, !GetParam().knowsPipelines);
+
+    // Production knows no parts: it has such tasks run once more, so it may tell fewer of them.
+    cluster->makeLeader(oldOne);
+    cluster->start(newOne, kNew);
+    cluster->start(first, old());
+    completeSomehow(large, 3500);
+    completeUpTo(small, 30);
+
+    cluster->makeLeader(newOne);
+    upgradeAll();
+    cluster->lowerLimits();
+    if (!longTexts.empty()) {
+        cluster->users.cancel(longTexts.front(), first);
+        untilCancelled(longTexts.front());
+    }
+    completeUpTo(large, 4000);
+    cluster->makeLeader(after(newOne));
+    upgradeAll();
+    finish();
+}
+
 INSTANTIATE_TEST_SUITE_P(, Upgrade, testing::ValuesIn(kOldVersions),
                          [](const auto& test) { return test.param.label; });
 
