--- a/tests/upgrade/users.cpp
+++ b/tests/upgrade/users.cpp
@@ -13,8 +13,9 @@
 constexpr auto kRetry = 300ms;
 constexpr auto kSubmissionTimeout = 5s, kPollTimeout = 2s;
 constexpr auto kBetweenQuestions = 20ms;
-constexpr std::size_t kMostOpen = 40;    // questions under way
-constexpr std::size_t kRepeatEvery = 5;  // so many questions one is a submission repeated
+constexpr std::size_t kMostOpen = 40;       // questions under way
+constexpr std::size_t kRepeatEvery = 5;     // so many questions one is a submission repeated
+constexpr std::size_t kStrangerEvery = 23;  // and one is about a job that nobody has submitted
 constexpr std::size_t kConnections = 200;
 
 std::string submissionOf(const protocol::JobSpec& spec) {
@@ -106,6 +107,7 @@
     if (accepted.empty()) return;
     const auto number = questions_++;
     const auto controller = number % controllers_.size();
+    if (number % kStrangerEvery == 0) return askForStranger(controller);
     const auto& id = accepted[number / controllers_.size() % accepted.size()];
     const auto round = number / controllers_.size() / accepted.size();
     if ((round + controller) % kRepeatEvery == 0)
@@ -114,6 +116,16 @@
         poll(id, controller);
 }
 
+void Users::askForStranger(std::size_t controller) {
+    constexpr char kStranger[] = "wk-999999";
+    ++open_;
+    http_.request(controllers_[controller].address, "GET", pathOf(kStranger), "", kPollTimeout,
+                  [this](const Outcome& outcome) {
+                      --open_;
+                      rules_.require(outcome.status != 200, "invented: a job that nobody submitted");
+                  });
+}
+
 void Users::poll(const std::string& id, std::size_t controller) {
     ++open_;
     http_.request(controllers_[controller].address, "GET", pathOf(id), "", kPollTimeout,
--- a/tests/upgrade/users.h
+++ b/tests/upgrade/users.h
@@ -48,6 +48,7 @@
     void send(const std::shared_ptr<Action>& action, transport::Time now);
     void finished(Action& action, const Known& before, const transport::Outcome& outcome);
     void askNext();
+    void askForStranger(std::size_t controller);
     void poll(const std::string& id, std::size_t controller);
     void repeat(const std::string& id, std::size_t controller);
     void check(const std::string& id, std::size_t controller, const Known& before,
