--- a/tests/upgrade/users.cpp
+++ b/tests/upgrade/users.cpp
@@ -66,7 +66,7 @@
 
 Users::Known Users::known(const std::string& id) const {
     const auto& facts = rules_.jobs.at(id);
-    return {facts.accepted, facts.final};
+    return {facts.accepted, facts.cancelConfirmed.has_value(), facts.final};
 }
 
 void Users::send(const std::shared_ptr<Action>& action, Time now) {
@@ -172,6 +172,8 @@
 void Users::checkState(const std::string& id, const Known& before, JobState state) {
     auto& facts = rules_.job(id);
     rules_.require(!before.final || state == *before.final, "went_back: " + id);
+    // The page allows `cancel_s` for this; the sources promise it at once, as all follows from one record.
+    rules_.require(!before.cancelled || state == JobState::cancelled, "orphaned: " + id);
     if (!isFinal(state)) return;
     rules_.require(state != JobState::done || facts.allCompleted(), "not_done: " + id + " is called done");
     rules_.require(state != JobState::cancelled || facts.cancelRequested,
--- a/tests/upgrade/users.h
+++ b/tests/upgrade/users.h
@@ -34,6 +34,7 @@
   private:
     struct Known {  // to users, at the time of a question
         bool accepted = false;
+        bool cancelled = false;  // confirmed, of this job or of one that it needs
         std::optional<protocol::JobState> final;
     };
     struct Action {  // a submission or cancellation that is repeated until it is answered
