--- a/tests/upgrade/upgrade_test.cpp
+++ b/tests/upgrade/upgrade_test.cpp
@@ -28,7 +28,7 @@
     {"FromProduction", {"old", BURLPOINT_PRODUCTION_BINARY}, false},
     {"FromPipelines", {"old", BURLPOINT_PIPELINES_BINARY}, true},
 };
-constexpr auto kAll = protocol::kMostTasks;
+constexpr auto kAll = protocol::kMaxTasks;
 constexpr char kService[] = "wk-1";  // runs during the whole test and keeps machines in use
 
 JobSpec job(const std::string& id, Kind kind, std::uint32_t tasks, std::vector<std::string> needs = {}) {
