--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "coordination/responses.h"
+
 namespace burlpoint::coordination {
 
 using protocol::Malformed;
@@ -13,7 +15,6 @@
 using transport::Outcome;
 using transport::Reply;
 using transport::Request;
-using transport::Response;
 using transport::Time;
 using namespace std::chrono_literals;
 
@@ -35,13 +36,6 @@
 constexpr unsigned kPageMachines = 500;
 constexpr std::size_t kMaxTold = 500;  // cancellations in one message
 
-Response respond(int status, std::string body = {}) {
-    Response r;
-    r.status = status;
-    r.body = std::move(body);
-    return r;
-}
-
 // Shares of the sockets. Every worker keeps a connection to the leader, beside the users that any node has;
 // what a node opens itself is short-lived.
 constexpr double kUserSockets = 0.74, kPeerSockets = 0.04, kServiceSockets = 0.07, kWorkerSockets = 0.12;
@@ -193,11 +187,7 @@
     const Request& request = call.request;
     if (request.oversize) return call.reply(respond(413, protocol::errorReply("more than 64 KiB")));
     if (request.path == paths::kReady) {
-        if (request.method != "GET") {
-            auto r = respond(405);
-            r.allow = "GET";
-            return call.reply(r);
-        }
+        if (request.method != "GET") return call.reply(wrongMethod("GET"));
         return call.reply(respond(readiness_.ready() ? 200 : 503));
     }
     if (request.path == paths::kReport) return serveReport(call);
@@ -205,11 +195,7 @@
 }
 
 void Node::serveReport(Call& call) {
-    if (call.request.method != "POST") {
-        auto r = respond(405);
-        r.allow = "POST";
-        return call.reply(r);
-    }
+    if (call.request.method != "POST") return call.reply(wrongMethod("POST"));
     if (!election_.valid(Clock::now()) || !leader_) return redirect(call);
     ReportArrived command;
     try {
--- /dev/null
+++ b/src/coordination/responses.cpp
@@ -0,0 +1,28 @@
+#include "coordination/responses.h"
+
+#include "protocol/messages.h"
+
+namespace burlpoint::coordination {
+
+using transport::Response;
+
+Response respond(int status, std::string body) {
+    Response response;
+    response.status = status;
+    response.body = std::move(body);
+    return response;
+}
+
+Response retryLater(int status, std::string_view why, std::chrono::seconds after) {
+    auto response = respond(status, protocol::errorReply(why));
+    response.retryAfter = after;
+    return response;
+}
+
+Response wrongMethod(const char* allow, std::string body) {
+    auto response = respond(405, std::move(body));
+    response.allow = allow;
+    return response;
+}
+
+}  // namespace burlpoint::coordination
--- a/src/coordination/user_api.cpp
+++ b/src/coordination/user_api.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "coordination/responses.h"
+
 namespace burlpoint::coordination {
 
 using bookkeeping::Job;
@@ -18,7 +20,6 @@
 using transport::Duration;
 using transport::Reply;
 using transport::Request;
-using transport::Response;
 using transport::Time;
 using namespace std::chrono_literals;
 
@@ -36,23 +37,9 @@
 constexpr std::size_t kMaxQueued = 400;
 constexpr char kTooLarge[] = "larger than the state service takes";
 
-Response respond(int status, std::string body = {}) {
-    Response r;
-    r.status = status;
-    r.body = std::move(body);
-    return r;
-}
-
-Response retryLater(int status, std::string_view why, std::chrono::seconds after = 1s) {
-    auto r = respond(status, protocol::errorReply(why));
-    r.retryAfter = after;
-    return r;
-}
-
-Response wrongMethod(const char* allow) {
-    auto r = respond(405, protocol::errorReply("method not allowed"));
-    r.allow = allow;
-    return r;
+/// The users' form of a 405, which says so in its body too.
+transport::Response methodNotAllowed(const char* allow) {
+    return wrongMethod(allow, protocol::errorReply("method not allowed"));
 }
 
 }  // namespace
@@ -87,7 +74,7 @@
 bool UserApi::handle(const Request& request, const Reply& reply) {
     const std::string& path = request.path;
     if (path == paths::kSubmissions) {
-        if (request.method != "POST") return reply(wrongMethod("POST")), true;
+        if (request.method != "POST") return reply(methodNotAllowed("POST")), true;
         submit(request, reply);
         return true;
     }
@@ -98,7 +85,7 @@
     if (cancels) id.resize(id.size() - std::string_view(paths::kCancel).size());
     if (id.find('/') != std::string::npos) return false;
     if (request.method != (cancels ? "POST" : "GET"))
-        return reply(wrongMethod(cancels ? "POST" : "GET")), true;
+        return reply(methodNotAllowed(cancels ? "POST" : "GET")), true;
     // An id of another form cannot have been accepted.
     if (!protocol::isJobId(id)) return reply(respond(404, protocol::errorReply("no such job"))), true;
     if (const auto* job = replica_.find(id); job && job->final != Final::open)
