--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -27,14 +27,10 @@
 constexpr auto kCloudTimeout = 6000ms;
 constexpr auto kWriteTimeout = 1500ms;
 constexpr auto kPeerTimeout = 900ms;
-constexpr auto kPeerSilence = 2500ms;
-constexpr auto kRelayMemory = 9s;            // a worker back within this did not get through to the leader
-constexpr auto kRelayFor = 30s;              // then it is sent to the leader again, to see
-constexpr auto kRelayTimeout = 2500ms;       // the worker waits for 4 s
-constexpr auto kRefusedAloneAfter = 2500ms;  // without an answer of the state service that others get
-constexpr auto kPeersServedFor = 2000ms;     // and these got one so long after this node's last
+constexpr auto kRelayMemory = 9s;       // a worker back within this did not get through to the leader
+constexpr auto kRelayFor = 30s;         // then it is sent to the leader again, to see
+constexpr auto kRelayTimeout = 2500ms;  // the worker waits for 4 s
 constexpr unsigned kPageMachines = 500;
-constexpr std::size_t kMaxTold = 500;  // cancellations in one message
 
 // Shares of the sockets. Every worker keeps a connection to the leader, beside the users that any node has;
 // what a node opens itself is short-lived.
@@ -58,11 +54,6 @@
                     Duration(static_cast<int>(1000 * 1.5 * nodes / (settings.stateRps * 0.75))));
 }
 
-std::uint64_t drawLogId() {
-    std::random_device device;
-    return std::uniform_int_distribution<std::uint64_t>(1)(device);  // 0 names none
-}
-
 }  // namespace
 
 bool RelayDecider::over(Time now) const { return now >= until_ && now - at_ >= kRelayMemory; }
@@ -117,7 +108,8 @@
           settings, policy, state_, replica_, watcher_, [this](std::uint64_t token) { won(token); },
           [this] { lost(); }),
       userApi_(io, settings, state_, replica_, watcher_),
-      log_(drawLogId()),
+      peers_(settings, replica_,
+             [this](const protocol::Cancellation& told) { watcher_.noteCancelled(told.job, told.version); }),
       ticker_(io),
       users_(io, transport::parseEndpoint(settings.listen), limits(settings, kUserSockets),
              [this](Request&& request, Reply reply) {
@@ -216,9 +208,11 @@
     // A leader not heard of for a while may be gone; naming it would send the worker into a time-out.
     const auto* leader =
         call.fromPeer || election_.leading() || !replica_.leader ? nullptr : &replica_.leader->node;
-    if (!leader || !inTouch(*leader, now))
+    if (!leader || !peers_.inTouch(*leader, now)) {
+        const bool namesAnother = !call.fromPeer && !election_.leading();
         return call.reply(
-            respond(421, protocol::encodeElsewhere(call.fromPeer ? "" : peerInTouchWithLeader(now))));
+            respond(421, protocol::encodeElsewhere(namesAnother ? peers_.peerInTouchWithLeader(now) : "")));
+    }
     Report report;
     try {
         report = protocol::decodeReport(call.request.body);
@@ -237,21 +231,6 @@
                   });
 }
 
-bool Node::inTouch(const std::string& peer, Time now) const {
-    const auto view = peers_.find(peer);
-    return view != peers_.end() && now - view->second.heardAt < kPeerSilence;
-}
-
-/// A peer that is in touch with a leader that this node cannot reach: a worker that tried one node after the
-/// other would spend its lease on those behind the same cut.
-std::string Node::peerInTouchWithLeader(Time now) const {
-    if (election_.leading() || !replica_.leader) return "";
-    for (const auto& [name, view] : peers_)
-        if (name != replica_.leader->node && inTouch(name, now) && view.leaderToken == replica_.leader->token)
-            return name;
-    return "";
-}
-
 // --- peers ------------------------------------------------------------------------------------------------
 
 protocol::PeerStatus Node::ownStatus(Time now) const {
@@ -260,7 +239,8 @@
     status.resignedToken = election_.resignedToken();
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - state_.lastAnswer());
     status.stateAgeMs = static_cast<std::uint64_t>(std::max<std::int64_t>(0, age.count()));
-    if (replica_.leader && inTouch(replica_.leader->node, now)) status.leaderToken = replica_.leader->token;
+    if (replica_.leader && peers_.inTouch(replica_.leader->node, now))
+        status.leaderToken = replica_.leader->token;
     if (leader_ && election_.valid(now)) {
         status.token = status.leaderToken = leader_->token();
         status.running = leader_->runningCounts();
@@ -274,7 +254,7 @@
     auto status = ownStatus(now);
     if (leader_) userApi_.setRunning(leader_->runningCounts());
     for (const auto& peer : settings_.peers) {
-        if (leader_) describeKnownState(peer.name, status);
+        if (leader_) peers_.describeKnownState(peer.name, status);
         http_.request(peer.address, "POST", paths::kPeer, protocol::encodePeerStatus(status), kPeerTimeout,
                       [this, round = leaderRound_, name = peer.name, sent = now](Outcome outcome) {
                           if (!outcome.ok()) return;
@@ -282,7 +262,7 @@
                               const auto answer = protocol::decodePeerStatus(outcome.body);
                               if (answer.node != name) return;
                               notePeerStatus(answer, Clock::now());
-                              applyCancellations(answer);
+                              if (peers_.applyCancellations(answer)) nextPeers_ = Clock::now();
                               // A promise of a peer that has more to tell would carry this leader on while
                               // tasks go on that users were told are cancelled.
                               if (leader_ && round == leaderRound_ && answer.complete)
@@ -295,34 +275,6 @@
     }
 }
 
-/// What a leader's question to a peer names, so that the peer tells the cancellations not known here.
-void Node::describeKnownState(const std::string& peer, protocol::PeerStatus& question) const {
-    const auto view = peers_.find(peer);
-    question.revision = replica_.revision;
-    question.log = view == peers_.end() ? 0 : view->second.log;
-    question.logAt = view == peers_.end() ? 0 : view->second.logAt;
-}
-
-/// In parts, as a message has its bounds; the asking leader comes back for the next at once.
-void Node::appendCancellations(const protocol::PeerStatus& asking, protocol::PeerStatus& answer) const {
-    const auto& known = replica_.cancelled();
-    answer.log = log_;
-    auto at = asking.log == log_ ? std::min<std::uint64_t>(asking.logAt, known.size()) : 0;
-    for (; at < known.size() && answer.cancelled.size() < kMaxTold; ++at)
-        if (known[at]->version > asking.revision)
-            answer.cancelled.push_back({known[at]->spec.id, known[at]->version});
-    answer.logAt = at;
-    answer.complete = at == known.size();
-}
-
-void Node::applyCancellations(const protocol::PeerStatus& answer) {
-    for (const auto& [job, version] : answer.cancelled) watcher_.noteCancelled(job, version);
-    auto& view = peers_[answer.node];
-    view.log = answer.log;
-    view.logAt = answer.logAt;
-    if (!answer.cancelled.empty() && !answer.complete) nextPeers_ = Clock::now();
-}
-
 void Node::servePeer(Call& call) {
     if (call.request.oversize) return call.reply(respond(413));
     if (call.request.path == paths::kRelay) return serveReport(call);
@@ -335,7 +287,7 @@
         auto status = ownStatus(now);
         status.running.clear();
         if (asking.token > 0) {
-            appendCancellations(asking, status);
+            peers_.appendCancellations(asking, status);
             if (status.complete)
                 status.grantMs = static_cast<std::uint64_t>(
                     election_.grantExtension(asking.node, asking.token, now).count());
@@ -347,33 +299,14 @@
 }
 
 void Node::notePeerStatus(const protocol::PeerStatus& status, Time now) {
-    const bool known = std::any_of(settings_.peers.begin(), settings_.peers.end(),
-                                   [&](const auto& peer) { return peer.name == status.node; });
-    if (!known) return;
-    auto& view = peers_[status.node];
-    view.heardAt = now;
-    view.stateAnsweredAt =
-        now - std::chrono::milliseconds(std::min<std::uint64_t>(status.stateAgeMs, 1u << 30));
-    view.leaderToken = status.leaderToken;
+    if (!peers_.noteStatus(status, now)) return;
     election_.noteResignation(status.resignedToken);
     if (!status.running.empty() && status.token >= replica_.token) userApi_.setRunning(status.running);
 }
 
 bool Node::able(Time now) const { return watcher_.synced() && !replica_.types.empty() && !refusedAlone(now); }
 
-/// The state service answers peers and not this node. When nobody is answered it is an outage that all nodes
-/// share, and stepping aside would help nobody: nobody could take over, and every task would be lost. So a
-/// peer must have been served for a while after this node was last: a refusal that an outage follows at once
-/// is no reason, since the leader goes on by its peers' promises.
-bool Node::refusedAlone(Time now) const {
-    const auto last = state_.lastAnswer();
-    if (now - last < kRefusedAloneAfter) return false;
-    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
-        const auto& view = entry.second;
-        return now - view.heardAt < 2500ms && now - view.stateAnsweredAt < 2000ms &&
-               view.stateAnsweredAt - last >= kPeersServedFor;
-    });
-}
+bool Node::refusedAlone(Time now) const { return peers_.refusedAlone(state_.lastAnswer(), now); }
 
 // --- leading ----------------------------------------------------------------------------------------------
 
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -7,6 +7,7 @@
 
 #include "coordination/election.h"
 #include "coordination/leader.h"
+#include "coordination/peer_exchange.h"
 #include "coordination/state_watcher.h"
 #include "coordination/user_api.h"
 #include "transport/http.h"
@@ -78,11 +79,6 @@
     void talkToPeers(transport::Time now);
     void notePeerStatus(const protocol::PeerStatus& status, transport::Time now);
     bool able(transport::Time now) const;
-    bool inTouch(const std::string& peer, transport::Time now) const;
-    void describeKnownState(const std::string& peer, protocol::PeerStatus& question) const;
-    void appendCancellations(const protocol::PeerStatus& asking, protocol::PeerStatus& answer) const;
-    void applyCancellations(const protocol::PeerStatus& answer);
-    std::string peerInTouchWithLeader(transport::Time now) const;
     bool refusedAlone(transport::Time now) const;
     protocol::PeerStatus ownStatus(transport::Time now) const;
 
@@ -96,22 +92,15 @@
     StateWatcher watcher_;
     Election election_;
     UserApi userApi_;
+    PeerExchange peers_;
     std::unique_ptr<Leader> leader_;
     std::uint64_t leaderRound_ = 0;  // answers meant for an earlier leadership are dropped
 
     std::deque<Queued> queue_;
     bool draining_ = false;
-    const std::uint64_t log_;  // names this process's log of cancellations
     std::uint64_t requests_ = 0;
     std::unordered_map<std::uint64_t, transport::Reply> reports_;  // being answered
 
-    struct PeerView {
-        transport::Time heardAt{};
-        transport::Time stateAnsweredAt{};
-        std::uint64_t leaderToken = 0;     // the token of the leader that it is in touch with
-        std::uint64_t log = 0, logAt = 0;  // its log of cancellations, and how far it is known here
-    };
-    std::unordered_map<std::string, PeerView> peers_;
     std::unordered_map<std::string, RelayDecider>
         relayDeciders_;  // per machine that reported to this follower
     Readiness readiness_;
--- /dev/null
+++ b/tests/peer_exchange_test.cpp
@@ -0,0 +1,142 @@
+#include "coordination/peer_exchange.h"
+
+#include <gtest/gtest.h>
+
+using namespace burlpoint;
+using namespace std::chrono_literals;
+using coordination::PeerExchange;
+using protocol::Cancellation;
+using protocol::PeerStatus;
+
+namespace {
+
+void apply(bookkeeping::StateReplica& replica, const std::string& key, const std::string& value,
+           std::uint64_t version) {
+    const auto handle = protocol::unpackBody(value);
+    std::vector<bookkeeping::Change> changes;
+    ASSERT_TRUE(replica.apply({key, &handle.get(), version}, changes));
+}
+
+/// A node "one" with the peers "two" and "three".
+struct PeerExchangeTest : testing::Test {
+    PeerExchangeTest() { settings.peers = {{"two", "z", ""}, {"three", "z", ""}}; }
+
+    void cancel(std::uint32_t job, std::uint64_t version) {
+        protocol::JobSpec spec;
+        spec.id = "wk-" + std::to_string(job);
+        spec.jobClass = spec.image = "x";
+        spec.team = "team";
+        spec.cpus = 1;
+        apply(replica, storage::keys::job(spec.id),
+              storage::encodeJob({spec, storage::Final::cancelled, 0, 0, 4}), version);
+    }
+    void leads(const std::string& node, std::uint64_t token) {
+        apply(replica, storage::keys::kLeader, storage::encodeLeader({node, token}), ++replica.revision);
+    }
+    static PeerStatus status(const std::string& node, std::uint64_t leaderToken = 0,
+                             std::uint64_t stateAgeMs = 0) {
+        PeerStatus status;
+        status.node = node;
+        status.leaderToken = leaderToken;
+        status.stateAgeMs = stateAgeMs;
+        return status;
+    }
+
+    protocol::Settings settings;
+    bookkeeping::StateReplica replica;
+    std::vector<Cancellation> noted;
+    PeerExchange exchange{settings, replica, [this](const Cancellation& c) { noted.push_back(c); }};
+    const transport::Time start{1000s};
+};
+
+}  // namespace
+
+TEST_F(PeerExchangeTest, OnlyPeersOfTheSettingsCount) {
+    EXPECT_FALSE(exchange.noteStatus(status("four"), start));
+    EXPECT_FALSE(exchange.inTouch("four", start));
+    EXPECT_FALSE(exchange.inTouch("two", start));
+    EXPECT_TRUE(exchange.noteStatus(status("two"), start));
+    EXPECT_TRUE(exchange.inTouch("two", start + 2499ms));
+    EXPECT_FALSE(exchange.inTouch("two", start + 2500ms));
+}
+
+TEST_F(PeerExchangeTest, NamesAPeerInTouchWithThisVeryLeader) {
+    exchange.noteStatus(status("three", 7), start);
+    EXPECT_EQ(exchange.peerInTouchWithLeader(start), "");  // nobody leads
+    leads("two", 8);
+    EXPECT_EQ(exchange.peerInTouchWithLeader(start), "");  // that was the one before
+    exchange.noteStatus(status("two", 8), start);
+    EXPECT_EQ(exchange.peerInTouchWithLeader(start), "");  // the leader itself
+    exchange.noteStatus(status("three", 8), start);
+    EXPECT_EQ(exchange.peerInTouchWithLeader(start), "three");
+    EXPECT_EQ(exchange.peerInTouchWithLeader(start + 3s), "");
+}
+
+TEST_F(PeerExchangeTest, RefusedAloneMeansThatAPeerIsServedForAWhileAlready) {
+    const auto lastAnswer = start;
+    const auto now = start + 4s;
+    EXPECT_FALSE(exchange.refusedAlone(lastAnswer, now));  // nobody was heard
+    exchange.noteStatus(status("two", 0, 2100), now);
+    EXPECT_FALSE(exchange.refusedAlone(lastAnswer, now));  // it is not served any more either
+    exchange.noteStatus(status("two", 0, 100), now);
+    EXPECT_TRUE(exchange.refusedAlone(lastAnswer, now));
+    EXPECT_FALSE(exchange.refusedAlone(now - 2s, now));  // too short to tell
+    EXPECT_FALSE(exchange.refusedAlone(lastAnswer, now + 3s));
+    // An outage that follows a refusal at once: the peer was served for less than two seconds more.
+    exchange.noteStatus(status("two", 0, 1900), now - 300ms);
+    EXPECT_FALSE(exchange.refusedAlone(lastAnswer, now - 300ms));
+}
+
+TEST_F(PeerExchangeTest, CancellationsAreToldInPartsAndOnlyOnce) {
+    bookkeeping::StateReplica other;
+    PeerExchange asking(settings, other, [](const Cancellation&) {});
+    for (std::uint32_t job = 0; job < 1100; ++job) cancel(job, job + 1);
+    other.revision = 50;  // what was stored up to here is known
+    std::size_t told = 0;
+    for (const std::size_t part : {500u, 500u, 50u}) {
+        PeerStatus question, answer;
+        asking.describeKnownState("two", question);
+        EXPECT_EQ(question.revision, 50u);
+        exchange.appendCancellations(question, answer);
+        told += answer.cancelled.size();
+        EXPECT_EQ(answer.cancelled.size(), part);
+        EXPECT_EQ(answer.complete, told == 1050);
+        answer.node = "two";
+        EXPECT_EQ(asking.applyCancellations(answer), !answer.complete);
+    }
+    EXPECT_EQ(told, 1050u);
+    PeerStatus question, answer;
+    asking.describeKnownState("two", question);
+    exchange.appendCancellations(question, answer);
+    EXPECT_TRUE(answer.cancelled.empty());
+    EXPECT_TRUE(answer.complete);
+}
+
+TEST_F(PeerExchangeTest, ARestartedPeerIsAskedFromTheBeginning) {
+    for (std::uint32_t job = 0; job < 3; ++job) cancel(job, job + 1);
+    PeerExchange restarted(settings, replica, [](const Cancellation&) {});
+    PeerStatus question, answer, again;
+    exchange.appendCancellations(question, answer);
+    EXPECT_NE(answer.log, 0u);
+    question.log = answer.log;
+    question.logAt = answer.logAt;
+    restarted.appendCancellations(question, again);
+    EXPECT_NE(again.log, answer.log);
+    EXPECT_EQ(again.cancelled, answer.cancelled);
+}
+
+TEST_F(PeerExchangeTest, WhatAPeerTellsIsTakenIn) {
+    auto answer = status("two");
+    answer.cancelled = {{"wk-1", 4}, {"wk-2", 9}};
+    answer.log = 77;
+    answer.logAt = 12;
+    EXPECT_TRUE(exchange.applyCancellations(answer));  // more is to come
+    EXPECT_EQ(noted, answer.cancelled);
+    PeerStatus question;
+    exchange.describeKnownState("two", question);
+    EXPECT_EQ(question.log, 77u);
+    EXPECT_EQ(question.logAt, 12u);
+    exchange.describeKnownState("three", question);
+    EXPECT_EQ(question.log, 0u);
+    EXPECT_EQ(question.logAt, 0u);
+}
