--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -27,9 +27,6 @@
 constexpr auto kCloudTimeout = 6000ms;
 constexpr auto kWriteTimeout = 1500ms;
 constexpr auto kPeerTimeout = 900ms;
-constexpr auto kRelayMemory = 9s;       // a worker back within this did not get through to the leader
-constexpr auto kRelayFor = 30s;         // then it is sent to the leader again, to see
-constexpr auto kRelayTimeout = 2500ms;  // the worker waits for 4 s
 constexpr unsigned kPageMachines = 500;
 
 // Shares of the sockets. Every worker keeps a connection to the leader, beside the users that any node has;
@@ -56,24 +53,6 @@
 
 }  // namespace
 
-bool RelayDecider::over(Time now) const { return now >= until_ && now - at_ >= kRelayMemory; }
-
-bool RelayDecider::shouldRelay(Time now) {
-    if (over(now)) *this = {};
-    at_ = now;
-    if (now < until_) return true;
-    switch (contacts_++) {
-        case 0:
-            return true;
-        case 1:
-            return false;
-        default:
-            until_ = now + kRelayFor;
-            contacts_ = 1;
-            return true;
-    }
-}
-
 void Readiness::update(bool able, Time now) {
     if (!able) {
         if (ready_) {
@@ -110,6 +89,7 @@
       userApi_(io, settings, state_, replica_, watcher_),
       peers_(settings, replica_,
              [this](const protocol::Cancellation& told) { watcher_.noteCancelled(told.job, told.version); }),
+      relay_(settings, http_, replica_, peers_),
       ticker_(io),
       users_(io, transport::parseEndpoint(settings.listen), limits(settings, kUserSockets),
              [this](Request&& request, Reply reply) {
@@ -165,7 +145,7 @@
         nextClean_ = now + 5s;
         http_.closeIdle(20s);
         workers_.closeIdle(20s);
-        std::erase_if(relayDeciders_, [&](const auto& entry) { return entry.second.over(now); });
+        relay_.forgetOld(now);
     }
     ticker_.expires_after(kTick);
     ticker_.async_wait([this](auto error) {
@@ -188,7 +168,11 @@
 
 void Node::serveReport(Call& call) {
     if (call.request.method != "POST") return call.reply(wrongMethod("POST"));
-    if (!election_.valid(Clock::now()) || !leader_) return redirect(call);
+    if (!election_.valid(Clock::now()) || !leader_) {
+        const auto origin = call.fromPeer ? ReportOrigin::peer : ReportOrigin::worker;
+        UnansweredReport report{std::move(call.request.body), origin, std::move(call.reply)};
+        return relay_.answer(std::move(report), election_.leading(), Clock::now());
+    }
     ReportArrived command;
     try {
         command.report = protocol::decodeReport(call.request.body);
@@ -202,35 +186,6 @@
     lead(std::move(command));
 }
 
-/// A follower's answer to a report: the leader's name, or what the leader answers through this node.
-void Node::redirect(Call& call) {
-    const auto now = Clock::now();
-    // A leader not heard of for a while may be gone; naming it would send the worker into a time-out.
-    const auto* leader =
-        call.fromPeer || election_.leading() || !replica_.leader ? nullptr : &replica_.leader->node;
-    if (!leader || !peers_.inTouch(*leader, now)) {
-        const bool namesAnother = !call.fromPeer && !election_.leading();
-        return call.reply(
-            respond(421, protocol::encodeElsewhere(namesAnother ? peers_.peerInTouchWithLeader(now) : "")));
-    }
-    Report report;
-    try {
-        report = protocol::decodeReport(call.request.body);
-    } catch (const Malformed& error) {
-        return call.reply(respond(400, protocol::errorReply(error.what())));
-    }
-    if (!relayDeciders_[report.machine].shouldRelay(now))
-        return call.reply(respond(421, protocol::encodeElsewhere(*leader)));
-    const auto peer = std::find_if(settings_.peers.begin(), settings_.peers.end(),
-                                   [&](const auto& p) { return p.name == *leader; });
-    if (peer == settings_.peers.end()) return call.reply(respond(421, protocol::encodeElsewhere("")));
-    http_.request(peer->address, "POST", paths::kRelay, call.request.body, kRelayTimeout,
-                  [reply = std::move(call.reply)](Outcome outcome) {
-                      if (outcome.status == 200) return reply(respond(200, std::move(outcome.body)));
-                      reply(respond(421, protocol::encodeElsewhere("")));
-                  });
-}
-
 // --- peers ------------------------------------------------------------------------------------------------
 
 protocol::PeerStatus Node::ownStatus(Time now) const {
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -10,6 +10,7 @@
 #include "coordination/peer_exchange.h"
 #include "coordination/state_watcher.h"
 #include "coordination/user_api.h"
+#include "coordination/worker_relay.h"
 #include "transport/http.h"
 
 namespace burlpoint::coordination {
@@ -27,21 +28,6 @@
     std::chrono::seconds penalty_{3};
 };
 
-/// Whether a follower passes a worker's report on to the leader or sends the worker there. The first report
-/// is passed on, as the worker's lease may be short by now; with the second the worker is sent to the leader.
-/// If it is back soon, a cut lies between the two and not between them and this node, which then stands in
-/// for a while.
-class RelayDecider {
-  public:
-    bool shouldRelay(transport::Time now);
-    /// Nothing of it matters any more.
-    bool over(transport::Time now) const;
-
-  private:
-    transport::Time at_{}, until_{};
-    int contacts_ = 0;
-};
-
 /// One controller process: owns all state and works through a queue of commands, in batches, on one thread.
 class Node {
   public:
@@ -59,7 +45,6 @@
     void drain();
     void serve(Call& call);
     void serveReport(Call& call);
-    void redirect(Call& call);
     void servePeer(Call& call);
     void lead(Command command);
     void perform(Action& action);
@@ -93,6 +78,7 @@
     Election election_;
     UserApi userApi_;
     PeerExchange peers_;
+    WorkerRelay relay_;
     std::unique_ptr<Leader> leader_;
     std::uint64_t leaderRound_ = 0;  // answers meant for an earlier leadership are dropped
 
@@ -101,8 +87,6 @@
     std::uint64_t requests_ = 0;
     std::unordered_map<std::uint64_t, transport::Reply> reports_;  // being answered
 
-    std::unordered_map<std::string, RelayDecider>
-        relayDeciders_;  // per machine that reported to this follower
     Readiness readiness_;
     asio::steady_timer ticker_;
     transport::Time nextPeers_{}, nextHeartbeat_{}, nextClean_{};
--- /dev/null
+++ b/src/coordination/worker_relay.cpp
@@ -0,0 +1,79 @@
+#include "coordination/worker_relay.h"
+
+#include <algorithm>
+
+#include "coordination/responses.h"
+#include "protocol/messages.h"
+
+namespace burlpoint::coordination {
+
+using transport::Outcome;
+using transport::Response;
+using transport::Time;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto kRelayMemory = 9s;       // a worker back within this did not get through to the leader
+constexpr auto kRelayFor = 30s;         // then it is sent to the leader again, to see
+constexpr auto kRelayTimeout = 2500ms;  // the worker waits for 4 s
+
+/// Sends a worker to the node of that name; to none in particular if it is empty.
+Response elsewhere(const std::string& node) { return respond(421, protocol::encodeElsewhere(node)); }
+
+}  // namespace
+
+bool RelayDecider::over(Time now) const { return now >= until_ && now - at_ >= kRelayMemory; }
+
+bool RelayDecider::shouldRelay(Time now) {
+    if (over(now)) *this = {};
+    at_ = now;
+    if (now < until_) return true;
+    switch (contacts_++) {
+        case 0:
+            return true;
+        case 1:
+            return false;
+        default:
+            until_ = now + kRelayFor;
+            contacts_ = 1;
+            return true;
+    }
+}
+
+WorkerRelay::WorkerRelay(const protocol::Settings& settings, transport::Client& http,
+                         const bookkeeping::StateReplica& replica, const PeerExchange& peers)
+    : settings_(settings), http_(http), replica_(replica), peers_(peers) {}
+
+void WorkerRelay::answer(UnansweredReport report, bool leading, Time now) {
+    if (leading || report.origin == ReportOrigin::peer || !replica_.leader)
+        return report.reply(elsewhere(""));
+    // A leader not heard of for a while may be gone; naming it would send the worker into a time-out.
+    const auto& leader = replica_.leader->node;
+    if (!peers_.inTouch(leader, now)) return report.reply(elsewhere(peers_.peerInTouchWithLeader(now)));
+    std::string machine;
+    try {
+        machine = protocol::decodeReport(report.body).machine;
+    } catch (const protocol::Malformed& error) {
+        return report.reply(respond(400, protocol::errorReply(error.what())));
+    }
+    if (!deciders_[machine].shouldRelay(now)) return report.reply(elsewhere(leader));
+    passOn(std::move(report), leader);
+}
+
+void WorkerRelay::passOn(UnansweredReport report, const std::string& leader) {
+    const auto peer = std::find_if(settings_.peers.begin(), settings_.peers.end(),
+                                   [&](const auto& p) { return p.name == leader; });
+    if (peer == settings_.peers.end()) return report.reply(elsewhere(""));
+    http_.request(peer->address, "POST", protocol::paths::kRelay, std::move(report.body), kRelayTimeout,
+                  [reply = std::move(report.reply)](Outcome outcome) {
+                      if (outcome.status == 200) return reply(respond(200, std::move(outcome.body)));
+                      reply(elsewhere(""));
+                  });
+}
+
+void WorkerRelay::forgetOld(Time now) {
+    std::erase_if(deciders_, [&](const auto& entry) { return entry.second.over(now); });
+}
+
+}  // namespace burlpoint::coordination
--- /dev/null
+++ b/src/coordination/worker_relay.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <string>
+#include <unordered_map>
+
+#include "bookkeeping/jobs.h"
+#include "coordination/peer_exchange.h"
+#include "protocol/settings.h"
+#include "transport/http.h"
+
+/// What a node that may not answer a worker's report does with it: it sends the worker to the leader, or gets
+/// the leader's answer for it. `WorkerRelay` owns what it remembers of each worker for that choice.
+namespace burlpoint::coordination {
+
+/// Whether a follower passes a worker's report on to the leader or sends the worker there. The first report
+/// is passed on, as the worker's lease may be short by now; with the second the worker is sent to the leader.
+/// If it is back soon, a cut lies between the two and not between them and this node, which then stands in
+/// for a while.
+class RelayDecider {
+  public:
+    /// Counts one more report of the worker, at `now`. True: pass it on; false: send the worker to the
+    /// leader.
+    bool shouldRelay(transport::Time now);
+    /// Nothing of it matters any more: a new one would decide the same.
+    bool over(transport::Time now) const;
+
+  private:
+    transport::Time at_{};     // of the last report
+    transport::Time until_{};  // this node stands in
+    int contacts_ = 0;         // reports since the worker was last known to get through to the leader
+};
+
+/// Who sent a report to this node.
+enum class ReportOrigin { worker, peer };
+
+/// A report that this node may not answer itself.
+struct UnansweredReport {
+    std::string body;  // as received
+    ReportOrigin origin = ReportOrigin::worker;
+    transport::Reply reply;  // called exactly once, perhaps after the call that took this in
+};
+
+/// A node's answers to reports while it is not entitled to answer as the leader.
+class WorkerRelay {
+  public:
+    /// All of these must outlive this. `http` carries relayed reports to the leader.
+    WorkerRelay(const protocol::Settings& settings, transport::Client& http,
+                const bookkeeping::StateReplica& replica, const PeerExchange& peers);
+
+    /// Answers with what the leader says (200), with the name of the node to turn to, empty if none is known
+    /// (421), or that the report is malformed (400). `leading`: this node is the leader, though not entitled
+    /// at present, so it names nobody. A peer's report is never passed on again.
+    void answer(UnansweredReport report, bool leading, transport::Time now);
+
+    /// Drops what is remembered of workers that have not reported here for a while.
+    void forgetOld(transport::Time now);
+
+  private:
+    void passOn(UnansweredReport report, const std::string& leader);
+
+    const protocol::Settings& settings_;
+    transport::Client& http_;
+    const bookkeeping::StateReplica& replica_;
+    const PeerExchange& peers_;
+    std::unordered_map<std::string, RelayDecider> deciders_;  // per machine that reported to this follower
+};
+
+}  // namespace burlpoint::coordination
--- a/tests/jobs_test.cpp
+++ b/tests/jobs_test.cpp
@@ -182,22 +182,6 @@
     EXPECT_GT(third, second);
 }
 
-// Seen on a simulated day: workers cut off from the leader's zone lost their leases beside a node that saw
-// both.
-TEST(RelayDecider, StandsInForAWorkerThatComesBackFromTheLeader) {
-    coordination::RelayDecider detour;
-    Time now{1000s};
-    EXPECT_TRUE(detour.shouldRelay(now));
-    EXPECT_FALSE(detour.shouldRelay(now += 2s));  // try the leader
-    EXPECT_TRUE(detour.shouldRelay(now += 5s));   // it was in vain
-    for (int i = 0; i < 14; ++i) EXPECT_TRUE(detour.shouldRelay(now += 2s));
-    EXPECT_FALSE(detour.shouldRelay(now += 2s));  // try again
-    EXPECT_TRUE(detour.shouldRelay(now += 5s));
-    EXPECT_TRUE(detour.over(now += 60s));
-    EXPECT_TRUE(detour.shouldRelay(now));  // from the beginning
-    EXPECT_FALSE(detour.shouldRelay(now += 2s));
-}
-
 TEST(Machine, CacheKeepsTheLatestImagesWithinItsSize) {
     Fleet fleet;
     auto& m = fleet.add("m", Time{});
--- /dev/null
+++ b/tests/worker_relay_test.cpp
@@ -0,0 +1,135 @@
+#include "coordination/worker_relay.h"
+
+#include <gtest/gtest.h>
+
+using namespace burlpoint;
+using namespace std::chrono_literals;
+using coordination::ReportOrigin;
+using coordination::WorkerRelay;
+using transport::Time;
+
+namespace {
+
+/// A follower "one" that knows "two" as the leader, which answers reports with `leaderStatus`.
+struct WorkerRelayTest : testing::Test {
+    WorkerRelayTest() {
+        const auto address = "127.0.0.1:" + std::to_string(leader.localEndpoint().port());
+        settings.peers = {{"two", "z", address}, {"three", "z", "127.0.0.1:1"}};
+        replica.leader = storage::LeaderRecord{"two", 7};
+    }
+    void hear(const std::string& node, std::uint64_t leaderToken) {
+        protocol::PeerStatus status;
+        status.node = node;
+        status.leaderToken = leaderToken;
+        peers.noteStatus(status, now);
+    }
+    static std::string report(const std::string& machine) {
+        return protocol::encodeReport({machine, "127.0.0.1:1", "plain", "z", false, 1, 1, 0, {}, {}});
+    }
+    transport::Response answer(const std::string& body, ReportOrigin origin = ReportOrigin::worker,
+                               bool leading = false) {
+        std::optional<transport::Response> out;
+        const auto reply = [&](transport::Response response) { out = std::move(response); };
+        relay.answer({body, origin, reply}, leading, now);
+        while (!out) io.run_one();
+        return *out;
+    }
+    /// The node that a 421 names.
+    static std::string named(const transport::Response& response) {
+        EXPECT_EQ(response.status, 421);
+        const auto handle = protocol::unpackBody(response.body);
+        return protocol::Fields(handle.get()).maybeText("harbormaster").value_or("");
+    }
+
+    asio::io_context io{1};
+    int leaderStatus = 200;
+    std::vector<std::string> relayed;  // bodies that the leader got
+    transport::Server leader{io,
+                             transport::parseEndpoint("127.0.0.1:0"),
+                             {},
+                             [this](transport::Request&& request, transport::Reply reply) {
+                                 EXPECT_EQ(request.path, protocol::paths::kRelay);
+                                 relayed.push_back(request.body);
+                                 transport::Response response;
+                                 response.status = leaderStatus;
+                                 response.body = "as the leader says";
+                                 reply(response);
+                             }};
+    transport::Client http{io, 10};
+    protocol::Settings settings;
+    bookkeeping::StateReplica replica;
+    coordination::PeerExchange peers{settings, replica, [](const auto&) {}};
+    WorkerRelay relay{settings, http, replica, peers};
+    Time now{1000s};
+};
+
+}  // namespace
+
+TEST_F(WorkerRelayTest, PassesTheFirstReportOnAndSendsTheWorkerToTheLeaderThen) {
+    hear("two", 7);
+    const auto first = answer(report("m1"));
+    EXPECT_EQ(first.status, 200);
+    EXPECT_EQ(first.body, "as the leader says");
+    EXPECT_EQ(relayed, std::vector{report("m1")});
+    EXPECT_EQ(named(answer(report("m1"))), "two");
+    EXPECT_EQ(answer(report("m2")).status, 200);  // each worker for itself
+    EXPECT_EQ(relayed.size(), 2u);
+}
+
+TEST_F(WorkerRelayTest, WhatTheLeaderDoesNotAnswerNamesNobody) {
+    hear("two", 7);
+    leaderStatus = 503;
+    EXPECT_EQ(named(answer(report("m1"))), "");
+    settings.peers[0].name = "another";
+    EXPECT_EQ(named(answer(report("m2"))), "");  // the settings know no such leader
+    EXPECT_EQ(relayed.size(), 1u);
+}
+
+TEST_F(WorkerRelayTest, ALeaderNotHeardOfIsNotNamed) {
+    EXPECT_EQ(named(answer(report("m1"))), "");
+    hear("three", 7);
+    EXPECT_EQ(named(answer(report("m1"))), "three");
+    EXPECT_EQ(named(answer(report("m1"), ReportOrigin::peer)), "");
+    EXPECT_EQ(named(answer(report("m1"), ReportOrigin::worker, true)), "");
+    replica.leader.reset();
+    EXPECT_EQ(named(answer(report("m1"))), "");
+    EXPECT_TRUE(relayed.empty());
+}
+
+TEST_F(WorkerRelayTest, APeersReportGoesNoFurther) {
+    hear("two", 7);
+    EXPECT_EQ(named(answer(report("m1"), ReportOrigin::peer)), "");
+    EXPECT_EQ(named(answer(report("m1"), ReportOrigin::worker, true)), "");
+    EXPECT_TRUE(relayed.empty());
+}
+
+TEST_F(WorkerRelayTest, AMalformedReportIsNotPassedOn) {
+    hear("two", 7);
+    EXPECT_EQ(answer("nonsense").status, 400);
+    EXPECT_TRUE(relayed.empty());
+}
+
+TEST_F(WorkerRelayTest, ForgetsOnlyWorkersThatStayAway) {
+    hear("two", 7);
+    EXPECT_EQ(answer(report("m1")).status, 200);
+    relay.forgetOld(now + 1s);
+    EXPECT_EQ(named(answer(report("m1"))), "two");
+    relay.forgetOld(now + 60s);
+    EXPECT_EQ(answer(report("m1")).status, 200);
+}
+
+// Seen on a simulated day: workers cut off from the leader's zone lost their leases beside a node that saw
+// both.
+TEST(RelayDecider, StandsInForAWorkerThatComesBackFromTheLeader) {
+    coordination::RelayDecider detour;
+    Time now{1000s};
+    EXPECT_TRUE(detour.shouldRelay(now));
+    EXPECT_FALSE(detour.shouldRelay(now += 2s));  // try the leader
+    EXPECT_TRUE(detour.shouldRelay(now += 5s));   // it was in vain
+    for (int i = 0; i < 14; ++i) EXPECT_TRUE(detour.shouldRelay(now += 2s));
+    EXPECT_FALSE(detour.shouldRelay(now += 2s));  // try again
+    EXPECT_TRUE(detour.shouldRelay(now += 5s));
+    EXPECT_TRUE(detour.over(now += 60s));
+    EXPECT_TRUE(detour.shouldRelay(now));  // from the beginning
+    EXPECT_FALSE(detour.shouldRelay(now += 2s));
+}
