--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -53,20 +53,6 @@
 
 }  // namespace
 
-void Readiness::update(bool able, Time now) {
-    if (!able) {
-        if (ready_) {
-            penalty_ = now - lostAt_ < 120s ? std::min(penalty_ * 2, std::chrono::seconds(40)) : 3s;
-            lostAt_ = now;
-        }
-        ready_ = false;
-        ableSince_ = Time::max();
-        return;
-    }
-    if (ableSince_ == Time::max()) ableSince_ = now;
-    if (!ever_ || now - ableSince_ >= penalty_) ready_ = ever_ = true;
-}
-
 Node::Node(asio::io_context& io, const protocol::Settings& settings, const protocol::Policy& policy)
     : io_(io),
       settings_(settings),
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -8,6 +8,7 @@
 #include "coordination/election.h"
 #include "coordination/leader.h"
 #include "coordination/peer_exchange.h"
+#include "coordination/readiness.h"
 #include "coordination/state_watcher.h"
 #include "coordination/user_api.h"
 #include "coordination/worker_relay.h"
@@ -15,19 +16,6 @@
 
 namespace burlpoint::coordination {
 
-/// Whether this node tells the load balancer that it can take requests. Losing readiness costs the more the
-/// more often it happens, so a node on the edge stays out instead of flapping.
-class Readiness {
-  public:
-    void update(bool able, transport::Time now);
-    bool ready() const { return ready_; }
-
-  private:
-    bool ready_ = false, ever_ = false;
-    transport::Time ableSince_ = transport::Time::max(), lostAt_{};
-    std::chrono::seconds penalty_{3};
-};
-
 /// One controller process: owns all state and works through a queue of commands, in batches, on one thread.
 class Node {
   public:
--- a/tests/jobs_test.cpp
+++ b/tests/jobs_test.cpp
@@ -5,7 +5,6 @@
 
 #include "bookkeeping/fleet.h"
 #include "coordination/election.h"
-#include "coordination/node.h"
 
 using namespace burlpoint;
 using namespace burlpoint::bookkeeping;
@@ -163,25 +162,6 @@
     EXPECT_FALSE(tenure.valid(start));
 }
 
-TEST(Readiness, EachLossCostsMore) {
-    coordination::Readiness readiness;
-    Time now{1000s};
-    readiness.update(true, now);
-    EXPECT_TRUE(readiness.ready());  // the first time at once
-    const auto lostFor = [&] {
-        readiness.update(false, now);
-        EXPECT_FALSE(readiness.ready());
-        const auto from = now;
-        do readiness.update(true, now += 500ms);
-        while (!readiness.ready());
-        return now - from;
-    };
-    const auto first = lostFor(), second = lostFor(), third = lostFor();
-    EXPECT_GE(first, 3s);
-    EXPECT_GT(second, first);
-    EXPECT_GT(third, second);
-}
-
 TEST(Machine, CacheKeepsTheLatestImagesWithinItsSize) {
     Fleet fleet;
     auto& m = fleet.add("m", Time{});
--- /dev/null
+++ b/tests/readiness_test.cpp
@@ -0,0 +1,50 @@
+#include "coordination/readiness.h"
+
+#include <gtest/gtest.h>
+
+using namespace burlpoint;
+using namespace std::chrono_literals;
+using transport::Time;
+
+TEST(Readiness, ANodeThatWasNeverAbleIsNotReady) {
+    coordination::Readiness readiness;
+    EXPECT_FALSE(readiness.ready());
+    readiness.update(false, Time{1000s});
+    EXPECT_FALSE(readiness.ready());
+}
+
+// A moment without ability starts the wait anew.
+TEST(Readiness, ThePenaltyIsServedWithoutABreak) {
+    coordination::Readiness readiness;
+    Time now{1000s};
+    readiness.update(true, now);
+    readiness.update(false, now += 1s);
+    readiness.update(true, now += 1s);
+    readiness.update(true, now += 2900ms);
+    EXPECT_FALSE(readiness.ready());
+    readiness.update(false, now += 50ms);
+    readiness.update(true, now += 50ms);
+    readiness.update(true, now += 2900ms);
+    EXPECT_FALSE(readiness.ready());
+    readiness.update(true, now += 100ms);
+    EXPECT_TRUE(readiness.ready());
+}
+
+TEST(Readiness, EachLossCostsMore) {
+    coordination::Readiness readiness;
+    Time now{1000s};
+    readiness.update(true, now);
+    EXPECT_TRUE(readiness.ready());  // the first time at once
+    const auto lostFor = [&] {
+        readiness.update(false, now);
+        EXPECT_FALSE(readiness.ready());
+        const auto from = now;
+        do readiness.update(true, now += 500ms);
+        while (!readiness.ready());
+        return now - from;
+    };
+    const auto first = lostFor(), second = lostFor(), third = lostFor();
+    EXPECT_GE(first, 3s);
+    EXPECT_GT(second, first);
+    EXPECT_GT(third, second);
+}
