--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -9,7 +9,6 @@
 namespace burlpoint::coordination {
 
 using protocol::Malformed;
-using storage::TxnResult;
 using transport::Clock;
 using transport::Duration;
 using transport::Outcome;
@@ -23,11 +22,7 @@
 namespace {
 
 constexpr auto kTick = 100ms;
-constexpr auto kOrdersTimeout = 2500ms;
-constexpr auto kCloudTimeout = 6000ms;
-constexpr auto kWriteTimeout = 1500ms;
 constexpr auto kPeerTimeout = 900ms;
-constexpr unsigned kPageMachines = 500;
 
 // Shares of the sockets. Every worker keeps a connection to the leader, beside the users that any node has;
 // what a node opens itself is short-lived.
@@ -58,7 +53,6 @@
       settings_(settings),
       policy_(policy),
       http_(io, sockets(settings, kServiceSockets)),
-      workers_(io, sockets(settings, kWorkerSockets)),
       state_(http_, settings.state, settings.stateRps, 0.5, Clock::now()),
       watcher_(
           io, state_, replica_,
@@ -76,6 +70,8 @@
       peers_(settings, replica_,
              [this](const protocol::Cancellation& told) { watcher_.noteCancelled(told.job, told.version); }),
       relay_(settings, http_, replica_, peers_),
+      executor_(io, settings, sockets(settings, kWorkerSockets), {http_, state_, watcher_, election_},
+                [this](Command command) { enqueue(std::move(command)); }),
       ticker_(io),
       users_(io, transport::parseEndpoint(settings.listen), limits(settings, kUserSockets),
              [this](Request&& request, Reply reply) {
@@ -130,7 +126,7 @@
     if (now >= nextClean_) {
         nextClean_ = now + 5s;
         http_.closeIdle(20s);
-        workers_.closeIdle(20s);
+        executor_.closeIdle(20s);
         relay_.forgetOld(now);
     }
     ticker_.expires_after(kTick);
@@ -166,9 +162,8 @@
         spdlog::error("malformed report: {}", error.what());
         return call.reply(respond(400, protocol::errorReply(error.what())));
     }
-    command.request = ++requests_;
     command.cancellationsCurrent = election_.cancellationsCurrent(Clock::now());
-    reports_[command.request] = std::move(call.reply);
+    command.request = executor_.awaitAnswer(std::move(call.reply));
     lead(std::move(command));
 }
 
@@ -197,7 +192,7 @@
     for (const auto& peer : settings_.peers) {
         if (leader_) peers_.describeKnownState(peer.name, status);
         http_.request(peer.address, "POST", paths::kPeer, protocol::encodePeerStatus(status), kPeerTimeout,
-                      [this, round = leaderRound_, name = peer.name, sent = now](Outcome outcome) {
+                      [this, round = executor_.round(), name = peer.name, sent = now](Outcome outcome) {
                           if (!outcome.ok()) return;
                           try {
                               const auto answer = protocol::decodePeerStatus(outcome.body);
@@ -206,7 +201,7 @@
                               if (peers_.applyCancellations(answer)) nextPeers_ = Clock::now();
                               // A promise of a peer that has more to tell would carry this leader on while
                               // tasks go on that users were told are cancelled.
-                              if (leader_ && round == leaderRound_ && answer.complete)
+                              if (leader_ && round == executor_.round() && answer.complete)
                                   election_.noteGrant(
                                       name, Duration(std::min<std::uint64_t>(answer.grantMs, 60'000)), sent);
                           } catch (const Malformed& error) {
@@ -252,7 +247,7 @@
 // --- leading ----------------------------------------------------------------------------------------------
 
 void Node::won(std::uint64_t token) {
-    ++leaderRound_;
+    executor_.begin(token);
     leader_ =
         std::make_unique<Leader>(settings_, policy_, replica_, token, Clock::now(), transport::timeOfDayMs());
     lead(Tick{});
@@ -260,140 +255,16 @@
 
 void Node::lost() {
     spdlog::info("no longer leading");
-    ++leaderRound_;
     leader_.reset();
-    for (auto& [request, reply] : std::exchange(reports_, {})) reply(respond(503));
+    executor_.end();
 }
 
 void Node::lead(Command command) {
     if (!leader_) return;
     for (auto& action : leader_->handle(std::move(command), Clock::now())) {
         if (!leader_) return;  // it resigned
-        perform(action);
+        executor_.perform(action);
     }
 }
 
-void Node::perform(Action& action) {
-    std::visit([this](auto& a) { perform(a); }, action);
-}
-
-void Node::perform(AnswerReport& action) {
-    const auto found = reports_.find(action.request);
-    if (found == reports_.end()) return;
-    const auto reply = std::move(found->second);
-    reports_.erase(found);
-    if (!action.accepted || !election_.valid(Clock::now())) return reply(respond(503));
-    reply(respond(200, protocol::encodeReportReply(leader_->token(), action.orders)));
-}
-
-void Node::perform(SendOrders& action) {
-    if (!election_.valid(Clock::now()))
-        return enqueue(Command(WorkerAnswered{action.machine, std::nullopt, action.known}));
-    workers_.request(
-        action.address, "POST", paths::kOrders,
-        protocol::encodeDirectOrders(leader_->token(), action.session, action.orders), kOrdersTimeout,
-        [this, round = leaderRound_, machine = action.machine, known = action.known](Outcome outcome) {
-            if (round != leaderRound_) return;
-            WorkerAnswered answered{machine, std::nullopt, known};
-            try {
-                if (outcome.status == 200 || outcome.status == 409)
-                    answered.report = protocol::decodeReport(outcome.body);
-            } catch (const Malformed& error) {
-                spdlog::error("malformed answer of {}: {}", machine, error.what());
-            }
-            enqueue(Command(std::move(answered)));
-        });
-}
-
-void Node::perform(WriteState& action) {
-    state_.transact(action.conditions, action.writes, kWriteTimeout,
-                    [this, round = leaderRound_](const TxnResult& result) {
-                        if (round == leaderRound_) enqueue(Command(StateWritten{result}));
-                    });
-}
-
-void Node::perform(RefreshReplica&) {
-    watcher_.fresh([this, round = leaderRound_](bool ok) {
-        if (round == leaderRound_) enqueue(Command(ReplicaRefreshed{ok}));
-    });
-}
-
-void Node::perform(Rent& action) {
-    // Renting and deleting are a leader's business as much as commands are.
-    if (!election_.valid(Clock::now())) {
-        RentalAnswered unknown;
-        unknown.name = action.request.name;
-        return enqueue(Command(std::move(unknown)));
-    }
-    http_.request(settings_.cloud, "POST", paths::kRentals, protocol::encodeRental(action.request),
-                  kCloudTimeout, [this, round = leaderRound_, name = action.request.name](Outcome outcome) {
-                      if (round != leaderRound_) return;
-                      RentalAnswered answered;
-                      answered.name = name;
-                      answered.malformed = outcome.status == 400;
-                      try {
-                          if (outcome.ok()) {
-                              answered.machines = protocol::decodeRentalReply(outcome.body);
-                              answered.rented = true;
-                          }
-                      } catch (const Malformed& error) {
-                          spdlog::error("malformed answer of the cloud: {}", error.what());
-                      }
-                      answered.noCapacity = outcome.status == 503 && protocol::saysNoCapacity(outcome.body);
-                      enqueue(Command(std::move(answered)));
-                  });
-}
-
-void Node::perform(Release& action) {
-    if (!election_.valid(Clock::now())) return enqueue(Command(ReleaseAnswered{action.machines, false}));
-    http_.request(settings_.cloud, "POST", paths::kRelease, protocol::encodeRelease(action.machines),
-                  kCloudTimeout, [this, round = leaderRound_, machines = action.machines](Outcome outcome) {
-                      if (round == leaderRound_) enqueue(Command(ReleaseAnswered{machines, outcome.ok()}));
-                  });
-}
-
-void Node::perform(ListMachines&) {
-    auto listed = std::make_shared<MachinesListed>();
-    listed->asked = Clock::now();
-    listPage("", std::move(listed));
-}
-
-void Node::listPage(const std::string& after, std::shared_ptr<MachinesListed> listed) {
-    http_.request(settings_.cloud, "GET", paths::rentedPage(after, kPageMachines), "", kCloudTimeout,
-                  [this, round = leaderRound_, listed](Outcome outcome) {
-                      if (round != leaderRound_) return;
-                      try {
-                          if (outcome.ok()) {
-                              auto page = protocol::decodeRentedPage(outcome.body);
-                              std::move(page.machines.begin(), page.machines.end(),
-                                        std::back_inserter(listed->machines));
-                              if (page.more && !listed->machines.empty())
-                                  return listPage(listed->machines.back().id, listed);
-                              listed->ok = true;
-                          }
-                      } catch (const Malformed& error) {
-                          spdlog::error("malformed list of machines: {}", error.what());
-                      }
-                      enqueue(Command(std::move(*listed)));
-                  });
-}
-
-void Node::perform(ListTypes&) {
-    http_.request(settings_.cloud, "GET", paths::kTypes, "", kCloudTimeout,
-                  [this, round = leaderRound_](Outcome outcome) {
-                      if (round != leaderRound_ || !outcome.ok()) return;
-                      try {
-                          const auto handle = protocol::unpackBody(outcome.body);
-                          enqueue(Command(TypesListed{protocol::decodeMachineTypes(handle.get())}));
-                      } catch (const Malformed& error) {
-                          spdlog::error("malformed list of machine types: {}", error.what());
-                      }
-                  });
-}
-
-void Node::perform(Resign& action) {
-    spdlog::info("resigning: {}", action.why);
-    election_.resign(Clock::now(), action.deferToPeers);
-}
-
 }  // namespace burlpoint::coordination
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 #include <variant>
 
+#include "coordination/action_executor.h"
 #include "coordination/election.h"
 #include "coordination/leader.h"
 #include "coordination/peer_exchange.h"
@@ -35,17 +36,6 @@
     void serveReport(Call& call);
     void servePeer(Call& call);
     void lead(Command command);
-    void perform(Action& action);
-    void perform(AnswerReport& action);
-    void perform(SendOrders& action);
-    void perform(WriteState& action);
-    void perform(RefreshReplica& action);
-    void perform(Rent& action);
-    void perform(Release& action);
-    void perform(ListMachines& action);
-    void perform(ListTypes& action);
-    void perform(Resign& action);
-    void listPage(const std::string& after, std::shared_ptr<MachinesListed> listed);
     void won(std::uint64_t token);
     void lost();
     void tick();
@@ -58,8 +48,7 @@
     asio::io_context& io_;
     const protocol::Settings& settings_;
     const protocol::Policy& policy_;
-    transport::Client http_;     // to the state service, the cloud and peers
-    transport::Client workers_;  // apart, so that silent machines do not take those sockets
+    transport::Client http_;  // to the state service, the cloud and peers
     storage::StateClient state_;
     bookkeeping::StateReplica replica_;
     StateWatcher watcher_;
@@ -67,14 +56,11 @@
     UserApi userApi_;
     PeerExchange peers_;
     WorkerRelay relay_;
+    ActionExecutor executor_;
     std::unique_ptr<Leader> leader_;
-    std::uint64_t leaderRound_ = 0;  // answers meant for an earlier leadership are dropped
 
     std::deque<Queued> queue_;
     bool draining_ = false;
-    std::uint64_t requests_ = 0;
-    std::unordered_map<std::uint64_t, transport::Reply> reports_;  // being answered
-
     Readiness readiness_;
     asio::steady_timer ticker_;
     transport::Time nextPeers_{}, nextHeartbeat_{}, nextClean_{};
--- /dev/null
+++ b/tests/action_executor_test.cpp
@@ -0,0 +1,190 @@
+#include "coordination/action_executor.h"
+
+#include <gtest/gtest.h>
+
+#include "state_stub.h"
+
+using namespace burlpoint;
+using namespace std::chrono_literals;
+using coordination::Action;
+using coordination::Command;
+using transport::Clock;
+
+namespace {
+
+/// An executor beside an election, with stand-ins for the state service, the cloud and a worker. The stand-in
+/// for cloud and worker answers each path with `answers[path]`, else 503, and holds all answers back while
+/// `holdsBack` is set.
+struct ActionExecutorTest : testing::Test {
+    ActionExecutorTest() {
+        settings.name = "one";
+        settings.cloud = address();
+        watcher.start();
+    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(others.localEndpoint().port()); }
+    void lead() {
+        while (!token) {
+            election.tick(Clock::now());
+            io.run_one_for(5ms);
+        }
+        executor.begin(token);
+    }
+    void perform(Action action) { executor.perform(action); }
+    void until(const std::function<bool()>& happened) {
+        while (!happened()) io.run_one();
+    }
+    void runFor(transport::Duration time) {
+        const auto end = Clock::now() + time;
+        while (Clock::now() < end) io.run_one_for(5ms);
+    }
+    /// The next command that was delivered, which must be of that kind.
+    template <typename T>
+    T next() {
+        until([&] { return !delivered.empty(); });
+        auto command = std::move(delivered.front());
+        delivered.erase(delivered.begin());
+        return std::get<T>(std::move(command));
+    }
+    static protocol::Report report(const std::string& machine) {
+        return {machine, "127.0.0.1:1", "plain", "z", false, 1, 1, 0, {}, {}};
+    }
+    coordination::SendOrders orders() const { return {"m1", address(), 1, {}, {1, 5}}; }
+
+    asio::io_context io{1};
+    tests::StateStub stub{io};
+    std::map<std::string, std::string> answers;
+    std::vector<std::string> asked;  // paths
+    bool holdsBack = false;
+    std::vector<std::function<void()>> held;
+    transport::Server others{io,
+                             transport::parseEndpoint("127.0.0.1:0"),
+                             {},
+                             [this](transport::Request&& request, transport::Reply reply) {
+                                 asked.push_back(request.path);
+                                 transport::Response response;
+                                 const auto found = answers.find(request.path);
+                                 response.status = found == answers.end() ? 503 : 200;
+                                 if (found != answers.end()) response.body = found->second;
+                                 if (!holdsBack) return reply(response);
+                                 held.push_back([reply, response] { reply(response); });
+                             }};
+    protocol::Settings settings;
+    protocol::Policy policy;
+    transport::Client http{io, 10};
+    storage::StateClient state{http, stub.address(), 1000, 1, Clock::now()};
+    bookkeeping::StateReplica replica;
+    coordination::StateWatcher watcher{io, state, replica, [](const auto&) {}};
+    std::uint64_t token = 0;
+    coordination::Election election{settings,
+                                    policy,
+                                    state,
+                                    replica,
+                                    watcher,
+                                    [this](std::uint64_t won) { token = won; },
+                                    [this] {
+                                        token = 0;
+                                        executor.end();
+                                    }};
+    std::vector<Command> delivered;
+    coordination::ActionExecutor executor{
+        io, settings, 10, {http, state, watcher, election}, [this](Command command) {
+            delivered.push_back(std::move(command));
+        }};
+};
+
+}  // namespace
+
+TEST_F(ActionExecutorTest, AReportIsAnsweredOnceWithTheLeadersToken) {
+    lead();
+    std::vector<transport::Response> replies;
+    const auto first = executor.awaitAnswer([&](auto response) { replies.push_back(response); });
+    const auto second = executor.awaitAnswer([&](auto response) { replies.push_back(response); });
+    EXPECT_NE(first, second);
+    perform(coordination::AnswerReport{second, true, {}});
+    ASSERT_EQ(replies.size(), 1u);
+    EXPECT_EQ(replies[0].status, 200);
+    EXPECT_EQ(replies[0].body, protocol::encodeReportReply(token, {}));
+    perform(coordination::AnswerReport{second, true, {}});
+    EXPECT_EQ(replies.size(), 1u);
+    perform(coordination::AnswerReport{first, false, {}});
+    ASSERT_EQ(replies.size(), 2u);
+    EXPECT_EQ(replies[1].status, 503);
+}
+
+TEST_F(ActionExecutorTest, ResigningAnswersTheReportsThatWait) {
+    lead();
+    int status = 0;
+    executor.awaitAnswer([&](const transport::Response& response) { status = response.status; });
+    const auto round = executor.round();
+    perform(coordination::Resign{"a test", false});
+    EXPECT_EQ(status, 503);
+    EXPECT_NE(executor.round(), round);
+    EXPECT_EQ(token, 0u);
+}
+
+TEST_F(ActionExecutorTest, OutcomesAreDeliveredAsCommands) {
+    lead();
+    answers[protocol::paths::kOrders] = protocol::encodeReport(report("m1"));
+    answers[protocol::paths::kRelease] = "";
+    perform(orders());
+    const auto answered = next<coordination::WorkerAnswered>();
+    EXPECT_EQ(answered.machine, "m1");
+    EXPECT_EQ(answered.known, (coordination::Counters{1, 5}));
+    EXPECT_EQ(answered.report, report("m1"));
+    perform(coordination::Release{{"m1", "m2"}});
+    const auto released = next<coordination::ReleaseAnswered>();
+    EXPECT_TRUE(released.ok);
+    EXPECT_EQ(released.machines, (std::vector<std::string>{"m1", "m2"}));
+    perform(coordination::Rent{{"r1", "plain", "z", false, 1}});  // the cloud answers 503
+    const auto rental = next<coordination::RentalAnswered>();
+    EXPECT_EQ(rental.name, "r1");
+    EXPECT_FALSE(rental.rented);
+    perform(coordination::ListMachines{});
+    EXPECT_FALSE(next<coordination::MachinesListed>().ok);
+    perform(coordination::WriteState{{}, {{"bp/x", protocol::Packer().value("x").take(), 0}}});
+    EXPECT_EQ(next<coordination::StateWritten>().result.status, storage::TxnStatus::applied);
+    perform(coordination::RefreshReplica{});
+    EXPECT_TRUE(next<coordination::ReplicaRefreshed>().ok);
+}
+
+TEST_F(ActionExecutorTest, MalformedAnswersAreNoNews) {
+    lead();
+    answers[protocol::paths::kOrders] = answers[protocol::paths::kRentals] = "nonsense";
+    perform(orders());
+    EXPECT_FALSE(next<coordination::WorkerAnswered>().report);
+    perform(coordination::Rent{{"r1", "plain", "z", false, 1}});
+    EXPECT_FALSE(next<coordination::RentalAnswered>().rented);
+}
+
+TEST_F(ActionExecutorTest, OnlyAnEntitledLeaderReachesWorkersAndTheCloud) {
+    executor.begin(7);  // though the election was not won
+    int status = 0;
+    const auto request =
+        executor.awaitAnswer([&](const transport::Response& response) { status = response.status; });
+    perform(coordination::AnswerReport{request, true, {}});
+    EXPECT_EQ(status, 503);
+    perform(orders());
+    EXPECT_FALSE(next<coordination::WorkerAnswered>().report);
+    perform(coordination::Rent{{"r1", "plain", "z", false, 1}});
+    EXPECT_FALSE(next<coordination::RentalAnswered>().rented);
+    perform(coordination::Release{{"m1"}});
+    EXPECT_FALSE(next<coordination::ReleaseAnswered>().ok);
+    runFor(100ms);
+    EXPECT_TRUE(asked.empty());
+}
+
+TEST_F(ActionExecutorTest, WhatAnEarlierLeadershipAskedIsNotDelivered) {
+    lead();
+    holdsBack = true;
+    perform(orders());
+    perform(coordination::Rent{{"r1", "plain", "z", false, 1}});
+    perform(coordination::Release{{"m1"}});
+    perform(coordination::ListMachines{});
+    perform(coordination::ListTypes{});
+    until([&] { return held.size() == 5; });
+    executor.end();
+    executor.begin(token);
+    for (const auto& answer : held) answer();
+    runFor(200ms);
+    EXPECT_TRUE(delivered.empty());
+}
