--- a/src/coordination/user_api.cpp
+++ b/src/coordination/user_api.cpp
@@ -12,7 +12,6 @@
 using protocol::JobSpec;
 using protocol::JobState;
 using protocol::Kind;
-using protocol::Seconds;
 using storage::Final;
 using storage::TxnResult;
 using storage::TxnStatus;
@@ -20,7 +19,6 @@
 using transport::Duration;
 using transport::Reply;
 using transport::Request;
-using transport::Time;
 using namespace std::chrono_literals;
 
 namespace keys = storage::keys;
@@ -29,13 +27,13 @@
 namespace {
 
 constexpr auto kStoreTimeout = 1200ms;
-constexpr auto kMaxWait = 1200ms;  // in a team's queue, refusals by the state service included
-constexpr std::size_t kMaxStoring = 8;
-// Of the state service's changes. A leader's writes are paced by a budget of their own: were both one, its
-// node would turn users away whenever it has much to store.
-constexpr double kShare = 0.3;
-constexpr std::size_t kMaxQueued = 400;
+constexpr auto kRetryPause = 120ms;      // before a submission that was refused is tried again
+constexpr auto kTurnPause = 50ms;        // between looks at a queue that waits for the state service's rate
+constexpr int kCancelTries = 3;          // writes of one cancellation
+constexpr double kRoundingError = 1e-9;  // of sums of processors and memory
 constexpr char kTooLarge[] = "larger than the state service takes";
+constexpr char kUnanswered[] = "the state service does not answer";
+constexpr char kNoSuchJob[] = "no such job";
 
 /// The users' form of a 405, which says so in its body too.
 transport::Response methodNotAllowed(const char* allow) {
@@ -49,14 +47,14 @@
     const auto* team = settings.team(spec.team);
     if (!team) return "unknown team";
     const double tasks = spec.kind == Kind::array ? 1 : spec.tasks;
-    if ((team->cpusMax > 0 && spec.cpus * tasks > team->cpusMax + 1e-9) ||
-        (team->gpusMax > 0 && spec.gpus * tasks > team->gpusMax + 1e-9))
+    if ((team->cpusMax > 0 && spec.cpus * tasks > team->cpusMax + kRoundingError) ||
+        (team->gpusMax > 0 && spec.gpus * tasks > team->gpusMax + kRoundingError))
         return "more than the team's limit";
     for (const auto& type : types) {
         if (spec.types && std::find(spec.types->begin(), spec.types->end(), type.name) == spec.types->end())
             continue;
-        if (type.cpus + 1e-9 >= spec.cpus && type.gpus + 1e-9 >= spec.gpus &&
-            type.memoryGb + 1e-9 >= spec.memoryGb)
+        if (type.cpus + kRoundingError >= spec.cpus && type.gpus + kRoundingError >= spec.gpus &&
+            type.memoryGb + kRoundingError >= spec.memoryGb)
             return std::nullopt;
     }
     return "fits no allowed machine type";
@@ -68,33 +66,45 @@
       state_(state),
       replica_(replica),
       watcher_(watcher),
-      timer_(io),
-      writes_(settings.stateWriteRps * kShare, Clock::now(), settings.minWriteRps() * kShare) {}
+      queue_(settings, Clock::now()),
+      timer_(io) {}
 
 bool UserApi::handle(const Request& request, const Reply& reply) {
-    const std::string& path = request.path;
-    if (path == paths::kSubmissions) {
-        if (request.method != "POST") return reply(methodNotAllowed("POST")), true;
-        submit(request, reply);
+    if (request.path == paths::kSubmissions) {
+        if (request.method == "POST")
+            submit(request, reply);
+        else
+            reply(methodNotAllowed("POST"));
         return true;
     }
+    const auto path = parseJobPath(request.path);
+    if (!path) return false;
+    handleJob(*path, request, reply);
+    return true;
+}
+
+std::optional<UserApi::JobPath> UserApi::parseJobPath(const std::string& path) {
     const std::string prefix = std::string(paths::kSubmissions) + "/";
-    if (!path.starts_with(prefix)) return false;
-    std::string id = path.substr(prefix.size());
-    const bool cancels = id.ends_with(paths::kCancel);
-    if (cancels) id.resize(id.size() - std::string_view(paths::kCancel).size());
-    if (id.find('/') != std::string::npos) return false;
-    if (request.method != (cancels ? "POST" : "GET"))
-        return reply(methodNotAllowed(cancels ? "POST" : "GET")), true;
+    if (!path.starts_with(prefix)) return std::nullopt;
+    JobPath parsed{path.substr(prefix.size())};
+    auto& id = parsed.id;
+    parsed.cancels = id.ends_with(paths::kCancel);
+    if (parsed.cancels) id.resize(id.size() - std::string_view(paths::kCancel).size());
+    if (id.find('/') != std::string::npos) return std::nullopt;
+    return parsed;
+}
+
+void UserApi::handleJob(const JobPath& path, const Request& request, const Reply& reply) {
+    const auto* method = path.cancels ? "POST" : "GET";
+    if (request.method != method) return reply(methodNotAllowed(method));
     // An id of another form cannot have been accepted.
-    if (!protocol::isJobId(id)) return reply(respond(404, protocol::errorReply("no such job"))), true;
-    if (const auto* job = replica_.find(id); job && job->final != Final::open)
+    if (!protocol::isJobId(path.id)) return reply(respond(404, protocol::errorReply(kNoSuchJob)));
+    if (const auto* job = replica_.find(path.id); job && job->final != Final::open)
         answerState(*job, reply);
-    else if (cancels)
-        cancel(id, reply, 3);
+    else if (path.cancels)
+        cancel(path.id, reply, kCancelTries);
     else
-        status(id, reply);
-    return true;
+        status(path.id, reply);
 }
 
 void UserApi::setRunning(const std::vector<std::pair<std::string, std::uint32_t>>& running) {
@@ -111,9 +121,9 @@
 
 void UserApi::status(const std::string& id, const Reply& reply) {
     watcher_.fresh([this, id, reply](bool ok) {
-        if (!ok) return reply(retryLater(503, "the state service does not answer"));
+        if (!ok) return reply(retryLater(503, kUnanswered));
         const auto* job = replica_.find(id);
-        if (!job) return reply(respond(404, protocol::errorReply("no such job")));
+        if (!job) return reply(respond(404, protocol::errorReply(kNoSuchJob)));
         answerState(*job, reply);
     });
 }
@@ -135,10 +145,18 @@
     // Nothing of it may be left out and nothing be kept elsewhere, so it can never run here: 422.
     if (!why && !storage::jobFits(spec, settings_.valueBytes())) why = kTooLarge;
     if (why) return reject(spec.id, *why, reply);
-    if (!missingDependency(spec)) return enqueue(std::move(spec), reply);
-    // Another node may have accepted that one a moment ago.
+    admit(std::move(spec), reply);
+}
+
+void UserApi::admit(JobSpec spec, const Reply& reply) {
+    if (missingDependency(spec)) return admitAfterRead(std::move(spec), reply);
+    enqueue(std::move(spec), reply);
+}
+
+// Another node may have accepted what it needs a moment ago.
+void UserApi::admitAfterRead(JobSpec spec, const Reply& reply) {
     watcher_.fresh([this, spec = std::move(spec), reply](bool ok) mutable {
-        if (!ok) return reply(retryLater(503, "the state service does not answer"));
+        if (!ok) return reply(retryLater(503, kUnanswered));
         if (const auto* job = replica_.find(spec.id)) return answerState(*job, reply);
         const auto missing = missingDependency(spec);
         if (!missing) return enqueue(std::move(spec), reply);
@@ -152,27 +170,22 @@
     return std::nullopt;
 }
 
-/// Not even a job that can't run may be turned down if another node has accepted it.
+// Not even a job that can't run may be turned down if another node has accepted it.
 void UserApi::reject(const std::string& id, const std::string& why, const Reply& reply) {
     watcher_.fresh([this, id, why, reply](bool ok) {
-        if (!ok) return reply(retryLater(503, "the state service does not answer"));
+        if (!ok) return reply(retryLater(503, kUnanswered));
         if (const auto* job = replica_.find(id)) return answerState(*job, reply);
         reply(respond(422, protocol::errorReply(why)));
     });
 }
 
 void UserApi::enqueue(JobSpec spec, const Reply& reply) {
+    const auto now = Clock::now();
     // What cannot be stored soon is turned away at once, with the time to come back.
-    const double rate = writes_.rate(Clock::now());
-    const Seconds expected(static_cast<double>(queued_) / rate);
-    if (queued_ >= kMaxQueued || expected > kMaxWait) {
-        const auto after = std::chrono::ceil<std::chrono::seconds>(std::min<Seconds>(expected, 30s));
-        return reply(retryLater(429, "too many submissions", std::max(after, 1s)));
-    }
-    const auto team = spec.team;
-    queues_[team].push_back({std::move(spec), reply, Clock::now()});
-    ++queued_;
-    serveQueues();
+    if (const auto after = queue_.retryAfter(now))
+        return reply(retryLater(429, "too many submissions", *after));
+    queue_.add({std::move(spec), reply, now});
+    serveQueue();
 }
 
 void UserApi::serveLater(Duration pause) {
@@ -181,81 +194,70 @@
     timer_.expires_after(pause);
     timer_.async_wait([this](auto error) {
         timing_ = false;
-        if (!error) serveQueues();
+        if (!error) serveQueue();
     });
 }
 
-/// One submission of each team in turn, as the state service's rate allows.
-void UserApi::serveQueues() {
+void UserApi::serveQueue() {
     const auto now = Clock::now();
-    for (auto& [team, queue] : queues_) {
-        while (!queue.empty() && now - queue.front().since > kMaxWait) {
-            queue.front().reply(retryLater(503, "the state service is busy"));
-            queue.pop_front();
-            --queued_;
-        }
-    }
-    std::erase_if(queues_, [](const auto& entry) { return entry.second.empty(); });
-    while (!queues_.empty() && storing_ < kMaxStoring) {
-        if (!writes_.take(1, 0, now)) break;
-        auto next = queues_.upper_bound(lastTeam_);
-        if (next == queues_.end()) next = queues_.begin();
-        lastTeam_ = next->first;
-        auto waiting = std::move(next->second.front());
-        next->second.pop_front();
-        --queued_;
-        if (next->second.empty()) queues_.erase(next);
-        store(std::move(waiting));
-    }
-    if (!queues_.empty()) serveLater(50ms);
+    for (const auto& expired : queue_.takeExpired(now))
+        expired.reply(retryLater(503, "the state service is busy"));
+    while (auto submission = queue_.takeNext(now)) store(std::move(*submission));
+    if (!queue_.empty()) serveLater(kTurnPause);
 }
 
-void UserApi::store(Waiting waiting) {
-    ++storing_;
-    const auto key = keys::job(waiting.spec.id);
-    const storage::JobRecord record{waiting.spec, Final::open, transport::timeOfDayMs(), 0,
+void UserApi::store(Submission submission) {
+    const auto key = keys::job(submission.spec.id);
+    const storage::JobRecord record{submission.spec, Final::open, transport::timeOfDayMs(), 0,
                                     storage::chunkTasks(settings_.minValueKb())};
-    state_.transact({{key, 0}}, {{key, storage::encodeJob(record), 0}}, kStoreTimeout,
-                    [this, waiting = std::move(waiting)](const TxnResult& result) {
-                        --storing_;
-                        const auto& id = waiting.spec.id;
-                        switch (result.status) {
-                            case TxnStatus::applied:
-                                waiting.reply(respond(201, protocol::jobReply(id, JobState::queued)));
-                                break;
-                            case TxnStatus::conflict:  // accepted before, perhaps by another node
-                                status(id, waiting.reply);
-                                break;
-                            case TxnStatus::tooLarge:  // for a limit lower than the settings say
-                                reject(id, kTooLarge, waiting.reply);
-                                break;
-                            case TxnStatus::tooMany:
-                                writes_.refused(Clock::now());
-                                [[fallthrough]];
-                            case TxnStatus::refused:
-                                if (Clock::now() - waiting.since < kMaxWait / 2) {
-                                    queues_[waiting.spec.team].push_front(waiting);
-                                    ++queued_;
-                                    return serveLater(120ms);
-                                }
-                                [[fallthrough]];
-                            default:
-                                waiting.reply(retryLater(503, "the state service does not answer"));
-                        }
-                        serveQueues();
-                    });
+    state_.transact(
+        {{key, 0}}, {{key, storage::encodeJob(record), 0}}, kStoreTimeout,
+        [this, submission = std::move(submission)](const TxnResult& result) { stored(submission, result); });
+}
+
+void UserApi::stored(const Submission& submission, const TxnResult& result) {
+    queue_.stored();
+    const auto& id = submission.spec.id;
+    switch (result.status) {
+        case TxnStatus::applied:
+            submission.reply(respond(201, protocol::jobReply(id, JobState::queued)));
+            break;
+        case TxnStatus::conflict:  // accepted before, perhaps by another node
+            status(id, submission.reply);
+            break;
+        case TxnStatus::tooLarge:  // for a limit lower than the settings say
+            reject(id, kTooLarge, submission.reply);
+            break;
+        case TxnStatus::tooMany:
+            queue_.noteRefused(Clock::now());
+            return retryOrGiveUp(submission);
+        case TxnStatus::refused:
+            return retryOrGiveUp(submission);
+        default:
+            submission.reply(retryLater(503, kUnanswered));
+    }
+    serveQueue();
+}
+
+void UserApi::retryOrGiveUp(const Submission& submission) {
+    if (Clock::now() - submission.since < SubmissionQueue::kMaxWait / 2) {
+        queue_.putBack(submission);
+        return serveLater(kRetryPause);
+    }
+    submission.reply(retryLater(503, kUnanswered));
+    serveQueue();
 }
 
 void UserApi::cancel(const std::string& id, const Reply& reply, int tries) {
     watcher_.fresh([this, id, reply, tries](bool ok) {
-        if (!ok) return reply(retryLater(503, "the state service does not answer"));
+        if (!ok) return reply(retryLater(503, kUnanswered));
         writeCancelled(id, reply, tries);
     });
 }
 
 void UserApi::writeCancelled(const std::string& id, const Reply& reply, int tries) {
     const auto* job = replica_.find(id);
-    if (!job) return reply(respond(404, protocol::errorReply("no such job")));
+    if (!job) return reply(respond(404, protocol::errorReply(kNoSuchJob)));
     if (job->final != Final::open) return answerState(*job, reply);
     const auto key = keys::job(id);
     const storage::JobRecord record{job->spec, Final::cancelled, job->acceptedMs, job->doneCount,
@@ -274,7 +276,7 @@
                         if (result.status == TxnStatus::tooLarge && tries > 1) return cancel(id, reply, 1);
                         if (result.status == TxnStatus::conflict && tries > 1)
                             return cancel(id, reply, tries - 1);
-                        reply(retryLater(503, "the state service does not answer"));
+                        reply(retryLater(503, kUnanswered));
                     });
 }
 
