--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -11,13 +11,17 @@
 using transport::Clock;
 using transport::Duration;
 using transport::Time;
-using namespace std::chrono_literals;
 
 namespace keys = storage::keys;
 
 namespace {
-constexpr Duration kGrant{2500};
-constexpr Duration kUnserved{1200};  // without an answer of the state service
+constexpr Duration kUnserved{1200};         // without an answer of the state service: an outage
+constexpr Duration kTakeOverTimeout{1500};  // of the transaction that takes the key
+constexpr Duration kVacancySpread{250};     // nodes that see the key go at once try apart
+constexpr Duration kFailurePause{300};      // before the next try, and as much again by lot
+constexpr Duration kRenewalRetry{300};      // after a renewal that was refused or not answered
+constexpr Duration kDeference{20'000};      // a node that is badly placed to lead leaves it to the others
+constexpr int kRenewalsInALife = 6;         // so that several may fail
 }  // namespace
 
 Election::Election(const protocol::Settings& settings, const protocol::Policy& policy,
@@ -59,22 +63,30 @@
         return;
     }
     if (trying_ || !watcher_.synced()) return;
-    const bool own = replica_.leader && replica_.leader->node == settings_.name;
+    if (!seesVacancy(now) || boundByPromise(now)) return;
+    if (now >= notBefore_) attempt(now);
+}
+
+bool Election::seesVacancy(Time now) {
+    const bool own = keyIsOwn();
     if (replica_.leader && !own && !hasResigned(*replica_.leader)) {
         vacant_ = false;
-        return;
+        return false;
     }
-    if (!vacant_) {
-        // Nodes that see the key go at the same moment should not all try at once. Its own name on the key
-        // tells a restarted node that its former self held it: that process is gone, so nobody else acts.
-        vacant_ = true;
-        notBefore_ =
-            std::max(notBefore_, now + (own ? 0ms : std::uniform_int_distribution<>(0, 250)(random_) * 1ms));
-    }
-    // Bound by a promise, or perhaps by one that a former self gave before it ended.
-    if (now < grantedUntil_ && grantedTo_ > resignedTokens_) return;
-    if (!own && replica_.token > resignedTokens_ && now < started_ + kGrant + kGrant / 100) return;
-    if (now >= notBefore_) attempt(now);
+    if (vacant_) return true;
+    // Nodes that see the key go at the same moment should not all try at once. Its own name on the key
+    // tells a restarted node that its former self held it: that process is gone, so nobody else acts.
+    vacant_ = true;
+    const Duration spread(own ? 0 : std::uniform_int_distribution<>(0, kVacancySpread.count())(random_));
+    notBefore_ = std::max(notBefore_, now + spread);
+    return true;
+}
+
+bool Election::boundByPromise(Time now) const {
+    if (grants_.bound(now, resignedTokens_)) return true;
+    // What a former self may have promised is forgotten; if its own name is on the key, that was the holder.
+    return !keyIsOwn() && replica_.token > resignedTokens_ &&
+           now < started_ + LeadershipGrants::kForgottenLife;
 }
 
 Duration Election::grantExtension(const std::string& leader, std::uint64_t token, Time now) {
@@ -83,24 +95,7 @@
         return Duration(0);
     if (now - state_.lastAnswer() < kUnserved) return Duration(0);
     // A transaction of an earlier try cannot come through late: this leader's key has changed its conditions.
-    grantedUntil_ = now + kGrant + kGrant / 1000;
-    grantedTo_ = token;
-    return kGrant;
-}
-
-void Election::noteGrant(const std::string& peer, Duration life, Time sent) {
-    if (life.count() <= 0) return;
-    Tenure promise;
-    promise.begin(sent, std::min(life, Duration(kGrant)));
-    grants_[peer] = promise.until();
-}
-
-bool Election::extendedByGrants(Time now) const {
-    return !settings_.peers.empty() &&
-           std::all_of(settings_.peers.begin(), settings_.peers.end(), [&](const auto& peer) {
-               const auto found = grants_.find(peer.name);
-               return found != grants_.end() && now < found->second;
-           });
+    return grants_.give(token, now);
 }
 
 void Election::attempt(Time now) {
@@ -125,13 +120,14 @@
     const std::vector<protocol::KeyWrite> writes{
         {keys::kLeader, storage::encodeLeader({settings_.name, token}), lease},
         {keys::kToken, storage::encodeToken(token), 0}};
-    state_.transact(conditions, writes, 1500ms, [this, round, token, lease, sent](const TxnResult& result) {
-        if (round != round_) return;
-        if (result.status != TxnStatus::applied) return fail(lease);
-        lease_ = lease;
-        tenure_.begin(sent, life_);
-        confirm(token);
-    });
+    state_.transact(conditions, writes, kTakeOverTimeout,
+                    [this, round, token, lease, sent](const TxnResult& result) {
+                        if (round != round_) return;
+                        if (result.status != TxnStatus::applied) return fail(lease);
+                        lease_ = lease;
+                        tenure_.begin(sent, life_);
+                        confirm(token);
+                    });
 }
 
 void Election::confirm(std::uint64_t token) {
@@ -156,7 +152,8 @@
 void Election::fail(std::uint64_t lease) {
     if (lease) state_.endLease(lease);
     ++round_;
-    notBefore_ = Clock::now() + 300ms + std::uniform_int_distribution<>(0, 300)(random_) * 1ms;
+    notBefore_ = Clock::now() + kFailurePause +
+                 Duration(std::uniform_int_distribution<>(0, kFailurePause.count())(random_));
     // Whoever won, or whether this try was carried out after all, is in the store.
     const auto round = round_;
     watcher_.fresh([this, round](bool) {
@@ -166,7 +163,7 @@
 
 void Election::renew(Time now) {
     renewing_ = true;
-    nextRenewal_ = now + life_ / 6;
+    nextRenewal_ = now + life_ / kRenewalsInALife;
     const auto round = round_;
     state_.extendLease(lease_, [this, round, sent = now](int status, std::uint64_t) {
         if (round != round_) return;
@@ -177,7 +174,7 @@
             return lose();
         }
         // Refused or unanswered: a later renewal that succeeds, after an outage say, resumes the leadership.
-        nextRenewal_ = std::min(nextRenewal_, Clock::now() + 300ms);
+        nextRenewal_ = std::min(nextRenewal_, Clock::now() + kRenewalRetry);
     });
 }
 
@@ -185,12 +182,12 @@
     if (!leading_) return;
     state_.endLease(lease_);
     lose();
-    if (deferToPeers) notBefore_ = now + 20s;
+    if (deferToPeers) notBefore_ = now + kDeference;
 }
 
 void Election::lose() {
     tenure_.end();
-    grants_.clear();
+    grants_.dropReceived();
     resignedToken_ = token_;
     leading_ = false;
     vacant_ = false;
--- /dev/null
+++ b/tests/leadership_grants_test.cpp
@@ -0,0 +1,61 @@
+#include "coordination/leadership_grants.h"
+
+#include <gtest/gtest.h>
+
+using namespace burlpoint;
+using namespace std::chrono_literals;
+using coordination::LeadershipGrants;
+
+namespace {
+
+const transport::Time kStart{1000s};
+const std::vector<protocol::Peer> kPeers{{"two", "z", ""}, {"three", "z", ""}};
+
+}  // namespace
+
+TEST(LeadershipGrants, OnlyPromisesOfAllPeersCount) {
+    LeadershipGrants grants;
+    EXPECT_FALSE(grants.allInForce(kPeers, kStart));
+    EXPECT_FALSE(grants.allInForce({}, kStart));  // a node alone has nobody to promise
+    grants.noteReceived("two", LeadershipGrants::kLife, kStart);
+    EXPECT_FALSE(grants.allInForce(kPeers, kStart));
+    grants.noteReceived("four", LeadershipGrants::kLife, kStart);
+    EXPECT_FALSE(grants.allInForce(kPeers, kStart));
+    grants.noteReceived("three", LeadershipGrants::kLife, kStart);
+    EXPECT_TRUE(grants.allInForce(kPeers, kStart));
+    grants.dropReceived();
+    EXPECT_FALSE(grants.allInForce(kPeers, kStart));
+}
+
+// The leader's count ends before that of the peer, whose count begins later.
+TEST(LeadershipGrants, AReceivedPromiseEndsBeforeTheGivenOne) {
+    LeadershipGrants leader, peer;
+    const auto life = peer.give(7, kStart);
+    leader.noteReceived("two", life, kStart);
+    const std::vector<protocol::Peer> two{{"two", "z", ""}};
+    EXPECT_TRUE(leader.allInForce(two, kStart + life - 200ms));
+    EXPECT_FALSE(leader.allInForce(two, kStart + life - 150ms));
+    EXPECT_TRUE(peer.bound(kStart + life, 0));
+    EXPECT_FALSE(peer.bound(kStart + life + 10ms, 0));
+    EXPECT_GE(LeadershipGrants::kForgottenLife, life + life / 1000);
+}
+
+TEST(LeadershipGrants, APromiseIsBoundedAndARefusalTakesNoneBack) {
+    LeadershipGrants grants;
+    const std::vector<protocol::Peer> two{{"two", "z", ""}};
+    grants.noteReceived("two", 60s, kStart);
+    EXPECT_TRUE(grants.allInForce(two, kStart + 2s));
+    EXPECT_FALSE(grants.allInForce(two, kStart + LeadershipGrants::kLife));
+    grants.noteReceived("two", 0ms, kStart + 1s);
+    EXPECT_TRUE(grants.allInForce(two, kStart + 2s));
+}
+
+TEST(LeadershipGrants, ANodeIsNotBoundToALeaderThatGaveUp) {
+    LeadershipGrants grants;
+    EXPECT_FALSE(grants.bound(kStart, 0));
+    grants.give(7, kStart);
+    EXPECT_TRUE(grants.bound(kStart, 6));
+    EXPECT_FALSE(grants.bound(kStart, 7));
+    grants.dropReceived();
+    EXPECT_TRUE(grants.bound(kStart, 6));  // its own promise is another matter
+}
