--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -22,7 +22,15 @@
 namespace {
 
 constexpr auto kTick = 100ms;
-constexpr auto kPeerTimeout = 900ms;
+constexpr auto kPeerPause = 1s;                // between questions to the peers
+constexpr auto kPeerTimeout = 900ms;           // an answer is there, or not, before the next question
+constexpr std::uint64_t kMaxGrantMs = 60'000;  // what a peer tells must not overflow
+// So old may the newest read be before one is made for its own sake. A leader must know what is cancelled.
+constexpr auto kReadAge = 800ms;
+constexpr auto kLeaderReadAge = 400ms;
+constexpr auto kCleanPause = 5s;       // between looks at what is left over
+constexpr auto kConnectionIdle = 20s;  // after which a connection is closed
+constexpr double kRequestShare = 0.5;  // of the requests that the state service takes, for this node
 
 // Shares of the sockets. Every worker keeps a connection to the leader, beside the users that any node has;
 // what a node opens itself is short-lived.
@@ -53,15 +61,10 @@
       settings_(settings),
       policy_(policy),
       http_(io, sockets(settings, kServiceSockets)),
-      state_(http_, settings.state, settings.stateRps, 0.5, Clock::now()),
+      state_(http_, settings.state, settings.stateRps, kRequestShare, Clock::now()),
       watcher_(
           io, state_, replica_,
-          [this](const std::vector<bookkeeping::Change>& changes) {
-              JobsChanged jobs;
-              for (const auto& change : changes)
-                  if (change.kind == bookkeeping::ChangeKind::job) jobs.ids.push_back(change.id);
-              if (leader_ && !jobs.ids.empty()) enqueue(Command(std::move(jobs)));
-          },
+          [this](const std::vector<bookkeeping::Change>& changes) { replicaChanged(changes); },
           readSpacing(settings)),
       election_(
           settings, policy, state_, replica_, watcher_, [this](std::uint64_t token) { won(token); },
@@ -75,11 +78,11 @@
       ticker_(io),
       users_(io, transport::parseEndpoint(settings.listen), limits(settings, kUserSockets),
              [this](Request&& request, Reply reply) {
-                 enqueue(Call{std::move(request), std::move(reply), false});
+                 enqueue(Call{std::move(request), std::move(reply), Listener::outside});
              }),
       peerServer_(io, transport::parseEndpoint(settings.peerListen), limits(settings, kPeerSockets),
                   [this](Request&& request, Reply reply) {
-                      enqueue(Call{std::move(request), std::move(reply), true});
+                      enqueue(Call{std::move(request), std::move(reply), Listener::peers});
                   }) {
     watcher_.start();
     tick();
@@ -99,45 +102,67 @@
     draining_ = false;
     for (auto& command : batch) {
         if (auto* call = std::get_if<Call>(&command))
-            call->fromPeer ? servePeer(*call) : serve(*call);
+            serve(*call);
         else
             lead(std::move(std::get<Command>(command)));
     }
 }
 
+void Node::replicaChanged(const std::vector<bookkeeping::Change>& changes) {
+    JobsChanged jobs;
+    for (const auto& change : changes)
+        if (change.kind == bookkeeping::ChangeKind::job) jobs.ids.push_back(change.id);
+    if (leader_ && !jobs.ids.empty()) enqueue(Command(std::move(jobs)));
+}
+
 void Node::tick() {
     const auto now = Clock::now();
     election_.tick(now);
     if (leader_ && election_.valid(now)) lead(Tick{});
-    // A leader must know what is cancelled.
-    const bool old = leader_ && now - watcher_.asOf() > 400ms;
-    if (now >= nextHeartbeat_ && (old || now - state_.lastAnswer() > 800ms)) {
-        nextHeartbeat_ = now + (leader_ ? 400ms : 800ms);
-        watcher_.fresh([](bool) {});
-    }
-    // Refused by the state service alone, this node cannot lead for long: better that a peer does it at once.
-    if (leader_ && refusedAlone(now)) {
-        spdlog::info("the state service answers others and not this node: resigning");
-        election_.resign(now, true);
-        nextPeers_ = now;
-    }
+    keepReplicaFresh(now);
+    if (leader_ && refusedAlone(now)) giveUpLeadership(now);
     readiness_.update(able(now), now);
-    talkToPeers(now);
-    if (now >= nextClean_) {
-        nextClean_ = now + 5s;
-        http_.closeIdle(20s);
-        executor_.closeIdle(20s);
-        relay_.forgetOld(now);
-    }
+    askPeers(now);
+    cleanUp(now);
     ticker_.expires_after(kTick);
     ticker_.async_wait([this](auto error) {
         if (!error) tick();
     });
 }
 
+void Node::keepReplicaFresh(Time now) {
+    if (now < nextHeartbeat_) return;
+    const bool old = leader_ && now - watcher_.asOf() > kLeaderReadAge;
+    if (!old && now - state_.lastAnswer() <= kReadAge) return;
+    nextHeartbeat_ = now + (leader_ ? kLeaderReadAge : kReadAge);
+    watcher_.fresh([](bool) {});
+}
+
+// Refused by the state service alone, this node cannot lead for long: better that a peer does it at once.
+void Node::giveUpLeadership(Time now) {
+    spdlog::info("the state service answers others and not this node: resigning");
+    election_.resign(now, true);
+    nextPeers_ = now;
+}
+
+void Node::cleanUp(Time now) {
+    if (now < nextClean_) return;
+    nextClean_ = now + kCleanPause;
+    http_.closeIdle(kConnectionIdle);
+    executor_.closeIdle(kConnectionIdle);
+    relay_.forgetOld(now);
+}
+
 // --- requests ---------------------------------------------------------------------------------------------
 
 void Node::serve(Call& call) {
+    if (call.listener == Listener::peers)
+        servePeer(call);
+    else
+        serveOutside(call);
+}
+
+void Node::serveOutside(Call& call) {
     const Request& request = call.request;
     if (request.oversize) return call.reply(respond(413, protocol::errorReply("more than 64 KiB")));
     if (request.path == paths::kReady) {
@@ -151,7 +176,8 @@
 void Node::serveReport(Call& call) {
     if (call.request.method != "POST") return call.reply(wrongMethod("POST"));
     if (!election_.valid(Clock::now()) || !leader_) {
-        const auto origin = call.fromPeer ? ReportOrigin::peer : ReportOrigin::worker;
+        const bool passedOn = call.listener == Listener::peers;
+        const auto origin = passedOn ? ReportOrigin::peer : ReportOrigin::worker;
         UnansweredReport report{std::move(call.request.body), origin, std::move(call.reply)};
         return relay_.answer(std::move(report), election_.leading(), Clock::now());
     }
@@ -184,33 +210,37 @@
     return status;
 }
 
-void Node::talkToPeers(Time now) {
+void Node::askPeers(Time now) {
     if (now < nextPeers_) return;
-    nextPeers_ = now + 1s;
+    nextPeers_ = now + kPeerPause;
     auto status = ownStatus(now);
     if (leader_) userApi_.setRunning(leader_->runningCounts());
     for (const auto& peer : settings_.peers) {
         if (leader_) peers_.describeKnownState(peer.name, status);
+        const PeerQuestion question{peer.name, now, executor_.round()};
         http_.request(peer.address, "POST", paths::kPeer, protocol::encodePeerStatus(status), kPeerTimeout,
-                      [this, round = executor_.round(), name = peer.name, sent = now](Outcome outcome) {
-                          if (!outcome.ok()) return;
-                          try {
-                              const auto answer = protocol::decodePeerStatus(outcome.body);
-                              if (answer.node != name) return;
-                              notePeerStatus(answer, Clock::now());
-                              if (peers_.applyCancellations(answer)) nextPeers_ = Clock::now();
-                              // A promise of a peer that has more to tell would carry this leader on while
-                              // tasks go on that users were told are cancelled.
-                              if (leader_ && round == executor_.round() && answer.complete)
-                                  election_.noteGrant(
-                                      name, Duration(std::min<std::uint64_t>(answer.grantMs, 60'000)), sent);
-                          } catch (const Malformed& error) {
-                              spdlog::error("malformed answer of a peer: {}", error.what());
-                          }
+                      [this, question](const Outcome& outcome) {
+                          if (outcome.ok()) peerAnswered(question, outcome.body);
                       });
     }
 }
 
+void Node::peerAnswered(const PeerQuestion& question, const std::string& body) {
+    try {
+        const auto answer = protocol::decodePeerStatus(body);
+        if (answer.node != question.peer) return;
+        notePeerStatus(answer, Clock::now());
+        if (peers_.applyCancellations(answer)) nextPeers_ = Clock::now();
+        // A promise of a peer that has more to tell would carry this leader on while tasks go on that users
+        // were told are cancelled.
+        if (!leader_ || question.round != executor_.round() || !answer.complete) return;
+        const Duration life(std::min(answer.grantMs, kMaxGrantMs));
+        election_.noteGrant(question.peer, life, question.sent);
+    } catch (const Malformed& error) {
+        spdlog::error("malformed answer of a peer: {}", error.what());
+    }
+}
+
 void Node::servePeer(Call& call) {
     if (call.request.oversize) return call.reply(respond(413));
     if (call.request.path == paths::kRelay) return serveReport(call);
@@ -224,9 +254,7 @@
         status.running.clear();
         if (asking.token > 0) {
             peers_.appendCancellations(asking, status);
-            if (status.complete)
-                status.grantMs = static_cast<std::uint64_t>(
-                    election_.grantExtension(asking.node, asking.token, now).count());
+            if (status.complete) status.grantMs = grantTo(asking, now);
         }
         call.reply(respond(200, protocol::encodePeerStatus(status)));
     } catch (const Malformed& error) {
@@ -234,6 +262,11 @@
     }
 }
 
+std::uint64_t Node::grantTo(const protocol::PeerStatus& asking, Time now) {
+    const auto life = election_.grantExtension(asking.node, asking.token, now);
+    return static_cast<std::uint64_t>(life.count());
+}
+
 void Node::notePeerStatus(const protocol::PeerStatus& status, Time now) {
     if (!peers_.noteStatus(status, now)) return;
     election_.noteResignation(status.resignedToken);
