--- a/src/coordination/state_watcher.cpp
+++ b/src/coordination/state_watcher.cpp
@@ -14,8 +14,8 @@
 constexpr auto kWatch = 5s;  // where the service is slow, a leader proves by these that it is up to date
 constexpr auto kWatchTimeout = 7s;
 constexpr auto kFreshTimeout = 1200ms;  // users wait 2 s for an answer
-constexpr auto kRetry = 400ms;
-constexpr double kReserve = 10;  // requests kept for lease renewals and a leader's writes
+constexpr auto kRetry = 400ms;          // after a read that failed
+constexpr double kReserve = 10;         // requests kept for lease renewals and a leader's writes
 }  // namespace
 
 StateWatcher::StateWatcher(asio::io_context& io, storage::StateClient& state,
--- a/src/coordination/user_api.cpp
+++ b/src/coordination/user_api.cpp
@@ -26,7 +26,7 @@
 
 namespace {
 
-constexpr auto kStoreTimeout = 1200ms;
+constexpr auto kStoreTimeout = 1200ms;   // users wait 2 s for an answer
 constexpr auto kRetryPause = 120ms;      // before a submission that was refused is tried again
 constexpr auto kTurnPause = 50ms;        // between looks at a queue that waits for the state service's rate
 constexpr int kCancelTries = 3;          // writes of one cancellation
