--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -4,16 +4,16 @@
 
 #include <algorithm>
 
+#include "coordination/responses.h"
+
 namespace burlpoint::coordination {
 
 using protocol::Malformed;
-using storage::TxnResult;
 using transport::Clock;
 using transport::Duration;
 using transport::Outcome;
 using transport::Reply;
 using transport::Request;
-using transport::Response;
 using transport::Time;
 using namespace std::chrono_literals;
 
@@ -22,25 +22,15 @@
 namespace {
 
 constexpr auto kTick = 100ms;
-constexpr auto kOrdersTimeout = 2500ms;
-constexpr auto kCloudTimeout = 6000ms;
-constexpr auto kWriteTimeout = 1500ms;
-constexpr auto kPeerTimeout = 900ms;
-constexpr auto kPeerSilence = 2500ms;
-constexpr auto kRelayMemory = 9s;            // a worker back within this did not get through to the leader
-constexpr auto kRelayFor = 30s;              // then it is sent to the leader again, to see
-constexpr auto kRelayTimeout = 2500ms;       // the worker waits for 4 s
-constexpr auto kRefusedAloneAfter = 2500ms;  // without an answer of the state service that others get
-constexpr auto kPeersServedFor = 2000ms;     // and these got one so long after this node's last
-constexpr unsigned kPageMachines = 500;
-constexpr std::size_t kMaxTold = 500;  // cancellations in one message
-
-Response respond(int status, std::string body = {}) {
-    Response r;
-    r.status = status;
-    r.body = std::move(body);
-    return r;
-}
+constexpr auto kPeerPause = 1s;                // between questions to the peers
+constexpr auto kPeerTimeout = 900ms;           // an answer is there, or not, before the next question
+constexpr std::uint64_t kMaxGrantMs = 60'000;  // what a peer tells must not overflow
+// So old may the newest read be before one is made for its own sake. A leader must know what is cancelled.
+constexpr auto kReadAge = 800ms;
+constexpr auto kLeaderReadAge = 400ms;
+constexpr auto kCleanPause = 5s;       // between looks at what is left over
+constexpr auto kConnectionIdle = 20s;  // after which a connection is closed
+constexpr double kRequestShare = 0.5;  // of the requests that the state service takes, for this node
 
 // Shares of the sockets. Every worker keeps a connection to the leader, beside the users that any node has;
 // what a node opens itself is short-lived.
@@ -64,74 +54,35 @@
                     Duration(static_cast<int>(1000 * 1.5 * nodes / (settings.stateRps * 0.75))));
 }
 
-std::uint64_t drawLogId() {
-    std::random_device device;
-    return std::uniform_int_distribution<std::uint64_t>(1)(device);  // 0 names none
-}
-
 }  // namespace
 
-bool RelayDecider::over(Time now) const { return now >= until_ && now - at_ >= kRelayMemory; }
-
-bool RelayDecider::shouldRelay(Time now) {
-    if (over(now)) *this = {};
-    at_ = now;
-    if (now < until_) return true;
-    switch (contacts_++) {
-        case 0:
-            return true;
-        case 1:
-            return false;
-        default:
-            until_ = now + kRelayFor;
-            contacts_ = 1;
-            return true;
-    }
-}
-
-void Readiness::update(bool able, Time now) {
-    if (!able) {
-        if (ready_) {
-            penalty_ = now - lostAt_ < 120s ? std::min(penalty_ * 2, std::chrono::seconds(40)) : 3s;
-            lostAt_ = now;
-        }
-        ready_ = false;
-        ableSince_ = Time::max();
-        return;
-    }
-    if (ableSince_ == Time::max()) ableSince_ = now;
-    if (!ever_ || now - ableSince_ >= penalty_) ready_ = ever_ = true;
-}
-
 Node::Node(asio::io_context& io, const protocol::Settings& settings, const protocol::Policy& policy)
     : io_(io),
       settings_(settings),
       policy_(policy),
       http_(io, sockets(settings, kServiceSockets)),
-      workers_(io, sockets(settings, kWorkerSockets)),
-      state_(http_, settings.state, settings.stateRps, 0.5, Clock::now()),
+      state_(http_, settings.state, settings.stateRps, kRequestShare, Clock::now()),
       watcher_(
           io, state_, replica_,
-          [this](const std::vector<bookkeeping::Change>& changes) {
-              JobsChanged jobs;
-              for (const auto& change : changes)
-                  if (change.kind == bookkeeping::ChangeKind::job) jobs.ids.push_back(change.id);
-              if (leader_ && !jobs.ids.empty()) enqueue(Command(std::move(jobs)));
-          },
+          [this](const std::vector<bookkeeping::Change>& changes) { replicaChanged(changes); },
           readSpacing(settings)),
       election_(
           settings, policy, state_, replica_, watcher_, [this](std::uint64_t token) { won(token); },
           [this] { lost(); }),
       userApi_(io, settings, state_, replica_, watcher_),
-      log_(drawLogId()),
+      peers_(settings, replica_,
+             [this](const protocol::Cancellation& told) { watcher_.noteCancelled(told.job, told.version); }),
+      relay_(settings, http_, replica_, peers_),
+      executor_(io, settings, sockets(settings, kWorkerSockets), {http_, state_, watcher_, election_},
+                [this](Command command) { enqueue(std::move(command)); }),
       ticker_(io),
       users_(io, transport::parseEndpoint(settings.listen), limits(settings, kUserSockets),
              [this](Request&& request, Reply reply) {
-                 enqueue(Call{std::move(request), std::move(reply), false});
+                 enqueue(Call{std::move(request), std::move(reply), Listener::outside});
              }),
       peerServer_(io, transport::parseEndpoint(settings.peerListen), limits(settings, kPeerSockets),
                   [this](Request&& request, Reply reply) {
-                      enqueue(Call{std::move(request), std::move(reply), true});
+                      enqueue(Call{std::move(request), std::move(reply), Listener::peers});
                   }) {
     watcher_.start();
     tick();
@@ -151,53 +102,71 @@
     draining_ = false;
     for (auto& command : batch) {
         if (auto* call = std::get_if<Call>(&command))
-            call->fromPeer ? servePeer(*call) : serve(*call);
+            serve(*call);
         else
             lead(std::move(std::get<Command>(command)));
     }
 }
 
+void Node::replicaChanged(const std::vector<bookkeeping::Change>& changes) {
+    JobsChanged jobs;
+    for (const auto& change : changes)
+        if (change.kind == bookkeeping::ChangeKind::job) jobs.ids.push_back(change.id);
+    if (leader_ && !jobs.ids.empty()) enqueue(Command(std::move(jobs)));
+}
+
 void Node::tick() {
     const auto now = Clock::now();
     election_.tick(now);
     if (leader_ && election_.valid(now)) lead(Tick{});
-    // A leader must know what is cancelled.
-    const bool old = leader_ && now - watcher_.asOf() > 400ms;
-    if (now >= nextHeartbeat_ && (old || now - state_.lastAnswer() > 800ms)) {
-        nextHeartbeat_ = now + (leader_ ? 400ms : 800ms);
-        watcher_.fresh([](bool) {});
-    }
-    // Refused by the state service alone, this node cannot lead for long: better that a peer does it at once.
-    if (leader_ && refusedAlone(now)) {
-        spdlog::info("the state service answers others and not this node: resigning");
-        election_.resign(now, true);
-        nextPeers_ = now;
-    }
+    keepReplicaFresh(now);
+    if (leader_ && refusedAlone(now)) giveUpLeadership(now);
     readiness_.update(able(now), now);
-    talkToPeers(now);
-    if (now >= nextClean_) {
-        nextClean_ = now + 5s;
-        http_.closeIdle(20s);
-        workers_.closeIdle(20s);
-        std::erase_if(relayDeciders_, [&](const auto& entry) { return entry.second.over(now); });
-    }
+    askPeers(now);
+    cleanUp(now);
     ticker_.expires_after(kTick);
     ticker_.async_wait([this](auto error) {
         if (!error) tick();
     });
 }
 
+void Node::keepReplicaFresh(Time now) {
+    if (now < nextHeartbeat_) return;
+    const bool old = leader_ && now - watcher_.asOf() > kLeaderReadAge;
+    if (!old && now - state_.lastAnswer() <= kReadAge) return;
+    nextHeartbeat_ = now + (leader_ ? kLeaderReadAge : kReadAge);
+    watcher_.fresh([](bool) {});
+}
+
+// Refused by the state service alone, this node cannot lead for long: better that a peer does it at once.
+void Node::giveUpLeadership(Time now) {
+    spdlog::info("the state service answers others and not this node: resigning");
+    election_.resign(now, true);
+    nextPeers_ = now;
+}
+
+void Node::cleanUp(Time now) {
+    if (now < nextClean_) return;
+    nextClean_ = now + kCleanPause;
+    http_.closeIdle(kConnectionIdle);
+    executor_.closeIdle(kConnectionIdle);
+    relay_.forgetOld(now);
+}
+
 // --- requests ---------------------------------------------------------------------------------------------
 
 void Node::serve(Call& call) {
+    if (call.listener == Listener::peers)
+        servePeer(call);
+    else
+        serveOutside(call);
+}
+
+void Node::serveOutside(Call& call) {
     const Request& request = call.request;
     if (request.oversize) return call.reply(respond(413, protocol::errorReply("more than 64 KiB")));
     if (request.path == paths::kReady) {
-        if (request.method != "GET") {
-            auto r = respond(405);
-            r.allow = "GET";
-            return call.reply(r);
-        }
+        if (request.method != "GET") return call.reply(wrongMethod("GET"));
         return call.reply(respond(readiness_.ready() ? 200 : 503));
     }
     if (request.path == paths::kReport) return serveReport(call);
@@ -205,12 +174,13 @@
 }
 
 void Node::serveReport(Call& call) {
-    if (call.request.method != "POST") {
-        auto r = respond(405);
-        r.allow = "POST";
-        return call.reply(r);
+    if (call.request.method != "POST") return call.reply(wrongMethod("POST"));
+    if (!election_.valid(Clock::now()) || !leader_) {
+        const bool passedOn = call.listener == Listener::peers;
+        const auto origin = passedOn ? ReportOrigin::peer : ReportOrigin::worker;
+        UnansweredReport report{std::move(call.request.body), origin, std::move(call.reply)};
+        return relay_.answer(std::move(report), election_.leading(), Clock::now());
     }
-    if (!election_.valid(Clock::now()) || !leader_) return redirect(call);
     ReportArrived command;
     try {
         command.report = protocol::decodeReport(call.request.body);
@@ -218,54 +188,11 @@
         spdlog::error("malformed report: {}", error.what());
         return call.reply(respond(400, protocol::errorReply(error.what())));
     }
-    command.request = ++requests_;
     command.cancellationsCurrent = election_.cancellationsCurrent(Clock::now());
-    reports_[command.request] = std::move(call.reply);
+    command.request = executor_.awaitAnswer(std::move(call.reply));
     lead(std::move(command));
 }
 
-/// A follower's answer to a report: the leader's name, or what the leader answers through this node.
-void Node::redirect(Call& call) {
-    const auto now = Clock::now();
-    // A leader not heard of for a while may be gone; naming it would send the worker into a time-out.
-    const auto* leader =
-        call.fromPeer || election_.leading() || !replica_.leader ? nullptr : &replica_.leader->node;
-    if (!leader || !inTouch(*leader, now))
-        return call.reply(
-            respond(421, protocol::encodeElsewhere(call.fromPeer ? "" : peerInTouchWithLeader(now))));
-    Report report;
-    try {
-        report = protocol::decodeReport(call.request.body);
-    } catch (const Malformed& error) {
-        return call.reply(respond(400, protocol::errorReply(error.what())));
-    }
-    if (!relayDeciders_[report.machine].shouldRelay(now))
-        return call.reply(respond(421, protocol::encodeElsewhere(*leader)));
-    const auto peer = std::find_if(settings_.peers.begin(), settings_.peers.end(),
-                                   [&](const auto& p) { return p.name == *leader; });
-    if (peer == settings_.peers.end()) return call.reply(respond(421, protocol::encodeElsewhere("")));
-    http_.request(peer->address, "POST", paths::kRelay, call.request.body, kRelayTimeout,
-                  [reply = std::move(call.reply)](Outcome outcome) {
-                      if (outcome.status == 200) return reply(respond(200, std::move(outcome.body)));
-                      reply(respond(421, protocol::encodeElsewhere("")));
-                  });
-}
-
-bool Node::inTouch(const std::string& peer, Time now) const {
-    const auto view = peers_.find(peer);
-    return view != peers_.end() && now - view->second.heardAt < kPeerSilence;
-}
-
-/// A peer that is in touch with a leader that this node cannot reach: a worker that tried one node after the
-/// other would spend its lease on those behind the same cut.
-std::string Node::peerInTouchWithLeader(Time now) const {
-    if (election_.leading() || !replica_.leader) return "";
-    for (const auto& [name, view] : peers_)
-        if (name != replica_.leader->node && inTouch(name, now) && view.leaderToken == replica_.leader->token)
-            return name;
-    return "";
-}
-
 // --- peers ------------------------------------------------------------------------------------------------
 
 protocol::PeerStatus Node::ownStatus(Time now) const {
@@ -274,7 +201,8 @@
     status.resignedToken = election_.resignedToken();
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - state_.lastAnswer());
     status.stateAgeMs = static_cast<std::uint64_t>(std::max<std::int64_t>(0, age.count()));
-    if (replica_.leader && inTouch(replica_.leader->node, now)) status.leaderToken = replica_.leader->token;
+    if (replica_.leader && peers_.inTouch(replica_.leader->node, now))
+        status.leaderToken = replica_.leader->token;
     if (leader_ && election_.valid(now)) {
         status.token = status.leaderToken = leader_->token();
         status.running = leader_->runningCounts();
@@ -282,59 +210,35 @@
     return status;
 }
 
-void Node::talkToPeers(Time now) {
+void Node::askPeers(Time now) {
     if (now < nextPeers_) return;
-    nextPeers_ = now + 1s;
+    nextPeers_ = now + kPeerPause;
     auto status = ownStatus(now);
     if (leader_) userApi_.setRunning(leader_->runningCounts());
     for (const auto& peer : settings_.peers) {
-        if (leader_) describeKnownState(peer.name, status);
+        if (leader_) peers_.describeKnownState(peer.name, status);
+        const PeerQuestion question{peer.name, now, executor_.round()};
         http_.request(peer.address, "POST", paths::kPeer, protocol::encodePeerStatus(status), kPeerTimeout,
-                      [this, round = leaderRound_, name = peer.name, sent = now](Outcome outcome) {
-                          if (!outcome.ok()) return;
-                          try {
-                              const auto answer = protocol::decodePeerStatus(outcome.body);
-                              if (answer.node != name) return;
-                              notePeerStatus(answer, Clock::now());
-                              applyCancellations(answer);
-                              // A promise of a peer that has more to tell would carry this leader on while
-                              // tasks go on that users were told are cancelled.
-                              if (leader_ && round == leaderRound_ && answer.complete)
-                                  election_.noteGrant(
-                                      name, Duration(std::min<std::uint64_t>(answer.grantMs, 60'000)), sent);
-                          } catch (const Malformed& error) {
-                              spdlog::error("malformed answer of a peer: {}", error.what());
-                          }
+                      [this, question](const Outcome& outcome) {
+                          if (outcome.ok()) peerAnswered(question, outcome.body);
                       });
     }
 }
 
-/// What a leader's question to a peer names, so that the peer tells the cancellations not known here.
-void Node::describeKnownState(const std::string& peer, protocol::PeerStatus& question) const {
-    const auto view = peers_.find(peer);
-    question.revision = replica_.revision;
-    question.log = view == peers_.end() ? 0 : view->second.log;
-    question.logAt = view == peers_.end() ? 0 : view->second.logAt;
-}
-
-/// In parts, as a message has its bounds; the asking leader comes back for the next at once.
-void Node::appendCancellations(const protocol::PeerStatus& asking, protocol::PeerStatus& answer) const {
-    const auto& known = replica_.cancelled();
-    answer.log = log_;
-    auto at = asking.log == log_ ? std::min<std::uint64_t>(asking.logAt, known.size()) : 0;
-    for (; at < known.size() && answer.cancelled.size() < kMaxTold; ++at)
-        if (known[at]->version > asking.revision)
-            answer.cancelled.push_back({known[at]->spec.id, known[at]->version});
-    answer.logAt = at;
-    answer.complete = at == known.size();
-}
-
-void Node::applyCancellations(const protocol::PeerStatus& answer) {
-    for (const auto& [job, version] : answer.cancelled) watcher_.noteCancelled(job, version);
-    auto& view = peers_[answer.node];
-    view.log = answer.log;
-    view.logAt = answer.logAt;
-    if (!answer.cancelled.empty() && !answer.complete) nextPeers_ = Clock::now();
+void Node::peerAnswered(const PeerQuestion& question, const std::string& body) {
+    try {
+        const auto answer = protocol::decodePeerStatus(body);
+        if (answer.node != question.peer) return;
+        notePeerStatus(answer, Clock::now());
+        if (peers_.applyCancellations(answer)) nextPeers_ = Clock::now();
+        // A promise of a peer that has more to tell would carry this leader on while tasks go on that users
+        // were told are cancelled.
+        if (!leader_ || question.round != executor_.round() || !answer.complete) return;
+        const Duration life(std::min(answer.grantMs, kMaxGrantMs));
+        election_.noteGrant(question.peer, life, question.sent);
+    } catch (const Malformed& error) {
+        spdlog::error("malformed answer of a peer: {}", error.what());
+    }
 }
 
 void Node::servePeer(Call& call) {
@@ -349,10 +253,8 @@
         auto status = ownStatus(now);
         status.running.clear();
         if (asking.token > 0) {
-            appendCancellations(asking, status);
-            if (status.complete)
-                status.grantMs = static_cast<std::uint64_t>(
-                    election_.grantExtension(asking.node, asking.token, now).count());
+            peers_.appendCancellations(asking, status);
+            if (status.complete) status.grantMs = grantTo(asking, now);
         }
         call.reply(respond(200, protocol::encodePeerStatus(status)));
     } catch (const Malformed& error) {
@@ -360,39 +262,25 @@
     }
 }
 
+std::uint64_t Node::grantTo(const protocol::PeerStatus& asking, Time now) {
+    const auto life = election_.grantExtension(asking.node, asking.token, now);
+    return static_cast<std::uint64_t>(life.count());
+}
+
 void Node::notePeerStatus(const protocol::PeerStatus& status, Time now) {
-    const bool known = std::any_of(settings_.peers.begin(), settings_.peers.end(),
-                                   [&](const auto& peer) { return peer.name == status.node; });
-    if (!known) return;
-    auto& view = peers_[status.node];
-    view.heardAt = now;
-    view.stateAnsweredAt =
-        now - std::chrono::milliseconds(std::min<std::uint64_t>(status.stateAgeMs, 1u << 30));
-    view.leaderToken = status.leaderToken;
+    if (!peers_.noteStatus(status, now)) return;
     election_.noteResignation(status.resignedToken);
     if (!status.running.empty() && status.token >= replica_.token) userApi_.setRunning(status.running);
 }
 
 bool Node::able(Time now) const { return watcher_.synced() && !replica_.types.empty() && !refusedAlone(now); }
 
-/// The state service answers peers and not this node. When nobody is answered it is an outage that all nodes
-/// share, and stepping aside would help nobody: nobody could take over, and every task would be lost. So a
-/// peer must have been served for a while after this node was last: a refusal that an outage follows at once
-/// is no reason, since the leader goes on by its peers' promises.
-bool Node::refusedAlone(Time now) const {
-    const auto last = state_.lastAnswer();
-    if (now - last < kRefusedAloneAfter) return false;
-    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
-        const auto& view = entry.second;
-        return now - view.heardAt < 2500ms && now - view.stateAnsweredAt < 2000ms &&
-               view.stateAnsweredAt - last >= kPeersServedFor;
-    });
-}
+bool Node::refusedAlone(Time now) const { return peers_.refusedAlone(state_.lastAnswer(), now); }
 
 // --- leading ----------------------------------------------------------------------------------------------
 
 void Node::won(std::uint64_t token) {
-    ++leaderRound_;
+    executor_.begin(token);
     leader_ =
         std::make_unique<Leader>(settings_, policy_, replica_, token, Clock::now(), transport::timeOfDayMs());
     lead(Tick{});
@@ -400,140 +288,16 @@
 
 void Node::lost() {
     spdlog::info("no longer leading");
-    ++leaderRound_;
     leader_.reset();
-    for (auto& [request, reply] : std::exchange(reports_, {})) reply(respond(503));
+    executor_.end();
 }
 
 void Node::lead(Command command) {
     if (!leader_) return;
     for (auto& action : leader_->handle(std::move(command), Clock::now())) {
         if (!leader_) return;  // it resigned
-        perform(action);
+        executor_.perform(action);
     }
 }
 
-void Node::perform(Action& action) {
-    std::visit([this](auto& a) { perform(a); }, action);
-}
-
-void Node::perform(AnswerReport& action) {
-    const auto found = reports_.find(action.request);
-    if (found == reports_.end()) return;
-    const auto reply = std::move(found->second);
-    reports_.erase(found);
-    if (!action.accepted || !election_.valid(Clock::now())) return reply(respond(503));
-    reply(respond(200, protocol::encodeReportReply(leader_->token(), action.orders)));
-}
-
-void Node::perform(SendOrders& action) {
-    if (!election_.valid(Clock::now()))
-        return enqueue(Command(WorkerAnswered{action.machine, std::nullopt, action.known}));
-    workers_.request(
-        action.address, "POST", paths::kOrders,
-        protocol::encodeDirectOrders(leader_->token(), action.session, action.orders), kOrdersTimeout,
-        [this, round = leaderRound_, machine = action.machine, known = action.known](Outcome outcome) {
-            if (round != leaderRound_) return;
-            WorkerAnswered answered{machine, std::nullopt, known};
-            try {
-                if (outcome.status == 200 || outcome.status == 409)
-                    answered.report = protocol::decodeReport(outcome.body);
-            } catch (const Malformed& error) {
-                spdlog::error("malformed answer of {}: {}", machine, error.what());
-            }
-            enqueue(Command(std::move(answered)));
-        });
-}
-
-void Node::perform(WriteState& action) {
-    state_.transact(action.conditions, action.writes, kWriteTimeout,
-                    [this, round = leaderRound_](const TxnResult& result) {
-                        if (round == leaderRound_) enqueue(Command(StateWritten{result}));
-                    });
-}
-
-void Node::perform(RefreshReplica&) {
-    watcher_.fresh([this, round = leaderRound_](bool ok) {
-        if (round == leaderRound_) enqueue(Command(ReplicaRefreshed{ok}));
-    });
-}
-
-void Node::perform(Rent& action) {
-    // Renting and deleting are a leader's business as much as commands are.
-    if (!election_.valid(Clock::now())) {
-        RentalAnswered unknown;
-        unknown.name = action.request.name;
-        return enqueue(Command(std::move(unknown)));
-    }
-    http_.request(settings_.cloud, "POST", paths::kRentals, protocol::encodeRental(action.request),
-                  kCloudTimeout, [this, round = leaderRound_, name = action.request.name](Outcome outcome) {
-                      if (round != leaderRound_) return;
-                      RentalAnswered answered;
-                      answered.name = name;
-                      answered.malformed = outcome.status == 400;
-                      try {
-                          if (outcome.ok()) {
-                              answered.machines = protocol::decodeRentalReply(outcome.body);
-                              answered.rented = true;
-                          }
-                      } catch (const Malformed& error) {
-                          spdlog::error("malformed answer of the cloud: {}", error.what());
-                      }
-                      answered.noCapacity = outcome.status == 503 && protocol::saysNoCapacity(outcome.body);
-                      enqueue(Command(std::move(answered)));
-                  });
-}
-
-void Node::perform(Release& action) {
-    if (!election_.valid(Clock::now())) return enqueue(Command(ReleaseAnswered{action.machines, false}));
-    http_.request(settings_.cloud, "POST", paths::kRelease, protocol::encodeRelease(action.machines),
-                  kCloudTimeout, [this, round = leaderRound_, machines = action.machines](Outcome outcome) {
-                      if (round == leaderRound_) enqueue(Command(ReleaseAnswered{machines, outcome.ok()}));
-                  });
-}
-
-void Node::perform(ListMachines&) {
-    auto listed = std::make_shared<MachinesListed>();
-    listed->asked = Clock::now();
-    listPage("", std::move(listed));
-}
-
-void Node::listPage(const std::string& after, std::shared_ptr<MachinesListed> listed) {
-    http_.request(settings_.cloud, "GET", paths::rentedPage(after, kPageMachines), "", kCloudTimeout,
-                  [this, round = leaderRound_, listed](Outcome outcome) {
-                      if (round != leaderRound_) return;
-                      try {
-                          if (outcome.ok()) {
-                              auto page = protocol::decodeRentedPage(outcome.body);
-                              std::move(page.machines.begin(), page.machines.end(),
-                                        std::back_inserter(listed->machines));
-                              if (page.more && !listed->machines.empty())
-                                  return listPage(listed->machines.back().id, listed);
-                              listed->ok = true;
-                          }
-                      } catch (const Malformed& error) {
-                          spdlog::error("malformed list of machines: {}", error.what());
-                      }
-                      enqueue(Command(std::move(*listed)));
-                  });
-}
-
-void Node::perform(ListTypes&) {
-    http_.request(settings_.cloud, "GET", paths::kTypes, "", kCloudTimeout,
-                  [this, round = leaderRound_](Outcome outcome) {
-                      if (round != leaderRound_ || !outcome.ok()) return;
-                      try {
-                          const auto handle = protocol::unpackBody(outcome.body);
-                          enqueue(Command(TypesListed{protocol::decodeMachineTypes(handle.get())}));
-                      } catch (const Malformed& error) {
-                          spdlog::error("malformed list of machine types: {}", error.what());
-                      }
-                  });
-}
-
-void Node::perform(Resign& action) {
-    spdlog::info("resigning: {}", action.why);
-    election_.resign(Clock::now(), action.deferToPeers);
-}
-
 }  // namespace burlpoint::coordination
--- a/tests/jobs_test.cpp
+++ b/tests/jobs_test.cpp
@@ -5,7 +5,6 @@
 
 #include "bookkeeping/fleet.h"
 #include "coordination/election.h"
-#include "coordination/node.h"
 
 using namespace burlpoint;
 using namespace burlpoint::bookkeeping;
@@ -163,41 +162,6 @@
     EXPECT_FALSE(tenure.valid(start));
 }
 
-TEST(Readiness, EachLossCostsMore) {
-    coordination::Readiness readiness;
-    Time now{1000s};
-    readiness.update(true, now);
-    EXPECT_TRUE(readiness.ready());  // the first time at once
-    const auto lostFor = [&] {
-        readiness.update(false, now);
-        EXPECT_FALSE(readiness.ready());
-        const auto from = now;
-        do readiness.update(true, now += 500ms);
-        while (!readiness.ready());
-        return now - from;
-    };
-    const auto first = lostFor(), second = lostFor(), third = lostFor();
-    EXPECT_GE(first, 3s);
-    EXPECT_GT(second, first);
-    EXPECT_GT(third, second);
-}
-
-// Seen on a simulated day: workers cut off from the leader's zone lost their leases beside a node that saw
-// both.
-TEST(RelayDecider, StandsInForAWorkerThatComesBackFromTheLeader) {
-    coordination::RelayDecider detour;
-    Time now{1000s};
-    EXPECT_TRUE(detour.shouldRelay(now));
-    EXPECT_FALSE(detour.shouldRelay(now += 2s));  // try the leader
-    EXPECT_TRUE(detour.shouldRelay(now += 5s));   // it was in vain
-    for (int i = 0; i < 14; ++i) EXPECT_TRUE(detour.shouldRelay(now += 2s));
-    EXPECT_FALSE(detour.shouldRelay(now += 2s));  // try again
-    EXPECT_TRUE(detour.shouldRelay(now += 5s));
-    EXPECT_TRUE(detour.over(now += 60s));
-    EXPECT_TRUE(detour.shouldRelay(now));  // from the beginning
-    EXPECT_FALSE(detour.shouldRelay(now += 2s));
-}
-
 TEST(Machine, CacheKeepsTheLatestImagesWithinItsSize) {
     Fleet fleet;
     auto& m = fleet.add("m", Time{});
