Workers find a new leader: relays are bounded, a leader is known through peers

A leader is now known from what peers tell, too, and tells them at once that it won. Ruled out: the leader's own sockets, probes, the order of the workers' tries. Each guard was taken out once and a test named here failed: WorkerRelayTest.BeyondItsRelaysAWorkerIsSentToTheLeaderAtOnce and ALeaderKnownFromItsPeersAloneIsUsed, PeerExchangeTest.APeerThatLeadsIsKnownBeforeItsRecordIsRead, Nodes.AFollowerRefusedByTheStoreFindsTheNewLeader.

--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -35,6 +35,8 @@
 // Shares of the sockets. Every worker keeps a connection to the leader, beside the users that any node has;
 // what a node opens itself is short-lived.
 constexpr double kUserSockets = 0.74, kPeerSockets = 0.04, kServiceSockets = 0.07, kWorkerSockets = 0.12;
+constexpr double kRelaySockets = 0.04;  // at most, of those for services: the state service needs the rest
+static_assert(kRelaySockets < kServiceSockets);
 static_assert(kUserSockets + kPeerSockets + kServiceSockets + kWorkerSockets < 0.98);
 
 std::size_t sockets(const protocol::Settings& settings, double share) {
@@ -72,7 +74,7 @@
       userApi_(io, settings, state_, replica_, watcher_),
       peers_(settings, replica_,
              [this](const protocol::Cancellation& told) { watcher_.noteCancelled(told.job, told.version); }),
-      relay_(settings, http_, replica_, peers_),
+      relay_(settings, http_, peers_, sockets(settings, kRelaySockets)),
       executor_(io, settings, sockets(settings, kWorkerSockets), {http_, state_, watcher_, election_},
                 [this](Command command) { enqueue(std::move(command)); }),
       ticker_(io),
@@ -201,8 +203,8 @@
     status.resignedToken = election_.resignedToken();
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - state_.lastAnswer());
     status.stateAgeMs = static_cast<std::uint64_t>(std::max<std::int64_t>(0, age.count()));
-    if (replica_.leader && peers_.inTouch(replica_.leader->node, now))
-        status.leaderToken = replica_.leader->token;
+    if (const auto leader = peers_.knownLeader(now); leader && peers_.inTouch(leader->node, now))
+        status.leaderToken = leader->token;
     if (leader_ && election_.valid(now)) {
         status.token = status.leaderToken = leader_->token();
         status.running = leader_->runningCounts();
@@ -283,6 +285,7 @@
     executor_.begin(token);
     leader_ =
         std::make_unique<Leader>(settings_, policy_, replica_, token, Clock::now(), transport::timeOfDayMs());
+    nextPeers_ = Clock::now();  // a peer that the state service refuses learns of this leader from it alone
     lead(Tick{});
 }
 
--- a/src/coordination/peer_exchange.cpp
+++ b/src/coordination/peer_exchange.cpp
@@ -37,6 +37,7 @@
     auto& view = peers_[status.node];
     view.heardAt = now;
     view.stateAnsweredAt = now - std::chrono::milliseconds(std::min(status.stateAgeMs, kMaxStateAgeMs));
+    view.ownToken = status.token;
     view.leaderToken = status.leaderToken;
     return true;
 }
@@ -46,11 +47,21 @@
     return view != peers_.end() && now - view->second.heardAt < kPeerSilence;
 }
 
+// A follower that the state service refuses reads no new leader's record. Seen on a simulated day: it was the
+// only node that both the new leader and the workers behind a cut could reach, and it sent these to nobody.
+std::optional<storage::LeaderRecord> PeerExchange::knownLeader(Time now) const {
+    auto leader = replica_.leader;
+    for (const auto& [name, view] : peers_)
+        if (inTouch(name, now) && view.ownToken > (leader ? leader->token : 0))
+            leader = storage::LeaderRecord{name, view.ownToken};
+    return leader;
+}
+
 std::string PeerExchange::peerInTouchWithLeader(Time now) const {
-    const auto& leader = replica_.leader;
+    const auto leader = knownLeader(now);
     if (!leader) return "";
     for (const auto& [name, view] : peers_)
-        if (name != leader->node && inTouch(name, now) && view.leaderToken == leader->token) return name;
+        if (name != leader->node && inTouch(name, now) && view.leaderToken >= leader->token) return name;
     return "";
 }
 
--- a/src/coordination/peer_exchange.h
+++ b/src/coordination/peer_exchange.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -33,6 +34,10 @@
     /// Was the peer heard within the last 2.5 s?
     bool inTouch(const std::string& peer, transport::Time now) const;
 
+    /// The leader as far as this node knows: the one stored, or a peer that is in touch and says that it
+    /// leads under a higher token. Only for finding the leader; entitlement to act never follows from this.
+    std::optional<storage::LeaderRecord> knownLeader(transport::Time now) const;
+
     /// A peer that is in touch with the leader while this node is not, to be named to a worker; empty if none
     /// is. A worker that tried one node after the other would spend its lease on those behind the same cut.
     std::string peerInTouchWithLeader(transport::Time now) const;
@@ -57,6 +62,7 @@
     struct PeerView {
         transport::Time heardAt{};
         transport::Time stateAnsweredAt{};  // when the state service answered it last, by its own account
+        std::uint64_t ownToken = 0;         // the token that it leads under, 0: it does not lead
         std::uint64_t leaderToken = 0;      // the token of the leader that it is in touch with
         std::uint64_t log = 0;              // its log of cancellations, 0: not known
         std::uint64_t logAt = 0;            // and how far that is known here
--- a/src/coordination/worker_relay.cpp
+++ b/src/coordination/worker_relay.cpp
@@ -42,14 +42,14 @@
 }
 
 WorkerRelay::WorkerRelay(const protocol::Settings& settings, transport::Client& http,
-                         const bookkeeping::StateReplica& replica, const PeerExchange& peers)
-    : settings_(settings), http_(http), replica_(replica), peers_(peers) {}
+                         const PeerExchange& peers, std::size_t maxRelays)
+    : settings_(settings), http_(http), peers_(peers), maxRelays_(maxRelays) {}
 
 void WorkerRelay::answer(UnansweredReport report, bool leading, Time now) {
-    if (leading || report.origin == ReportOrigin::peer || !replica_.leader)
-        return report.reply(elsewhere(""));
+    const auto known = peers_.knownLeader(now);
+    if (leading || report.origin == ReportOrigin::peer || !known) return report.reply(elsewhere(""));
     // A leader not heard of for a while may be gone; naming it would send the worker into a time-out.
-    const auto& leader = replica_.leader->node;
+    const auto& leader = known->node;
     if (!peers_.inTouch(leader, now)) return report.reply(elsewhere(peers_.peerInTouchWithLeader(now)));
     std::string machine;
     try {
@@ -57,6 +57,9 @@
     } catch (const protocol::Malformed& error) {
         return report.reply(respond(400, protocol::errorReply(error.what())));
     }
+    // Seen on a simulated day: after a take-over hundreds of workers came at once, their relays found no free
+    // socket and failed, and each worker lost a second with every node, until its lease was over.
+    if (relaying_ >= maxRelays_) return report.reply(elsewhere(leader));
     if (!deciders_[machine].shouldRelay(now)) return report.reply(elsewhere(leader));
     passOn(std::move(report), leader);
 }
@@ -65,8 +68,10 @@
     const auto peer = std::find_if(settings_.peers.begin(), settings_.peers.end(),
                                    [&](const auto& p) { return p.name == leader; });
     if (peer == settings_.peers.end()) return report.reply(elsewhere(""));
+    ++relaying_;
     http_.request(peer->address, "POST", protocol::paths::kRelay, std::move(report.body), kRelayTimeout,
-                  [reply = std::move(report.reply)](Outcome outcome) {
+                  [this, reply = std::move(report.reply)](Outcome outcome) {
+                      --relaying_;
                       if (outcome.status == 200) return reply(respond(200, std::move(outcome.body)));
                       reply(elsewhere(""));
                   });
--- a/src/coordination/worker_relay.h
+++ b/src/coordination/worker_relay.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <unordered_map>
 
-#include "bookkeeping/jobs.h"
 #include "coordination/peer_exchange.h"
 #include "protocol/settings.h"
 #include "transport/http.h"
@@ -43,9 +43,10 @@
 /// A node's answers to reports while it is not entitled to answer as the leader.
 class WorkerRelay {
   public:
-    /// All of these must outlive this. `http` carries relayed reports to the leader.
-    WorkerRelay(const protocol::Settings& settings, transport::Client& http,
-                const bookkeeping::StateReplica& replica, const PeerExchange& peers);
+    /// All of these must outlive this. `http` carries relayed reports to the leader, `maxRelays` of them at a
+    /// time; beyond that workers are sent to the leader at once.
+    WorkerRelay(const protocol::Settings& settings, transport::Client& http, const PeerExchange& peers,
+                std::size_t maxRelays);
 
     /// Answers with what the leader says (200), with the name of the node to turn to, empty if none is known
     /// (421), or that the report is malformed (400). `leading`: this node is the leader, though not entitled
@@ -60,8 +61,9 @@
 
     const protocol::Settings& settings_;
     transport::Client& http_;
-    const bookkeeping::StateReplica& replica_;
     const PeerExchange& peers_;
+    const std::size_t maxRelays_;
+    std::size_t relaying_ = 0;                                // reports that the leader has not answered yet
     std::unordered_map<std::string, RelayDecider> deciders_;  // per machine that reported to this follower
 };
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -102,6 +102,35 @@
     EXPECT_EQ(protocol::Fields(protocol::unpackBody(relayed.body).get()).integer("helm"), 1u);
 }
 
+// A follower that the state service refuses is told of a new leader by that one alone. Seen on a simulated
+// day: it was the only node that both the leader and the workers behind a cut could reach.
+TEST_F(Nodes, AFollowerRefusedByTheStoreFindsTheNewLeader) {
+    two.state = own.address();
+    one.peers = {peer(two), peer(three)};
+    two.peers = {peer(one), peer(three)};
+    three.peers = {peer(one), peer(two)};
+    auto first = std::make_unique<coordination::Node>(io, one, policy);
+    while (report(one).status != 200) runFor(50ms);
+    coordination::Node second(io, two, policy), third(io, three, policy);
+    while (report(two).status != 200) runFor(50ms);  // it has read who leads
+    own.outage = true;
+    first.reset();
+    stub.store.endLease(stub.store.values.at(storage::keys::kLeader).lease);
+    stub.wake();
+    while (report(three).status != 200) runFor(50ms);
+    // The next leader's question comes within a second; what is waited for is far less than these rounds
+    // take.
+    constexpr int kRounds = 400;
+    int rounds = 0;
+    Outcome relayed;
+    do {
+        runFor(50ms);
+        relayed = report(two);
+    } while (relayed.status != 200 && ++rounds < kRounds);
+    ASSERT_EQ(relayed.status, 200);
+    EXPECT_EQ(protocol::Fields(protocol::unpackBody(relayed.body).get()).integer("helm"), 2u);
+}
+
 // The gap: the store refuses the leader alone, another node confirms a cancellation, and then nobody is
 // served for longer than a cancelled task may go on. The promises that carry the leader through tell it what
 // to stop, and its other tasks go on.
--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -72,6 +72,25 @@
     EXPECT_EQ(exchange.peerInTouchWithLeader(start + 3s), "");
 }
 
+// Seen on a simulated day: a follower that the state service refused did not know the new leader, and was the
+// only way to it for the workers behind a cut.
+TEST_F(PeerExchangeTest, APeerThatLeadsIsKnownBeforeItsRecordIsRead) {
+    EXPECT_FALSE(exchange.knownLeader(start));
+    leads("one", 7);
+    auto claim = status("two", 8);
+    claim.token = 8;
+    exchange.noteStatus(claim, start);
+    ASSERT_TRUE(exchange.knownLeader(start));
+    EXPECT_EQ(exchange.knownLeader(start)->node, "two");
+    EXPECT_EQ(exchange.knownLeader(start)->token, 8u);
+    EXPECT_EQ(exchange.knownLeader(start + 3s)->node, "one");  // not heard of for a while
+    claim.token = 6;
+    exchange.noteStatus(claim, start);
+    EXPECT_EQ(exchange.knownLeader(start)->node, "one");  // the stored one is newer
+    exchange.noteStatus(status("two"), start);
+    EXPECT_EQ(exchange.knownLeader(start)->node, "one");  // it leads no more
+}
+
 TEST_F(PeerExchangeTest, RefusedAloneMeansThatAPeerIsServedForAWhileAlready) {
     const auto lastAnswer = start;
     const auto now = start + 4s;
--- a/tests/worker_relay_test.cpp
+++ b/tests/worker_relay_test.cpp
@@ -59,7 +59,8 @@
     protocol::Settings settings;
     bookkeeping::StateReplica replica;
     coordination::PeerExchange peers{settings, replica, [](const auto&) {}};
-    WorkerRelay relay{settings, http, replica, peers};
+    static constexpr std::size_t kMaxRelays = 2;
+    WorkerRelay relay{settings, http, peers, kMaxRelays};
     Time now{1000s};
 };
 
@@ -96,6 +97,32 @@
     EXPECT_TRUE(relayed.empty());
 }
 
+// Seen on a simulated day: after a take-over hundreds of workers reported to followers at once, most relays
+// failed for want of sockets, and 634 tasks ended with their workers' leases.
+TEST_F(WorkerRelayTest, BeyondItsRelaysAWorkerIsSentToTheLeaderAtOnce) {
+    hear("two", 7);
+    std::vector<transport::Response> answers;
+    const auto reply = [&](transport::Response response) { answers.push_back(std::move(response)); };
+    for (const auto* machine : {"m1", "m2", "m3"})
+        relay.answer({report(machine), ReportOrigin::worker, reply}, false, now);
+    ASSERT_EQ(answers.size(), 1u);  // without waiting for the two under way
+    EXPECT_EQ(named(answers[0]), "two");
+    while (answers.size() < 3) io.run_one();
+    EXPECT_EQ(relayed.size(), kMaxRelays);
+    // Back from the leader, it did not get through: with room again its report is passed on.
+    EXPECT_EQ(answer(report("m3")).status, 200);
+}
+
+TEST_F(WorkerRelayTest, ALeaderKnownFromItsPeersAloneIsUsed) {
+    replica.leader.reset();
+    protocol::PeerStatus status;
+    status.node = "two";
+    status.token = 8;
+    peers.noteStatus(status, now);
+    EXPECT_EQ(answer(report("m1")).status, 200);
+    EXPECT_EQ(named(answer(report("m1"))), "two");
+}
+
 TEST_F(WorkerRelayTest, APeersReportGoesNoFurther) {
     hear("two", 7);
     EXPECT_EQ(named(answer(report("m1"), ReportOrigin::peer)), "");
