--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -892,9 +892,8 @@
         spdlog::debug("job {} {} rank {} waits: {} of {} tasks, {} possible, for {:.1f} s", job->spec.id,
                       job->spec.jobClass, rankOf(*job), job->run->waiting, job->spec.tasks,
                       job->run->liveTotal, Seconds(now_ - job->run->waitingSince).count());
-    for (const auto& [offering, refusal] : refusals_)
-        if (refusal.until > now_)
-            spdlog::debug("refused: {} {} spot {}", offering.type, offering.zone, offering.spot);
+    for (const auto& offering : refusals_.refusedNow(now_))
+        spdlog::debug("refused: {} {} spot {}", offering.type, offering.zone, offering.spot);
 }
 
 // --- time -------------------------------------------------------------------------------------------------
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "bookkeeping/fleet.h"
+#include "coordination/rental_refusals.h"
 #include "protocol/settings.h"
 #include "storage/store.h"
 
@@ -152,10 +153,6 @@
         double loss = 0;
         std::uint32_t tasks = 1;
     };
-    struct Refusal {
-        Time until{};
-        Clock::duration pause{};
-    };
 
     // leader.cpp
     void on(ReportArrived& command);
@@ -251,8 +248,6 @@
     void requestRentals(const std::map<Offering, std::uint32_t>& wanted);
     bool wasUp(const Machine& machine) const;
     void releaseIdle(const std::set<std::string>& needed);
-    bool refused(const Offering& offering) const;
-    void noteRefusal(const Offering& offering);
 
     const Settings& settings_;
     const Policy& policy_;
@@ -321,7 +316,7 @@
     bool listing_ = false;
     storage::RateBudget cloudBudget_;
     std::deque<PendingRental> rentalsPending_;
-    std::map<Offering, Refusal> refusals_;
+    RentalRefusals refusals_;
     bool releasing_ = false;
     Time nextRelease_{};
 };
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -158,9 +158,7 @@
 /// The cloud has lately refused machines of this type, in every zone.
 bool Leader::allOfferingsRefused(const std::string& type) const {
     const auto* known = typeOf(type);
-    return known && std::all_of(known->zones.begin(), known->zones.end(), [&](const auto& zone) {
-               return refused({type, zone, false});
-           });
+    return known && refusals_.refusedEverywhere(*known, now_);
 }
 
 /// Some machine without accelerators that the job may use can still be rented.
@@ -169,7 +167,8 @@
         if (type.gpus > 0 || !bookkeeping::sizeOf(type).covers(bookkeeping::needOf(job.spec))) continue;
         for (const auto& zone : type.zones)
             for (const bool spot : {false, true})
-                if (allows(job, name, zone, spot) && !refused({name, zone, spot})) return true;
+                if (allows(job, name, zone, spot) && !refusals_.refused({name, zone, spot}, now_))
+                    return true;
     }
     return false;
 }
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -26,17 +26,6 @@
 
 }  // namespace
 
-bool Leader::refused(const Offering& offering) const {
-    const auto found = refusals_.find(offering);
-    return found != refusals_.end() && found->second.until > now_;
-}
-
-void Leader::noteRefusal(const Offering& offering) {
-    auto& refusal = refusals_[offering];
-    refusal.pause = std::clamp<Clock::duration>(refusal.pause * 2, 4s, 16s);
-    refusal.until = now_ + refusal.pause;
-}
-
 /// It has reported, here or to an earlier leader: if it is silent, it does not boot, it is lost.
 bool Leader::wasUp(const Machine& machine) const { return machine.session > 0 || mayHoldTasks(machine.id); }
 
@@ -47,7 +36,7 @@
         if (!bookkeeping::sizeOf(type).covers(bookkeeping::needOf(job.spec))) return false;
         if (std::find(type.zones.begin(), type.zones.end(), zone) == type.zones.end()) return false;
         return std::any_of(std::begin(kSpotChoices), std::end(kSpotChoices), [&](bool spot) {
-            return allows(job, type.name, zone, spot) && !refused({type.name, zone, spot});
+            return allows(job, type.name, zone, spot) && !refusals_.refused({type.name, zone, spot}, now_);
         });
     });
 }
@@ -200,9 +189,9 @@
                         if (!allows(*job, name, zone, spot)) continue;
                         const Offering offering{name, zone, spot};
                         const auto count = std::min({size.times(need), waiting, zoneRoom(zone)});
-                        if (count == 0 || refused(offering)) continue;
+                        if (count == 0 || refusals_.refused(offering, now_)) continue;
                         // What was refused lately is asked for a few only, and the rest elsewhere.
-                        if (refusals_.contains(offering) && wanted[offering] >= kMaxAfterRefusal) continue;
+                        if (refusals_.remembered(offering) && wanted[offering] >= kMaxAfterRefusal) continue;
                         const double cost = (spot ? type.spotPrice : type.price) / count;
                         if (best && cost >= bestCost) continue;
                         bestOffering = offering;
@@ -272,13 +261,13 @@
     }
     rentalsPending_.erase(found);
     if (!command.rented || command.machines.size() < request.count) {
-        noteRefusal(offering);
+        refusals_.note(offering, now_);
         std::erase_if(rentalsPending_, [&](const auto& other) {
             const auto& r = other.request;
             return other.fresh && Offering{r.type, r.zone, r.spot} == offering;
         });
     }
-    if (command.rented && command.machines.size() >= request.count) refusals_.erase(offering);
+    if (command.rented && command.machines.size() >= request.count) refusals_.forget(offering);
     for (const auto& id : command.machines) {
         if (removedMachines_.contains(id) || fleet_.find(id)) continue;
         findOrAddMachine(id, request.type, request.zone, request.spot);
