--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -72,7 +72,8 @@
       maxBitmapBytes_(settings.valueBytes()),
       maxFinalBytes_(settings.valueBytes()),
       lastReport_(now),
-      cloudBudget_(settings.cloudRps * 0.8, now) {
+      cloudBudget_(settings.cloudRps * 0.8, now),
+      rentals_(token) {
     for (const auto& type : replica.types) types_[type.name] = type;
     for (const auto& [id, job] : replica.jobs()) {
         job->run.reset();
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -11,6 +10,7 @@
 
 #include "bookkeeping/fleet.h"
 #include "coordination/rental_refusals.h"
+#include "coordination/rental_requests.h"
 #include "protocol/settings.h"
 #include "storage/store.h"
 
@@ -138,11 +138,6 @@
         bookkeeping::BitRange range;
         std::vector<std::uint32_t> tasks;
     };
-    struct PendingRental {
-        protocol::RentalRequest request;
-        Time since{}, nextTry{};
-        bool asked = false, fresh = true;  // fresh: never asked for so far
-    };
     struct ZoneReservation {  // a zone for a gang
         const Job* job = nullptr;
         Time until{}, since{};
@@ -260,7 +255,7 @@
 
     Fleet fleet_;
     std::map<std::string, MachineType> types_;
-    std::uint64_t attempts_ = 0, rentals_ = 0;
+    std::uint64_t attempts_ = 0;
     // Machines that are gone, with the newest counters seen: what is not newer is a late copy.
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> removedMachines_;
     std::set<std::string> urgent_;  // machines to be sent their stops at once
@@ -315,7 +310,7 @@
          leadsWithoutWorkers_ = false;  // a worker reached this leader; it leads though none does
     bool listing_ = false;
     storage::RateBudget cloudBudget_;
-    std::deque<PendingRental> rentalsPending_;
+    RentalRequests rentals_;
     RentalRefusals refusals_;
     bool releasing_ = false;
     Time nextRelease_{};
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 
-constexpr std::uint32_t kMaxPerRequest = 50;
 constexpr std::size_t kMaxPerRelease = 100;
 constexpr auto kDeleted = std::numeric_limits<std::uint64_t>::max();
 constexpr std::uint32_t kMaxAfterRefusal = 3;
@@ -88,13 +87,12 @@
         if (m->isReserved(now_)) bin.reservedFor = m->reservedFor;
         bins.push_back(std::move(bin));
     }
-    for (const auto& rental : rentalsPending_) {
-        const auto* type = typeOf(rental.request.type);
-        if (!type) continue;
-        for (std::uint32_t i = 0; i < rental.request.count; ++i)
-            bins.push_back({rental.request.type, rental.request.zone, rental.request.spot,
-                            bookkeeping::sizeOf(*type), nullptr});
-    }
+    rentals_.forEach([&](const protocol::RentalRequest& request) {
+        const auto* type = typeOf(request.type);
+        if (!type) return;
+        for (std::uint32_t i = 0; i < request.count; ++i)
+            bins.push_back({request.type, request.zone, request.spot, bookkeeping::sizeOf(*type), nullptr});
+    });
     std::map<Offering, std::uint32_t> wanted;
     std::map<std::string, Resources> teamUse;
     for (auto* job : order_) {
@@ -227,50 +225,29 @@
 }
 
 void Leader::requestRentals(const std::map<Offering, std::uint32_t>& wanted) {
-    for (const auto& [offering, count] : wanted)
-        for (std::uint32_t left = count; left > 0;) {
-            const auto some = std::min(left, kMaxPerRequest);
-            left -= some;
-            rentalsPending_.push_back({{"r-" + std::to_string(token_) + "-" + std::to_string(++rentals_),
-                                        offering.type, offering.zone, offering.spot, some},
-                                       now_,
-                                       now_,
-                                       false,
-                                       true});
-        }
-    for (auto& rental : rentalsPending_) {
-        // One whose outcome is not known is repeated under its name: it rents nothing twice.
-        if (rental.asked || now_ < rental.nextTry) continue;
-        if (!cloudBudget_.take(1, 0, now_)) break;
-        rental.asked = true;
-        rental.fresh = false;
-        actions_.push_back(Rent{rental.request});
-    }
+    for (const auto& [offering, count] : wanted) rentals_.add(offering, count, now_);
+    for (auto& request : rentals_.takeDue(cloudBudget_, now_)) actions_.push_back(Rent{std::move(request)});
 }
 
 void Leader::on(RentalAnswered& command) {
-    const auto found = std::find_if(rentalsPending_.begin(), rentalsPending_.end(),
-                                    [&](const auto& r) { return r.request.name == command.name; });
-    if (found == rentalsPending_.end()) return;
-    const auto request = found->request;
-    const Offering offering{request.type, request.zone, request.spot};
-    found->asked = false;
-    if (!command.rented && !command.noCapacity && !command.malformed) {
-        found->nextTry = now_ + 2s;
+    const bool outcomeKnown = command.rented || command.noCapacity || command.malformed;
+    if (!outcomeKnown) {
+        rentals_.repeat(command.name, now_);
         return;
     }
-    rentalsPending_.erase(found);
-    if (!command.rented || command.machines.size() < request.count) {
+    const auto request = rentals_.settle(command.name);
+    if (!request) return;
+    const auto offering = offeringOf(*request);
+    const bool inFull = command.rented && command.machines.size() >= request->count;
+    if (inFull) {
+        refusals_.forget(offering);
+    } else {
         refusals_.note(offering, now_);
-        std::erase_if(rentalsPending_, [&](const auto& other) {
-            const auto& r = other.request;
-            return other.fresh && Offering{r.type, r.zone, r.spot} == offering;
-        });
+        rentals_.withdrawUnsent(offering);
     }
-    if (command.rented && command.machines.size() >= request.count) refusals_.forget(offering);
     for (const auto& id : command.machines) {
         if (removedMachines_.contains(id) || fleet_.find(id)) continue;
-        findOrAddMachine(id, request.type, request.zone, request.spot);
+        findOrAddMachine(id, request->type, request->zone, request->spot);
         rosterAdd_.insert(id);  // noted for the next leader, which would rent it again
     }
 }
