--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "coordination/machine_status.h"
+
 namespace burlpoint::coordination {
 
 using bookkeeping::AttemptKey;
@@ -139,10 +141,7 @@
 }
 
 /// May an earlier leader have given the machine a task?
-bool Leader::mayHoldTasks(const std::string& id) const {
-    const auto stored = replica_.roster.find(id);
-    return stored != replica_.roster.end() && !stored->second.record.address.empty();
-}
+bool Leader::mayHoldTasks(const std::string& id) const { return coordination::mayHoldTasks(replica_, id); }
 
 /// The machine's record; a new one is not in the roster, so no earlier leader gave the machine a task.
 Machine& Leader::findOrAddMachine(const std::string& id, const std::string& type, const std::string& zone,
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -11,6 +11,7 @@
 #include "bookkeeping/fleet.h"
 #include "coordination/rental_refusals.h"
 #include "coordination/rental_requests.h"
+#include "coordination/rental_rules.h"
 #include "protocol/settings.h"
 #include "storage/store.h"
 
@@ -237,11 +238,8 @@
 
     // provisioning.cpp
     void provision();
-    bool mayRent(const Job& job, const std::string& zone) const;
     bool needsAcceleratorMachine(const Job& job) const;
-    bool worthRenting(const Job& job, const MachineType& type, bool spot) const;
     void requestRentals(const std::map<Offering, std::uint32_t>& wanted);
-    bool wasUp(const Machine& machine) const;
     void releaseIdle(const std::set<std::string>& needed);
 
     const Settings& settings_;
@@ -254,7 +252,7 @@
     std::vector<Action> actions_;
 
     Fleet fleet_;
-    std::map<std::string, MachineType> types_;
+    MachineTypes types_;
     std::uint64_t attempts_ = 0;
     // Machines that are gone, with the newest counters seen: what is not newer is a late copy.
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> removedMachines_;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -35,10 +35,7 @@
 
 }  // namespace
 
-const MachineType* Leader::typeOf(const std::string& name) const {
-    const auto found = types_.find(name);
-    return found == types_.end() ? nullptr : &found->second;
-}
+const MachineType* Leader::typeOf(const std::string& name) const { return findType(types_, name); }
 
 bool Leader::usable(const Machine& m) const {
     // A machine without a stored roster entry would be unknown to the next leader, tasks and all.
@@ -48,10 +45,7 @@
 }
 
 bool Leader::allows(const Job& job, const std::string& type, const std::string& zone, bool spot) const {
-    const auto& s = job.spec;
-    if (spot && !s.spot) return false;
-    if (s.zone && *s.zone != zone) return false;
-    return !s.types || std::find(s.types->begin(), s.types->end(), type) != s.types->end();
+    return coordination::allows(job.spec, type, zone, spot);
 }
 
 /// Could an attempt that an earlier leader started be on a machine not heard from yet?
@@ -163,14 +157,7 @@
 
 /// Some machine without accelerators that the job may use can still be rented.
 bool Leader::plainMachineRentable(const Job& job) const {
-    for (const auto& [name, type] : types_) {
-        if (type.gpus > 0 || !bookkeeping::sizeOf(type).covers(bookkeeping::needOf(job.spec))) continue;
-        for (const auto& zone : type.zones)
-            for (const bool spot : {false, true})
-                if (allows(job, name, zone, spot) && !refusals_.refused({name, zone, spot}, now_))
-                    return true;
-    }
-    return false;
+    return coordination::plainMachineRentable(job.spec, types_, refusals_, now_);
 }
 
 /// The most that jobs with accelerators have asked of each machine type, and the lowest of their priorities.
--- a/src/coordination/rental_refusals.cpp
+++ b/src/coordination/rental_refusals.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Capacity comes back within seconds to minutes: soon enough to notice, and few requests meanwhile.
+// Short enough to notice soon that there is capacity again, with few requests meanwhile.
 constexpr Clock::duration kFirstPause = 4s;
 constexpr Clock::duration kLongestPause = 16s;
 
--- /dev/null
+++ b/src/coordination/rental_rules.h
@@ -0,0 +1,47 @@
+#pragma once
+
+// Which machines a job may use, which of those can be rented for it now, and which are worth their price.
+// Pure functions of a job's description, the cloud's types and its refusals; owns nothing.
+
+#include <map>
+#include <string>
+
+#include "coordination/rental_refusals.h"
+
+namespace burlpoint::coordination {
+
+using protocol::JobSpec;
+
+/// The cloud's machine types by name.
+using MachineTypes = std::map<std::string, MachineType>;
+
+/// Both ways in which a machine of a type and zone is rented: ordinary, and spot, which the cloud may take
+/// back.
+inline constexpr bool kSpotChoices[] = {false, true};
+
+/// The type of that name; null: the cloud has not told of it so far.
+const MachineType* findType(const MachineTypes& types, const std::string& name);
+
+/// The job's owner allows it on such a machine. Says nothing of the machine's size.
+bool allows(const JobSpec& spec, const std::string& type, const std::string& zone, bool spot);
+
+/// Some machine that is large enough for a task of the job, and allowed, could be rented in the zone now.
+bool rentableIn(const std::string& zone, const JobSpec& spec, const MachineTypes& types,
+                const RentalRefusals& refusals, Time now);
+
+/// Some machine without accelerators that the job may use can still be rented.
+bool plainMachineRentable(const JobSpec& spec, const MachineTypes& types, const RentalRefusals& refusals,
+                          Time now);
+
+/// It needs no accelerators and may run nowhere else: its owner allows no machine without them, or none such
+/// is large enough.
+bool needsAcceleratorMachine(const JobSpec& spec, const MachineTypes& types);
+
+/// False for an array that needs no accelerators and a machine that has them, unless a processor costs there
+/// at most twice what it costs on an ordinary plain machine.
+bool worthRenting(const JobSpec& spec, const MachineType& type, bool spot, const MachineTypes& types);
+
+/// What a machine of the type costs, per unit of time as the cloud counts it for all types.
+inline double priceOf(const MachineType& type, bool spot) { return spot ? type.spotPrice : type.price; }
+
+}  // namespace burlpoint::coordination
