--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -74,8 +74,7 @@
       maxBitmapBytes_(settings.valueBytes()),
       maxFinalBytes_(settings.valueBytes()),
       lastReport_(now),
-      cloudBudget_(settings.cloudRps * 0.8, now),
-      rentals_(token) {
+      provisioner_(settings, policy, replica, token, now) {
     for (const auto& type : replica.types) types_[type.name] = type;
     for (const auto& [id, job] : replica.jobs()) {
         job->run.reset();
@@ -892,7 +891,7 @@
         spdlog::debug("job {} {} rank {} waits: {} of {} tasks, {} possible, for {:.1f} s", job->spec.id,
                       job->spec.jobClass, rankOf(*job), job->run->waiting, job->spec.tasks,
                       job->run->liveTotal, Seconds(now_ - job->run->waitingSince).count());
-    for (const auto& offering : refusals_.refusedNow(now_))
+    for (const auto& offering : provisioner_.refusals().refusedNow(now_))
         spdlog::debug("refused: {} {} spot {}", offering.type, offering.zone, offering.spot);
 }
 
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -9,9 +9,7 @@
 #include <vector>
 
 #include "bookkeeping/fleet.h"
-#include "coordination/rental_refusals.h"
-#include "coordination/rental_requests.h"
-#include "coordination/rental_rules.h"
+#include "coordination/provisioner.h"
 #include "protocol/settings.h"
 #include "storage/store.h"
 
@@ -239,8 +237,7 @@
     // provisioning.cpp
     void provision();
     bool needsAcceleratorMachine(const Job& job) const;
-    void requestRentals(const std::map<Offering, std::uint32_t>& wanted);
-    void releaseIdle(const std::set<std::string>& needed);
+    void noteListed(const protocol::Rented& rented);
 
     const Settings& settings_;
     const Policy& policy_;
@@ -303,15 +300,10 @@
 
     // machines
     Time lastTick_{};
-    Time nextSilence_{}, nextPreempt_{}, nextPlan_{}, nextDump_{}, nextList_{}, nextTypes_{}, lastReport_{};
+    Time nextSilence_{}, nextPreempt_{}, nextPlan_{}, nextDump_{}, lastReport_{};
     bool anyReport_ = false,
          leadsWithoutWorkers_ = false;  // a worker reached this leader; it leads though none does
-    bool listing_ = false;
-    storage::RateBudget cloudBudget_;
-    RentalRequests rentals_;
-    RentalRefusals refusals_;
-    bool releasing_ = false;
-    Time nextRelease_{};
+    Provisioner provisioner_;
 };
 
 }  // namespace burlpoint::coordination
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -152,12 +152,12 @@
 /// The cloud has lately refused machines of this type, in every zone.
 bool Leader::allOfferingsRefused(const std::string& type) const {
     const auto* known = typeOf(type);
-    return known && refusals_.refusedEverywhere(*known, now_);
+    return known && provisioner_.refusals().refusedEverywhere(*known, now_);
 }
 
 /// Some machine without accelerators that the job may use can still be rented.
 bool Leader::plainMachineRentable(const Job& job) const {
-    return coordination::plainMachineRentable(job.spec, types_, refusals_, now_);
+    return coordination::plainMachineRentable(job.spec, types_, provisioner_.refusals(), now_);
 }
 
 /// The most that jobs with accelerators have asked of each machine type, and the lowest of their priorities.
--- a/src/coordination/rental_rules.cpp
+++ b/src/coordination/rental_rules.cpp
@@ -11,8 +11,7 @@
 
 namespace {
 
-// Of the price per processor, against a plain machine: an accelerator machine that is there anyway serves
-// jobs that need it as well, but plain work alone is not worth more.
+// Of the price per processor, against a plain machine; beyond that, plain work waits for plain machines.
 constexpr double kMaxPriceRatio = 2;
 
 /// The dearest processor among ordinary machines without accelerators that are large enough; 0: there is
