--- /dev/null
+++ b/tests/capacity_plan_test.cpp
@@ -0,0 +1,290 @@
+#include "coordination/capacity_plan.h"
+
+#include <gtest/gtest.h>
+
+namespace burlpoint::tests {
+
+using namespace std::chrono_literals;
+using bookkeeping::Fleet;
+using bookkeeping::Job;
+using bookkeeping::Machine;
+using bookkeeping::Offering;
+using bookkeeping::RosterState;
+using coordination::CapacityPlan;
+using coordination::MachineTypes;
+using protocol::JobSpec;
+using protocol::Kind;
+using protocol::Seconds;
+using transport::Time;
+
+namespace {
+
+using ToRent = std::map<Offering, std::uint32_t>;
+using Names = std::set<std::string>;
+
+JobSpec make(const std::string& id, std::uint32_t tasks, double cpus, Kind kind = Kind::service) {
+    JobSpec spec;
+    spec.id = id;
+    spec.team = "free";
+    spec.tasks = tasks;
+    spec.cpus = cpus;
+    spec.kind = kind;
+    return spec;
+}
+
+}  // namespace
+
+/// Plans over a hand-made fleet. A processor costs least on a plain machine.
+struct CapacityPlanTest : testing::Test {
+    protocol::Settings settings;
+    protocol::Policy policy;
+    bookkeeping::StateReplica replica;
+    Fleet fleet;
+    MachineTypes types;
+    coordination::RentalRequests pending{7};
+    coordination::RentalRefusals refusals;
+    Time now{1000s};
+    std::vector<std::unique_ptr<Job>> jobs;
+
+    CapacityPlanTest() {
+        settings.zones = {"y", "z"};
+        settings.teams = {{"free", 0, 0, 0, 0}, {"limited", 0, 8, 0, 0}};
+        types["gpu"] = {"gpu", 16, 2, 64, 50, 1, 8, 3, Seconds(30), {"z"}};
+        types["large"] = {"large", 32, 0, 128, 50, 1, 5, 1.2, Seconds(10), {"z"}};
+        types["plain"] = {"plain", 8, 0, 32, 50, 1, 1, 0.3, Seconds(10), {"z"}};
+    }
+    Machine& machine(const std::string& id, const std::string& type = "plain",
+                     const std::string& zone = "z") {
+        auto& added = fleet.add(id, now);
+        added.type = type;
+        added.zone = zone;
+        added.kind = &types.at(type);
+        added.session = 1;
+        added.reports = true;
+        fleet.setReconciled(added, true);
+        return added;
+    }
+    Job& job(JobSpec spec) {
+        auto added = std::make_unique<Job>();
+        added->spec = std::move(spec);
+        added->beginRun(false, now);
+        jobs.push_back(std::move(added));
+        return *jobs.back();
+    }
+    /// A plan of all jobs in the order in which they were made.
+    CapacityPlan plan() {
+        const auto due = [](const Job& job) { return Time(std::chrono::milliseconds(*job.dueMs)); };
+        CapacityPlan out({settings, policy, replica, fleet, types, pending, refusals, due, now});
+        for (const auto& added : jobs) out.add(*added);
+        return out;
+    }
+    static Offering plain(const std::string& zone = "z", bool spot = false) { return {"plain", zone, spot}; }
+};
+
+TEST_F(CapacityPlanTest, RoomThatExistsIsUsedBeforeAnythingIsRented) {
+    machine("m1");
+    machine("m2");
+    machine("m3");
+    job(make("wk-1", 4, 4));
+    EXPECT_EQ(plan().toRent(), ToRent{});
+    EXPECT_EQ(plan().neededMachines(), (Names{"m1", "m2"}));
+}
+
+TEST_F(CapacityPlanTest, WhatIsLeftOverRentsTheCheapestPerTask) {
+    machine("m1");
+    job(make("wk-1", 5, 4));  // two on m1
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain(), 2}}));
+    types["large"].price = 2;
+    job(make("wk-2", 8, 4));
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain(), 2}, {{"large", "z", false}, 1}}));
+}
+
+TEST_F(CapacityPlanTest, SpotMachinesAreRentedOnlyWhereTheOwnerAllowsThem) {
+    auto spec = make("wk-1", 1, 4);
+    job(spec);
+    spec.spot = true;
+    spec.id = "wk-2";
+    spec.cpus = 8;
+    job(spec);
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain(), 1}, {plain("z", true), 1}}));
+}
+
+TEST_F(CapacityPlanTest, MachinesOnTheirWayAreNotRentedAgain) {
+    pending.add(plain(), 2, now);
+    pending.add({"unknown", "z", false}, 5, now);
+    job(make("wk-1", 6, 4));
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain(), 1}}));
+}
+
+TEST_F(CapacityPlanTest, MachinesThatLeaveOrAreLostHaveNoRoom) {
+    machine("m1").draining = true;
+    machine("m2").releasing = true;
+    machine("m3").failed = true;
+    machine("m4").recallAt = now + 30s;
+    machine("m5").unreachableSince = now;
+    machine("m6").errorJobs = {"wk-8", "wk-9"};
+    machine("m7").reports = false;  // it was up: lost
+    machine("m8").kind = nullptr;
+    job(make("wk-1", 1, 8));
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain(), 1}}));
+    EXPECT_EQ(plan().neededMachines(), Names{});
+    auto& booting = machine("m9");
+    booting.session = 0;
+    booting.reports = false;
+    EXPECT_EQ(plan().toRent(), ToRent{});
+    EXPECT_EQ(plan().neededMachines(), Names{"m9"});
+    replica.roster["m9"] = {{"address", "plain", "z", false}, 1};  // an earlier leader heard it
+    EXPECT_EQ(plan().neededMachines(), Names{});
+}
+
+TEST_F(CapacityPlanTest, ReservedRoomIsForItsJobAlone) {
+    auto& reserved = machine("m1");
+    auto& first = job(make("wk-1", 1, 8));
+    auto& second = job(make("wk-2", 1, 8));
+    fleet.reserve(reserved, &second, now + 10s);
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain(), 1}}));
+    EXPECT_EQ(plan().neededMachines(), Names{"m1"});
+    fleet.reserve(reserved, &first, now);  // over
+    second.run->waiting = 0;
+    EXPECT_EQ(plan().toRent(), ToRent{});
+}
+
+TEST_F(CapacityPlanTest, ATeamsLimitCountsWhatIsUsedAndWhatIsPlanned) {
+    auto spec = make("wk-1", 10, 1);
+    spec.team = "limited";
+    auto& running = job(spec);
+    fleet.place(machine("m1"), running, 0, 1, bookkeeping::PlacementState::running, now);
+    fleet.place(*fleet.find("m1"), running, 1, 1, bookkeeping::PlacementState::running, now);
+    running.run->waiting = 2;
+    spec.id = "wk-2";
+    spec.cpus = 4;
+    job(spec);  // of 8 processors 2 are used and 2 planned
+    EXPECT_EQ(plan().toRent(), ToRent{});
+    spec.id = "wk-3";
+    job(spec);
+    EXPECT_EQ(plan().toRent(), ToRent{});
+    running.run->waiting = 0;
+    EXPECT_EQ(plan().toRent(), ToRent{});  // wk-2 has its one task on m1
+    settings.teams[1].cpusMax = 10;
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain(), 1}}));
+}
+
+TEST_F(CapacityPlanTest, ArraysArePackedForTheirHorizon) {
+    policy.backlogHorizon = Seconds(45);
+    auto spec = make("wk-1", 30, 8, Kind::array);
+    spec.estimate = Seconds(15);
+    auto& array = job(spec);
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain(), 10}}));  // three rounds
+    array.dueMs = 1'060'000;                              // due in 60 s: two rounds in half of that
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain(), 15}}));
+    array.dueMs.reset();
+    array.spec.deadline = Seconds(300);
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain(), 3}}));
+    array.run->waitingSince = now - 135s;  // all but one round is over
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain(), 30}}));
+    array.spec.kind = Kind::service;
+    array.run->waitingSince = now;
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain(), 30}}));
+}
+
+TEST_F(CapacityPlanTest, AGangGoesWhereMostOfItHasRoomAndTheRestCanBeRented) {
+    types["plain"].zones = {"y", "z"};
+    machine("m1", "plain", "z");
+    auto spec = make("wk-1", 3, 8, Kind::gang);
+    spec.oneZone = true;
+    job(spec);
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain("z"), 2}}));
+    refusals.note(plain("z"), now);
+    refusals.note({"large", "z", false}, now);
+    refusals.note({"gpu", "z", false}, now);
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain("y"), 3}}));
+    refusals.note(plain("y"), now);
+    EXPECT_EQ(plan().toRent(), ToRent{});
+    EXPECT_EQ(plan().neededMachines(), Names{});
+}
+
+TEST_F(CapacityPlanTest, GangsThatAllHaveToRentAreSpreadOverTheZones) {
+    types["plain"].zones = {"y", "z"};
+    auto spec = make("wk-1", 2, 8, Kind::gang);
+    spec.oneZone = true;
+    job(spec);
+    spec.id = "wk-2";
+    job(spec);
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain("y"), 2}, {plain("z"), 2}}));
+}
+
+TEST_F(CapacityPlanTest, AGangThatRunsPartlyStaysInItsZone) {
+    types["plain"].zones = {"y", "z"};
+    auto spec = make("wk-1", 3, 8, Kind::gang);
+    spec.oneZone = true;
+    auto& gang = job(spec);
+    fleet.place(machine("m1", "plain", "z"), gang, 0, 1, bookkeeping::PlacementState::running, now);
+    machine("m2", "plain", "y");
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain("z"), 2}}));
+    EXPECT_EQ(plan().neededMachines(), Names{});
+}
+
+TEST_F(CapacityPlanTest, SpreadReplicasHaveHalfInAZoneAtMost) {
+    auto spec = make("wk-1", 5, 8);
+    spec.spread = true;
+    job(spec);
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain("z"), 3}}));  // there is no other zone to rent in
+    types["plain"].zones = {"z", "y"};
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain("z"), 3}, {plain("y"), 2}}));
+}
+
+TEST_F(CapacityPlanTest, PlainWorkIsNoReasonToKeepOrRentAnAcceleratorMachine) {
+    machine("m1", "gpu");
+    job(make("wk-1", 3, 8));
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain(), 1}}));
+    EXPECT_EQ(plan().neededMachines(), Names{});
+    auto spec = make("wk-2", 1, 8);
+    spec.types = {"gpu"};
+    job(spec);
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain(), 1}, {{"gpu", "z", false}, 1}}));
+    std::swap(jobs[0], jobs[1]);
+    EXPECT_EQ(plan().neededMachines(), Names{"m1"});
+}
+
+TEST_F(CapacityPlanTest, ArraysRentAcceleratorMachinesOnlyAtTwiceThePlainPriceAtMost) {
+    types.erase("large");
+    refusals.note(plain(), now);
+    auto spec = make("wk-1", 1, 8, Kind::array);
+    spec.estimate = Seconds(100);
+    job(spec);
+    EXPECT_EQ(plan().toRent(), ToRent{});  // four times the price of a plain processor
+    types["gpu"].price = 4;
+    EXPECT_EQ(plan().toRent(), (ToRent{{{"gpu", "z", false}, 1}}));
+    types["gpu"].price = 4.1;
+    EXPECT_EQ(plan().toRent(), ToRent{});
+    jobs[0]->spec.kind = Kind::service;
+    EXPECT_EQ(plan().toRent(), (ToRent{{{"gpu", "z", false}, 1}}));
+}
+
+TEST_F(CapacityPlanTest, WhatWasRefusedLatelyIsAskedForAFewOnlyAndTheRestElsewhere) {
+    types["plain"].zones = {"z", "y"};
+    refusals.note(plain("z"), now);
+    job(make("wk-1", 10, 8));
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain("y"), 10}}));
+    now += 4s;  // the pause is over
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain("z"), 3}, {plain("y"), 7}}));
+}
+
+TEST_F(CapacityPlanTest, NothingIsRentedForWhatIsOverOrFailsEverywhere) {
+    auto& job1 = job(make("wk-1", 1, 8));
+    for (const auto* id : {"m1", "m2"}) job1.run->errorMachines[id] = now;
+    EXPECT_EQ(plan().toRent(), (ToRent{{plain(), 1}}));
+    job1.run->errorMachines["m3"] = now;
+    EXPECT_EQ(plan().toRent(), ToRent{});
+    job1.run->errorMachines.clear();
+    job1.final = bookkeeping::Final::cancelled;
+    job1.run.reset();
+    EXPECT_EQ(plan().toRent(), ToRent{});
+}
+
+TEST_F(CapacityPlanTest, NothingIsRentedThatIsTooSmall) {
+    job(make("wk-1", 1, 64));
+    EXPECT_EQ(plan().toRent(), ToRent{});
+}
+
+}  // namespace burlpoint::tests
