--- a/src/coordination/capacity_plan.h
+++ b/src/coordination/capacity_plan.h
@@ -28,7 +28,8 @@
 using protocol::Seconds;
 using protocol::Settings;
 
-/// What a plan is made from. All of it outlives the plan and stays as it is meanwhile.
+/// What a plan is made from. All of it outlives the plan and stays as it is meanwhile. `types` is what the
+/// machines' own types point into.
 struct PlanInputs {
     const Settings& settings;
     const Policy& policy;
--- a/src/coordination/provisioner.h
+++ b/src/coordination/provisioner.h
@@ -25,10 +25,11 @@
     bool listTypes = false;
 };
 
+/// What came of a request for machines.
 enum class RentalOutcome {
-    carriedOut,  // with some machines or none
-    turnedDown,
-    unknown,  // no answer, or one that says nothing
+    carriedOut,  // with as many machines as asked for, or fewer
+    turnedDown,  // for lack of capacity, or as malformed: it is not repeated
+    unknown,     // no answer, or one that does not tell: it may have been carried out
 };
 
 /// The waiting work that machines are rented for.
@@ -37,20 +38,22 @@
     std::function<Time(const Job&)> dueAt;  // asked only of jobs that have a time due
 };
 
-/// Asked once a second while the node leads; each request is to be answered by the function of its kind, also
-/// if nothing came back.
+/// Decides what to ask of the cloud, for one leadership. The caller sends what `decide` returns and tells
+/// what came of it by the function of the request's kind, also if nothing came back: there is one release and
+/// one list of machines under way at a time.
 class Provisioner {
   public:
     /// All that is referred to outlives the provisioner. The token makes the names of rentals unique.
     Provisioner(const Settings& settings, const Policy& policy, const StateReplica& replica,
                 std::uint64_t token, Time now);
 
-    /// What to ask of the cloud now. Marks the machines to be released in the fleet, so that nothing starts
-    /// on them from here on. The fleet's types must be those given.
+    /// What to ask of the cloud now, as far as its budget goes: rentals first, then a release, then lists.
+    /// Marks the machines to be released in the fleet, so that nothing starts on them from here on. `types`
+    /// is what the machines' own types point into.
     CloudRequests decide(Fleet& fleet, const MachineTypes& types, const WaitingWork& work, Time now);
 
-    /// The cloud rented `machines` machines for the request of that name. Returns the request; none: it is
-    /// repeated as its outcome is unknown, or it was answered before.
+    /// What came of the request of that name; `machines`: how many were rented. Returns the request once it
+    /// is settled; none: its outcome is unknown, so it is repeated, or it was settled before.
     std::optional<RentalRequest> rentalAnswered(const std::string& name, RentalOutcome outcome,
                                                 std::size_t machines, Time now);
 
