--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "coordination/machine_status.h"
+
 namespace burlpoint::coordination {
 
 using bookkeeping::AttemptKey;
@@ -72,7 +74,7 @@
       maxBitmapBytes_(settings.valueBytes()),
       maxFinalBytes_(settings.valueBytes()),
       lastReport_(now),
-      cloudBudget_(settings.cloudRps * 0.8, now) {
+      provisioner_(settings, policy, replica, token, now) {
     for (const auto& type : replica.types) types_[type.name] = type;
     for (const auto& [id, job] : replica.jobs()) {
         job->run.reset();
@@ -138,10 +140,7 @@
 }
 
 /// May an earlier leader have given the machine a task?
-bool Leader::mayHoldTasks(const std::string& id) const {
-    const auto stored = replica_.roster.find(id);
-    return stored != replica_.roster.end() && !stored->second.record.address.empty();
-}
+bool Leader::mayHoldTasks(const std::string& id) const { return coordination::mayHoldTasks(replica_, id); }
 
 /// The machine's record; a new one is not in the roster, so no earlier leader gave the machine a task.
 Machine& Leader::findOrAddMachine(const std::string& id, const std::string& type, const std::string& zone,
@@ -892,9 +891,8 @@
         spdlog::debug("job {} {} rank {} waits: {} of {} tasks, {} possible, for {:.1f} s", job->spec.id,
                       job->spec.jobClass, rankOf(*job), job->run->waiting, job->spec.tasks,
                       job->run->liveTotal, Seconds(now_ - job->run->waitingSince).count());
-    for (const auto& [offering, refusal] : refusals_)
-        if (refusal.until > now_)
-            spdlog::debug("refused: {} {} spot {}", offering.type, offering.zone, offering.spot);
+    for (const auto& offering : provisioner_.refusals().refusedNow(now_))
+        spdlog::debug("refused: {} {} spot {}", offering.type, offering.zone, offering.spot);
 }
 
 // --- time -------------------------------------------------------------------------------------------------
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -10,6 +9,7 @@
 #include <vector>
 
 #include "bookkeeping/fleet.h"
+#include "coordination/provisioner.h"
 #include "protocol/settings.h"
 #include "storage/store.h"
 
@@ -137,11 +137,6 @@
         bookkeeping::BitRange range;
         std::vector<std::uint32_t> tasks;
     };
-    struct PendingRental {
-        protocol::RentalRequest request;
-        Time since{}, nextTry{};
-        bool asked = false, fresh = true;  // fresh: never asked for so far
-    };
     struct ZoneReservation {  // a zone for a gang
         const Job* job = nullptr;
         Time until{}, since{};
@@ -152,10 +147,6 @@
         double loss = 0;
         std::uint32_t tasks = 1;
     };
-    struct Refusal {
-        Time until{};
-        Clock::duration pause{};
-    };
 
     // leader.cpp
     void on(ReportArrived& command);
@@ -245,14 +236,8 @@
 
     // provisioning.cpp
     void provision();
-    bool mayRent(const Job& job, const std::string& zone) const;
     bool needsAcceleratorMachine(const Job& job) const;
-    bool worthRenting(const Job& job, const MachineType& type, bool spot) const;
-    void requestRentals(const std::map<Offering, std::uint32_t>& wanted);
-    bool wasUp(const Machine& machine) const;
-    void releaseIdle(const std::set<std::string>& needed);
-    bool refused(const Offering& offering) const;
-    void noteRefusal(const Offering& offering);
+    void noteListed(const protocol::Rented& rented);
 
     const Settings& settings_;
     const Policy& policy_;
@@ -264,8 +249,8 @@
     std::vector<Action> actions_;
 
     Fleet fleet_;
-    std::map<std::string, MachineType> types_;
-    std::uint64_t attempts_ = 0, rentals_ = 0;
+    MachineTypes types_;
+    std::uint64_t attempts_ = 0;
     // Machines that are gone, with the newest counters seen: what is not newer is a late copy.
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> removedMachines_;
     std::set<std::string> urgent_;  // machines to be sent their stops at once
@@ -315,15 +300,10 @@
 
     // machines
     Time lastTick_{};
-    Time nextSilence_{}, nextPreempt_{}, nextPlan_{}, nextDump_{}, nextList_{}, nextTypes_{}, lastReport_{};
+    Time nextSilence_{}, nextPreempt_{}, nextPlan_{}, nextDump_{}, lastReport_{};
     bool anyReport_ = false,
          leadsWithoutWorkers_ = false;  // a worker reached this leader; it leads though none does
-    bool listing_ = false;
-    storage::RateBudget cloudBudget_;
-    std::deque<PendingRental> rentalsPending_;
-    std::map<Offering, Refusal> refusals_;
-    bool releasing_ = false;
-    Time nextRelease_{};
+    Provisioner provisioner_;
 };
 
 }  // namespace burlpoint::coordination
