--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -66,6 +66,7 @@
       began_(now),
       beganMs_(dayMs),
       now_(now),
+      roster_(replica, fleet_),
       writeBudget_(settings.stateWriteRps * 0.6, now, settings.minWriteRps() * 0.6),
       maxOperations_(settings.minTxnOps()),
       maxBytes_(kMaxBytes),
@@ -80,7 +81,7 @@
     }
     for (const auto& [id, stored] : replica.roster) {
         auto& machine = findOrAddMachine(id, stored.record.type, stored.record.zone, stored.record.spot);
-        if (!mayHoldTasks(id)) continue;  // noted as it was rented: it may boot still
+        if (!roster_.mayHoldTasks(id)) continue;  // noted as it was rented: it may boot still
         machine.address = stored.record.address;
         fleet_.setRoster(machine, RosterState::stored);
         // Whatever earlier leaders answered, they answered before now.
@@ -130,19 +131,6 @@
            std::chrono::milliseconds(static_cast<std::int64_t>(dayMs) - static_cast<std::int64_t>(beganMs_));
 }
 
-/// The roster entry of a machine that has not reported yet has no address. It is a note for the next leader
-/// and no task is given under it: were it otherwise, each take-over would wait for all machines that are
-/// booting.
-storage::MachineRecord Leader::recordOf(const Machine& machine) const {
-    return {machine.session > 0 ? machine.address : "", machine.type, machine.zone, machine.spot};
-}
-
-/// May an earlier leader have given the machine a task?
-bool Leader::mayHoldTasks(const std::string& id) const {
-    const auto stored = replica_.roster.find(id);
-    return stored != replica_.roster.end() && !stored->second.record.address.empty();
-}
-
 /// The machine's record; a new one is not in the roster, so no earlier leader gave the machine a task.
 Machine& Leader::findOrAddMachine(const std::string& id, const std::string& type, const std::string& zone,
                                   bool spot) {
@@ -153,7 +141,7 @@
     machine.zone = zone;
     machine.spot = spot;
     machine.kind = typeOf(type);
-    machine.reconciled = !mayHoldTasks(id);
+    machine.reconciled = !roster_.mayHoldTasks(id);
     // Back in the cloud's list, say: what is not newer than its last message stays old.
     if (const auto left = removedMachines_.find(id); left != removedMachines_.end())
         std::tie(machine.session, machine.sequence) = left->second;
@@ -221,7 +209,7 @@
     machine.reports = true;
     applyReport(machine, report, true);
     // Its entry is written as it comes up, before it has taken the token and can be given tasks.
-    if (machine.acknowledged || (expected && machine.reconciled)) ensureRosterEntry(machine);
+    if (machine.acknowledged || (expected && machine.reconciled)) roster_.ensureEntry(machine);
     actions_.push_back(
         AnswerReport{command.request, true, composeOrders(machine, report, command.cancellationsCurrent)});
     urgent_.erase(machine.id);  // the response has its stops
@@ -568,38 +556,15 @@
     auto& left = removedMachines_[id];
     left = std::max(left, {machine.session, machine.sequence});
     clearAfterLease(machine);
-    if (machine.roster != RosterState::absent) rosterDrop_.insert(id);
-    rosterAdd_.erase(id);
+    roster_.forget(machine);
     fleet_.erase(id);
     orderStale_ = true;
 }
 
-void Leader::ensureRosterEntry(Machine& machine) {
-    const auto stored = replica_.roster.find(machine.id);
-    if (machine.roster == RosterState::writing) return;
-    // It was forgotten, and is back. A deletion of its entry may still be on its way, so the entry counts
-    // only once it is written anew: with its new version that deletion fails.
-    rosterDrop_.erase(machine.id);
-    if (rosterDeleted_.contains(machine.id)) {
-        fleet_.setRoster(machine, RosterState::absent);
-        rosterAdd_.insert(machine.id);
-        return;
-    }
-    if (stored != replica_.roster.end() && stored->second.record == recordOf(machine)) {
-        fleet_.setRoster(machine, RosterState::stored);
-        rosterAdd_.erase(machine.id);
-        return;
-    }
-    fleet_.setRoster(machine, mayHoldTasks(machine.id) ? RosterState::stored : RosterState::absent);
-    rosterAdd_.insert(machine.id);
-}
-
 void Leader::checkSilentMachines() {
     if (now_ < nextSilence_) return;
     nextSilence_ = now_ + 500ms;
-    // Entries of machines that are no more, such as one whose writing was carried out late.
-    for (const auto& [id, stored] : replica_.roster)
-        if (!fleet_.find(id)) rosterDrop_.insert(id);
+    roster_.dropOrphans();
     const auto patience = ticks(settings_.report * 2 + Seconds(0.5));
     std::size_t reporting = 0, silent = 0;
     std::vector<Machine*> lapsed;
@@ -703,16 +668,13 @@
     };
 
     const auto enter = [&](bool reported) {
-        for (const auto& id : rosterAdd_) {
+        for (const auto& id : roster_.additions()) {
             if (!room()) break;
             auto* machine = fleet_.find(id);
             if ((machine->session > 0) != reported) continue;
-            const auto stored = replica_.roster.find(id);
-            auto record = recordOf(*machine);
-            if (!put(keys::machine(id), storage::encodeMachine(record),
-                     stored == replica_.roster.end() ? 0 : stored->second.version))
-                continue;
-            if (machine->roster == RosterState::absent) fleet_.setRoster(*machine, RosterState::writing);
+            auto record = Roster::recordOf(*machine);
+            if (!put(keys::machine(id), storage::encodeMachine(record), roster_.versionOf(id))) continue;
+            roster_.additionSent(id);
             rosterWrites_.emplace_back(id, std::move(record));
         }
     };
@@ -751,12 +713,12 @@
         job->run->nextBits = now_ + kBitmapInterval;
     }
     enter(false);  // notes wait for everything that somebody waits for
-    std::erase_if(rosterDrop_, [&](const auto& id) { return !replica_.roster.contains(id); });
-    for (const auto& id : rosterDrop_) {
+    roster_.dropSettledRemovals();
+    for (const auto& id : roster_.removals()) {
         if (!room()) break;
-        if (!put(keys::machine(id), std::nullopt, replica_.roster[id].version)) continue;
+        if (!put(keys::machine(id), std::nullopt, roster_.versionOf(id))) continue;
         rosterDeletes_.push_back(id);
-        rosterDeleted_.insert(id);
+        roster_.removalSent(id);
     }
     if (write.writes.empty()) return;
     writeBudget_.force(static_cast<double>(write.writes.size()), now_);
@@ -779,25 +741,14 @@
     nextWrite_ = now_ + 150ms;
     const bool applied = result.status == TxnStatus::applied;
     for (const auto& [id, record] : rosterWrites_) {
-        auto* machine = fleet_.find(id);
-        const bool whole = applied && !record.address.empty();
-        if (machine && whole) fleet_.setRoster(*machine, RosterState::stored);
-        if (machine && machine->roster == RosterState::writing)
-            fleet_.setRoster(*machine, RosterState::absent);
-        if (!applied) continue;
-        replica_.roster[id] = {record, result.revision};
-        rosterDeleted_.erase(id);
-        if (!machine)
-            rosterDrop_.insert(id);
-        else if (record == recordOf(*machine))
-            rosterAdd_.erase(id);
+        if (applied)
+            roster_.additionStored(id, record, result.revision);
+        else
+            roster_.additionNotStored(id);
     }
     if (applied) {
         growWrites();
-        for (const auto& id : rosterDeletes_) {
-            replica_.roster.erase(id);
-            rosterDrop_.erase(id);
-        }
+        for (const auto& id : rosterDeletes_) roster_.removalStored(id);
         for (auto& write : doneWrites_) {
             if (write.job->final != Final::open) continue;
             for (const auto task : write.tasks) write.job->setDone(task);
@@ -875,8 +826,7 @@
         return;
     }
     refreshing_ = false;
-    for (auto& [id, machine] : fleet_.machines())
-        if (machine->reports && machine->roster != RosterState::stored) ensureRosterEntry(*machine);
+    roster_.ensureEntriesOfReporting();
 }
 
 /// The whole picture, for a debug log.
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "bookkeeping/fleet.h"
+#include "coordination/roster.h"
 #include "protocol/settings.h"
 #include "storage/store.h"
 
@@ -192,9 +193,6 @@
     void sendUrgentStops();
     void drainForRecall(Machine& machine);
     void checkSilentMachines();
-    storage::MachineRecord recordOf(const Machine& machine) const;
-    bool mayHoldTasks(const std::string& id) const;
-    void ensureRosterEntry(Machine& machine);
     void maybeWrite();
     void shrinkWrites();
     void growWrites();
@@ -270,6 +268,8 @@
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> removedMachines_;
     std::set<std::string> urgent_;  // machines to be sent their stops at once
 
+    Roster roster_;
+
     // the state service
     storage::RateBudget writeBudget_;
     // What a transaction may have. Lowered when the service says that one was too large, and raised again.
@@ -282,8 +282,6 @@
     bool writing_ = false, refreshing_ = false;
     Time nextWrite_{};
     std::set<Job*> unstored_;  // with done tasks whose bits are to be stored
-    std::set<std::string> rosterAdd_, rosterDrop_;
-    std::set<std::string> rosterDeleted_;  // entries whose deletion was sent and that were not written since
     bool typesUnstored_ = false;
     std::vector<DoneWrite> doneWrites_;                        // of the write under way
     std::vector<std::pair<Job*, std::uint64_t>> finalWrites_;  // and the time of day of their ends
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -38,7 +38,9 @@
 }
 
 /// It has reported, here or to an earlier leader: if it is silent, it does not boot, it is lost.
-bool Leader::wasUp(const Machine& machine) const { return machine.session > 0 || mayHoldTasks(machine.id); }
+bool Leader::wasUp(const Machine& machine) const {
+    return machine.session > 0 || roster_.mayHoldTasks(machine.id);
+}
 
 /// Could any more machines for the job be had in the zone?
 bool Leader::mayRent(const Job& job, const std::string& zone) const {
@@ -282,7 +284,7 @@
     for (const auto& id : command.machines) {
         if (removedMachines_.contains(id) || fleet_.find(id)) continue;
         findOrAddMachine(id, request.type, request.zone, request.spot);
-        rosterAdd_.insert(id);  // noted for the next leader, which would rent it again
+        roster_.noteRented(id);
     }
 }
 
@@ -342,7 +344,7 @@
         auto& machine = findOrAddMachine(rented.id, rented.type, rented.zone, rented.spot);
         // Rented by an earlier leader, or by a request that was carried out late. One that may have had tasks
         // is silent, not booting, and its age says nothing.
-        if (machine.session == 0 && !mayHoldTasks(rented.id))
+        if (machine.session == 0 && !roster_.mayHoldTasks(rented.id))
             machine.knownSince =
                 std::min(machine.knownSince, now_ - ticks(std::min(rented.age, Seconds(86'400))));
         if (!known) machine.busyUntil = now_;
--- a/tests/world.h
+++ b/tests/world.h
@@ -68,7 +68,8 @@
     static std::string writing(const Leader& l) {
         return "writing " + std::to_string(l.writing_) + " refreshing " + std::to_string(l.refreshing_) +
                " unstored " + std::to_string(l.unstored_.size()) + " roster +" +
-               std::to_string(l.rosterAdd_.size()) + " -" + std::to_string(l.rosterDrop_.size());
+               std::to_string(l.roster_.additions().size()) + " -" +
+               std::to_string(l.roster_.removals().size());
     }
 };
 
