--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -14,23 +14,15 @@
 using protocol::TaskReport;
 using protocol::TaskState;
 using storage::Final;
-using storage::TxnStatus;
 using namespace std::chrono_literals;
 
-namespace keys = storage::keys;
-
 namespace {
 
 constexpr std::size_t kMaxOrders = 300;       // keeps a response well below 64 KiB
-constexpr auto kBitmapInterval = 1s;          // a job's finished tasks gather for this long
 constexpr std::uint32_t kMaxUndelivered = 2;  // answers that did not get through, in a row
 constexpr Seconds kGangReservation{5};        // machines of a stopped gang, beyond its save and reports
 constexpr auto kTakeOverGrace = 1500ms;  // within this after a take-over most workers report by themselves
 constexpr std::size_t kMaxProbes = 100;  // at a time
-constexpr std::size_t kMaxBytes = 48 * 1024;  // of the 64 KiB that a transaction may have
-constexpr std::size_t kMinBytes = 512, kMinBitBytes = 16, kMinFinalBytes = 128;
-constexpr auto kGrowthPause = 10s, kMaxGrowthPause = 320s;
-constexpr auto kDeferredFor = 30s;
 constexpr auto kWithoutWorkersMargin =
     20s;                       // beyond the leases: lost machines are given back and others rented
 constexpr auto kTickGap = 3s;  // without a tick this node did not lead in the meantime
@@ -64,14 +56,10 @@
       replica_(replica),
       token_(token),
       began_(now),
-      beganMs_(dayMs),
+      dayClock_(now, dayMs),
       now_(now),
       roster_(replica, fleet_),
-      writeBudget_(settings.stateWriteRps * 0.6, now, settings.minWriteRps() * 0.6),
-      maxOperations_(settings.minTxnOps()),
-      maxBytes_(kMaxBytes),
-      maxBitmapBytes_(settings.valueBytes()),
-      maxFinalBytes_(settings.valueBytes()),
+      writer_(settings, replica, fleet_, roster_, types_, dayClock_, now),
       lastReport_(now),
       cloudBudget_(settings.cloudRps * 0.8, now) {
     for (const auto& type : replica.types) types_[type.name] = type;
@@ -106,7 +94,7 @@
     now_ = std::max(now_, now);
     std::visit([this](auto& c) { on(c); }, command);
     sendUrgentStops();
-    maybeWrite();
+    if (auto write = writer_.nextWrite(now_)) actions_.push_back(std::move(*write));
     return std::exchange(actions_, {});
 }
 
@@ -116,21 +104,15 @@
     for (const auto& objective : settings_.objectives)
         if (objective.kind == "wait" && objective.jobClass == job.spec.jobClass)
             job.run->tightWait = std::min(job.run->tightWait.value_or(objective.within), objective.within);
-    job.run->readyAt = std::min(now_, clockOf(job.readyMs));
+    job.run->readyAt = std::min(now_, dayClock_.steadyAt(job.readyMs));
     spdlog::debug("job {} {} of {} tasks, ready for {:.3f} s", job.spec.id, job.spec.jobClass, job.spec.tasks,
                   Seconds(now_ - job.run->readyAt).count());
     // An earlier leader may have stored the last bits and not the end of the job.
-    if (job.doneCount == job.spec.tasks) unstored_.insert(&job);
+    if (job.doneCount == job.spec.tasks) writer_.noteUnstored(job);
     open_.push_back(&job);
     orderStale_ = true;
 }
 
-/// When it was that time of day, by this node's steady clock.
-Time Leader::clockOf(std::uint64_t dayMs) const {
-    return began_ +
-           std::chrono::milliseconds(static_cast<std::int64_t>(dayMs) - static_cast<std::int64_t>(beganMs_));
-}
-
 /// The machine's record; a new one is not in the roster, so no earlier leader gave the machine a task.
 Machine& Leader::findOrAddMachine(const std::string& id, const std::string& type, const std::string& zone,
                                   bool spot) {
@@ -382,7 +364,7 @@
         fresh = job.finish(task);
     }
     if (!fresh) return;
-    unstored_.insert(&job);
+    writer_.noteUnstored(job);
     job.run->errorMachines.clear();
     job.run->succeeded = true;
 }
@@ -640,192 +622,37 @@
             continue;
         }
         std::erase(open_, job);
-        unstored_.erase(job);
+        writer_.forget(*job);
         if (job->run) stopJob(*job, Seconds(0));
     }
 }
 
-void Leader::maybeWrite() {
-    if (writing_ || refreshing_ || now_ < nextWrite_) return;
-    const auto most = std::min<std::size_t>(
-        maxOperations_, static_cast<std::size_t>(std::max(0.0, writeBudget_.available(now_))));
-    std::erase_if(deferredKeys_, [this](const auto& entry) { return entry.second <= now_; });
-    WriteState write;
-    write.conditions.push_back({keys::kToken, replica_.tokenVersion});
-    std::size_t bytes = 0;
-    bool full = false;
-    const auto room = [&] { return write.writes.size() < most && !full; };
-    // A condition for each write and one for the token: four times the writes are allowed.
-    const auto put = [&](const std::string& key, std::optional<std::string> value, std::uint64_t version) {
-        if (deferredKeys_.contains(key)) return false;
-        const auto size = (value ? protocol::jsonBytes(*value) : 0) + 2 * key.size() + 120;
-        full = !write.writes.empty() && bytes + size > maxBytes_;
-        if (full) return false;
-        bytes += size;
-        write.conditions.push_back({key, version});
-        write.writes.push_back({key, std::move(value), 0});
-        return true;
-    };
-
-    const auto enter = [&](bool reported) {
-        for (const auto& id : roster_.additions()) {
-            if (!room()) break;
-            auto* machine = fleet_.find(id);
-            if ((machine->session > 0) != reported) continue;
-            auto record = Roster::recordOf(*machine);
-            if (!put(keys::machine(id), storage::encodeMachine(record), roster_.versionOf(id))) continue;
-            roster_.additionSent(id);
-            rosterWrites_.emplace_back(id, std::move(record));
-        }
-    };
-    enter(true);
-    for (auto* job : unstored_) {
-        if (!room()) break;
-        if (!finalWriteSuffices(*job)) continue;
-        // Whatever bits are missing, the record that says "done" stands for all of them.
-        const auto endedMs =
-            beganMs_ + static_cast<std::uint64_t>(
-                           std::chrono::duration_cast<std::chrono::milliseconds>(now_ - began_).count());
-        const storage::JobRecord record{job->spec,       Final::done,     job->acceptedMs,
-                                        job->spec.tasks, job->chunkTasks, endedMs};
-        if (put(keys::job(job->spec.id), storage::encodeFinal(record, maxFinalBytes_), job->version))
-            finalWrites_.emplace_back(job, endedMs);
-    }
-    if (typesUnstored_ && room()) {
-        for (const auto& [name, type] : types_) typesWrite_.push_back(type);
-        if (!put(keys::kTypes, protocol::encodeMachineTypes(typesWrite_), replica_.typesVersion))
-            typesWrite_.clear();
-    }
-    for (auto* job : unstored_) {
-        if (!room() || now_ < job->run->nextBits || finalWriteSuffices(*job)) continue;
-        std::map<bookkeeping::BitRange, std::vector<std::uint32_t>> ranges;
-        for (const auto task : job->run->unstored)
-            ranges[job->rangeOf(task, maxBitmapBytes_)].push_back(task);
-        for (auto& [range, tasks] : ranges) {
-            if (!room()) break;
-            auto bits = job->done;
-            bits.resize(job->spec.tasks);
-            for (const auto task : tasks) bits[task] = true;
-            if (put(job->keyOf(range), storage::encodeBits(bits, range.first, range.end - range.first),
-                    job->versionOf(range)))
-                doneWrites_.push_back({job, range, std::move(tasks)});
-        }
-        job->run->nextBits = now_ + kBitmapInterval;
-    }
-    enter(false);  // notes wait for everything that somebody waits for
-    roster_.dropSettledRemovals();
-    for (const auto& id : roster_.removals()) {
-        if (!room()) break;
-        if (!put(keys::machine(id), std::nullopt, roster_.versionOf(id))) continue;
-        rosterDeletes_.push_back(id);
-        roster_.removalSent(id);
-    }
-    if (write.writes.empty()) return;
-    writeBudget_.force(static_cast<double>(write.writes.size()), now_);
-    writing_ = true;
-    writingBytes_ = bytes;
-    writingKeys_.clear();
-    for (const auto& w : write.writes) writingKeys_.push_back(w.key);
-    actions_.push_back(std::move(write));
-}
-
-bool Leader::finalWriteSuffices(const Job& job) const {
-    if (job.doneCount + job.run->unstored.size() < job.spec.tasks) return false;
-    return job.run->unstored.empty() || job.chunks() == 1;
-}
-
 void Leader::on(StateWritten& command) {
-    writing_ = false;
-    const auto& result = command.result;
-    // Other users of the store need their turn, and a moment's wait lets changes gather.
-    nextWrite_ = now_ + 150ms;
-    const bool applied = result.status == TxnStatus::applied;
-    for (const auto& [id, record] : rosterWrites_) {
-        if (applied)
-            roster_.additionStored(id, record, result.revision);
-        else
-            roster_.additionNotStored(id);
-    }
-    if (applied) {
-        growWrites();
-        for (const auto& id : rosterDeletes_) roster_.removalStored(id);
-        for (auto& write : doneWrites_) {
-            if (write.job->final != Final::open) continue;
-            for (const auto task : write.tasks) write.job->setDone(task);
-            write.job->setVersion(write.range, result.revision);
-            if (write.job->run->unstored.empty() && write.job->doneCount < write.job->spec.tasks)
-                unstored_.erase(write.job);
-        }
-        std::vector<bookkeeping::Change> changes;
-        for (const auto& [job, endedMs] : finalWrites_) {
-            if (job->final != Final::open) continue;
-            replica_.noteDone(*job, result.revision, endedMs, changes);
-            unstored_.erase(job);
-            std::erase(open_, job);
-            orderStale_ = true;
-        }
-        // Only now may what needs these jobs start: until its end was stored a cancellation could still win.
-        jobsChanged(changes);
-        if (!typesWrite_.empty()) {
-            replica_.types = typesWrite_;
-            replica_.typesVersion = result.revision;
-            typesUnstored_ = false;
-        }
-    } else if (result.status == TxnStatus::conflict &&
-               std::find(result.failed.begin(), result.failed.end(), keys::kToken) != result.failed.end()) {
-        actions_.push_back(Resign{"another node raised the token"});
-    } else if (result.status == TxnStatus::tooLarge) {
-        shrinkWrites();
-    } else if (result.status == TxnStatus::refused || result.status == TxnStatus::tooMany) {
-        nextWrite_ = now_ + 500ms;
-        if (result.status == TxnStatus::tooMany) writeBudget_.refused(now_);
-    } else {
-        // Changed by a user's cancellation, or of unknown outcome: see what is stored, then try again.
-        refreshing_ = true;
-        actions_.push_back(RefreshReplica{});
+    const auto outcome = writer_.handle(command, now_);
+    for (auto* job : outcome.ended) {
+        std::erase(open_, job);
+        orderStale_ = true;
     }
-    typesWrite_.clear();
-    doneWrites_.clear();
-    finalWrites_.clear();
-    rosterWrites_.clear();
-    rosterDeletes_.clear();
-}
-
-/// The last write was too large for the service. All that it held is still to be stored, in smaller pieces;
-/// what is too large alone is a bitmap, which can be cut further, or a last record that can go without more,
-/// or waits aside while the rest goes on.
-void Leader::shrinkWrites() {
-    growthPause_ = std::clamp<Clock::duration>(growthPause_ * 2, kGrowthPause, kMaxGrowthPause);
-    nextGrowth_ = now_ + growthPause_;
-    for (auto& write : doneWrites_) write.job->run->nextBits = now_;
-    if (writingKeys_.size() > 1) {
-        maxOperations_ = writingKeys_.size() / 2;
-        maxBytes_ = std::max(kMinBytes, writingBytes_ / 2);
-    } else if (!doneWrites_.empty() && maxBitmapBytes_ > kMinBitBytes) {
-        // Below the value that was refused: a small job's chunk may have been well within the bound.
-        const auto& range = doneWrites_.front().range;
-        const auto bytes = (range.end - range.first + 3) / 4 + 2;
-        maxBitmapBytes_ = std::max(kMinBitBytes, std::min(maxBitmapBytes_, bytes) / 2);
-    } else if (!finalWrites_.empty() && maxFinalBytes_ > kMinFinalBytes) {
-        maxFinalBytes_ = std::min(maxFinalBytes_, writingBytes_) / 2;
-    } else {
-        deferredKeys_[writingKeys_.front()] = now_ + kDeferredFor;
+    // Only now may what needs these jobs start: until its end was stored a cancellation could still win.
+    jobsChanged(outcome.changes);
+    switch (outcome.followUp) {
+        case StateWriter::FollowUp::none:
+            break;
+        case StateWriter::FollowUp::resign:
+            actions_.push_back(Resign{"another node raised the token"});
+            break;
+        case StateWriter::FollowUp::refreshReplica:
+            actions_.push_back(RefreshReplica{});
+            break;
     }
 }
 
-void Leader::growWrites() {
-    if (now_ < nextGrowth_) return;
-    maxOperations_ = std::min<std::size_t>(maxOperations_ * 2, settings_.minTxnOps());
-    maxBytes_ = std::min(maxBytes_ * 2, kMaxBytes);
-    nextGrowth_ = now_ + growthPause_;
-}
-
 void Leader::on(ReplicaRefreshed& command) {
     if (!command.ok) {
         actions_.push_back(RefreshReplica{});
         return;
     }
-    refreshing_ = false;
+    writer_.replicaRefreshed();
     roster_.ensureEntriesOfReporting();
 }
 
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -10,7 +10,9 @@
 #include <vector>
 
 #include "bookkeeping/fleet.h"
+#include "coordination/day_clock.h"
 #include "coordination/roster.h"
+#include "coordination/state_writer.h"
 #include "protocol/settings.h"
 #include "storage/store.h"
 
@@ -49,9 +51,6 @@
 struct JobsChanged {
     std::vector<std::string> ids;
 };
-struct StateWritten {  // what came of WriteState
-    storage::TxnResult result;
-};
 struct ReplicaRefreshed {
     bool ok = false;
 };
@@ -89,10 +88,6 @@
     std::vector<Order> orders;
     Counters known{};  // the newest seen before: whatever answers these orders is newer
 };
-struct WriteState {
-    std::vector<protocol::KeyCondition> conditions;
-    std::vector<protocol::KeyWrite> writes;
-};
 struct RefreshReplica {};
 struct Rent {
     protocol::RentalRequest request;
@@ -125,6 +120,8 @@
 
     std::uint64_t token() const { return token_; }
     const Fleet& fleet() const { return fleet_; }
+    /// What is stored and what is still to be, for tests and logs.
+    const StateWriter& stateWriter() const { return writer_; }
     std::vector<std::pair<std::string, std::uint32_t>> runningCounts() const;
 
     /// The worker's lease as its controllers must count it: from the receipt of a report, with drift.
@@ -133,11 +130,6 @@
   private:
     friend class LeaderProbe;  // tests look inside
 
-    struct DoneWrite {
-        Job* job;
-        bookkeeping::BitRange range;
-        std::vector<std::uint32_t> tasks;
-    };
     struct PendingRental {
         protocol::RentalRequest request;
         Time since{}, nextTry{};
@@ -185,19 +177,14 @@
     void noteUndelivered(Machine& machine);
     void removeMachine(Machine& machine);
     void beginJob(Job& job, bool inherited);
-    Time clockOf(std::uint64_t dayMs) const;
-    Time dueAt(const Job& job) const { return clockOf(*job.dueMs); }
+    Time dueAt(const Job& job) const { return dayClock_.steadyAt(*job.dueMs); }
     void jobsChanged(const std::vector<bookkeeping::Change>& changes);
     std::vector<Order> composeOrders(Machine& machine, const Report& report, bool cancellationsCurrent);
     std::vector<Order> stopOrders(const Machine& machine) const;
     void sendUrgentStops();
     void drainForRecall(Machine& machine);
     void checkSilentMachines();
-    void maybeWrite();
-    void shrinkWrites();
-    void growWrites();
     void dump() const;
-    bool finalWriteSuffices(const Job& job) const;
 
     // placement.cpp
     bool usable(const Machine& machine) const;
@@ -257,7 +244,7 @@
     StateReplica& replica_;
     const std::uint64_t token_;
     const Time began_;
-    const std::uint64_t beganMs_;
+    const DayClock dayClock_;
     Time now_;
     std::vector<Action> actions_;
 
@@ -269,25 +256,7 @@
     std::set<std::string> urgent_;  // machines to be sent their stops at once
 
     Roster roster_;
-
-    // the state service
-    storage::RateBudget writeBudget_;
-    // What a transaction may have. Lowered when the service says that one was too large, and raised again.
-    std::size_t maxOperations_, maxBytes_, maxBitmapBytes_, maxFinalBytes_;
-    Clock::duration growthPause_{};
-    Time nextGrowth_{};
-    std::map<std::string, Time> deferredKeys_;  // keys whose value is too large alone, until when
-    std::vector<std::string> writingKeys_;      // of the write under way
-    std::size_t writingBytes_ = 0;
-    bool writing_ = false, refreshing_ = false;
-    Time nextWrite_{};
-    std::set<Job*> unstored_;  // with done tasks whose bits are to be stored
-    bool typesUnstored_ = false;
-    std::vector<DoneWrite> doneWrites_;                        // of the write under way
-    std::vector<std::pair<Job*, std::uint64_t>> finalWrites_;  // and the time of day of their ends
-    std::vector<std::pair<std::string, storage::MachineRecord>> rosterWrites_;
-    std::vector<std::string> rosterDeletes_;
-    std::vector<MachineType> typesWrite_;
+    StateWriter writer_;
 
     // placement
     std::vector<Job*> order_;  // waiting jobs in the order they are walked
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -377,7 +377,7 @@
     }
     for (const auto& [id, machine] : fleet_.machines())
         if (!machine->kind) machine->kind = typeOf(machine->type);
-    if (changed) typesUnstored_ = true;
+    if (changed) writer_.noteTypesChanged();
     orderStale_ = true;
 }
 
--- /dev/null
+++ b/tests/state_writer_test.cpp
@@ -0,0 +1,235 @@
+#include "coordination/state_writer.h"
+
+#include <gtest/gtest.h>
+
+#include "storage/records.h"
+
+using namespace burlpoint;
+using namespace std::chrono_literals;
+using bookkeeping::Job;
+using coordination::DayClock;
+using coordination::Roster;
+using coordination::StateWriter;
+using coordination::StateWritten;
+using coordination::WriteState;
+using storage::Final;
+using storage::TxnStatus;
+using FollowUp = StateWriter::FollowUp;
+
+namespace {
+
+constexpr std::uint64_t kTokenVersion = 5;
+constexpr std::uint64_t kDayMs = 1'000'000;  // time of day as the writer is made
+
+struct StateWriterTest : testing::Test {
+    StateWriterTest() {
+        settings.txnOps = 4;
+        settings.stateWriteRps = 1000;
+        replica.tokenVersion = kTokenVersion;
+    }
+
+    protocol::Settings settings;
+    bookkeeping::StateReplica replica;
+    bookkeeping::Fleet fleet;
+    Roster roster{replica, fleet};
+    std::map<std::string, protocol::MachineType> types;
+    transport::Time now{1000s};
+    DayClock dayClock{now, kDayMs};
+    std::optional<StateWriter> made;
+    std::uint64_t revision = 100;
+
+    /// Made on first use, so that a test can change the settings before.
+    StateWriter& writer() {
+        if (!made) made.emplace(settings, replica, fleet, roster, types, dayClock, now);
+        return *made;
+    }
+    /// An open job with a run, whose chunks have `chunkTasks` tasks.
+    Job& accept(const std::string& id, std::uint32_t tasks, std::uint32_t chunkTasks = 1000) {
+        storage::JobRecord record;
+        record.spec.id = id;
+        record.spec.jobClass = std::string("c");
+        record.spec.image = std::string("i");
+        record.spec.team = std::string("t");
+        record.spec.cpus = 1;
+        record.spec.tasks = tasks;
+        record.chunkTasks = chunkTasks;
+        const auto packed = protocol::unpackBody(storage::encodeJob(record));
+        std::vector<bookkeeping::Change> changes;
+        EXPECT_TRUE(replica.apply({storage::keys::job(id), &packed.get(), ++revision}, changes));
+        auto& job = *replica.find(id);
+        job.beginRun(false, now);
+        return job;
+    }
+    void finish(Job& job, std::uint32_t task) {
+        ASSERT_TRUE(job.finish(task));
+        writer().noteUnstored(job);
+    }
+    void rent(const std::string& id, std::uint64_t session) {
+        auto& machine = fleet.add(id, now);
+        machine.address = id;
+        machine.session = session;
+        roster.noteRented(id);
+    }
+    StateWriter::Outcome answer(TxnStatus status, std::vector<std::string> failed = {}) {
+        StateWritten written;
+        written.result.status = status;
+        written.result.failed = std::move(failed);
+        if (status == TxnStatus::applied) written.result.revision = ++revision;
+        return writer().handle(written, now);
+    }
+    /// The keys of the next transaction once the pause after the last one is over; empty if there is none.
+    std::vector<std::string> nextKeys() {
+        now += 200ms;
+        std::vector<std::string> keys;
+        if (const auto write = writer().nextWrite(now))
+            for (const auto& each : write->writes) keys.push_back(each.key);
+        return keys;
+    }
+};
+
+using Keys = std::vector<std::string>;
+
+}  // namespace
+
+TEST_F(StateWriterTest, EachWriteIsConditionalOnTheTokenAndOnItsKey) {
+    auto& job = accept("wk-1", 2);
+    finish(job, 0);
+    finish(job, 1);
+    const auto write = writer().nextWrite(now);
+    ASSERT_TRUE(write);
+    ASSERT_EQ(write->writes.size(), 1u);
+    ASSERT_EQ(write->conditions.size(), 2u);
+    EXPECT_EQ(write->conditions[0].key, storage::keys::kToken);
+    EXPECT_EQ(write->conditions[0].version, kTokenVersion);
+    EXPECT_EQ(write->conditions[1].key, storage::keys::job("wk-1"));
+    EXPECT_EQ(write->conditions[1].version, job.version);
+}
+
+TEST_F(StateWriterTest, AJobIsDoneOnceItsEndIsStored) {
+    auto& job = accept("wk-1", 2);
+    finish(job, 0);
+    finish(job, 1);
+    now += 5s;
+    ASSERT_TRUE(writer().nextWrite(now));
+    EXPECT_EQ(job.final, Final::open);
+    EXPECT_FALSE(writer().nextWrite(now + 10s)) << "one transaction is under way at a time";
+    const auto outcome = answer(TxnStatus::applied);
+    EXPECT_EQ(outcome.followUp, FollowUp::none);
+    EXPECT_EQ(outcome.ended, std::vector<Job*>{&job});
+    EXPECT_EQ(job.final, Final::done);
+    EXPECT_EQ(job.endedMs, kDayMs + 5000);
+    EXPECT_EQ(nextKeys(), Keys{});
+}
+
+TEST_F(StateWriterTest, BitsCountOnceTheyAreStoredAndGatherForASecond) {
+    auto& job = accept("wk-1", 10);
+    finish(job, 3);
+    ASSERT_EQ(nextKeys(), Keys{storage::keys::doneChunk("wk-1", 0)});
+    EXPECT_FALSE(job.isDone(3));
+    EXPECT_TRUE(answer(TxnStatus::applied).ended.empty());
+    EXPECT_TRUE(job.isDone(3));
+    finish(job, 4);
+    EXPECT_EQ(nextKeys(), Keys{});
+    now += 1s;
+    EXPECT_EQ(nextKeys(), Keys{storage::keys::doneChunk("wk-1", 0)});
+}
+
+TEST_F(StateWriterTest, ARaisedTokenEndsTheLeadership) {
+    finish(accept("wk-1", 1), 0);
+    ASSERT_TRUE(writer().nextWrite(now));
+    EXPECT_EQ(answer(TxnStatus::conflict, {storage::keys::kToken}).followUp, FollowUp::resign);
+}
+
+// After a conflict or an unknown outcome only a read tells what is stored.
+TEST_F(StateWriterTest, NothingIsWrittenBeforeTheReplicaIsReadAnew) {
+    finish(accept("wk-1", 1), 0);
+    const auto key = storage::keys::job("wk-1");
+    for (const auto status : {TxnStatus::conflict, TxnStatus::unknown, TxnStatus::noLease}) {
+        ASSERT_EQ(nextKeys(), Keys{key});
+        EXPECT_EQ(answer(status, {key}).followUp, FollowUp::refreshReplica);
+        now += 10s;
+        EXPECT_EQ(nextKeys(), Keys{});
+        writer().replicaRefreshed();
+    }
+    EXPECT_EQ(nextKeys(), Keys{key});
+}
+
+TEST_F(StateWriterTest, ARefusedTransactionIsSentAgainAfterAPause) {
+    finish(accept("wk-1", 1), 0);
+    for (const auto status : {TxnStatus::refused, TxnStatus::tooMany}) {
+        ASSERT_EQ(nextKeys().size(), 1u);
+        EXPECT_EQ(answer(status).followUp, FollowUp::none);
+        EXPECT_EQ(nextKeys(), Keys{});  // 200 ms later
+        now += 300ms;
+    }
+    EXPECT_EQ(nextKeys().size(), 1u);
+}
+
+TEST_F(StateWriterTest, WhatWasTooLargeGoesInSmallerPiecesAndGrowsAgain) {
+    for (const auto* id : {"m1", "m2", "m3", "m4", "m5"}) rent(id, 1);
+    ASSERT_EQ(nextKeys().size(), 4u);
+    answer(TxnStatus::tooLarge);
+    EXPECT_EQ(nextKeys().size(), 2u);
+    answer(TxnStatus::tooLarge);
+    EXPECT_EQ(nextKeys().size(), 1u);
+    answer(TxnStatus::applied);
+    EXPECT_EQ(nextKeys().size(), 1u) << "not at once";
+    now += 30s;
+    answer(TxnStatus::applied);
+    EXPECT_EQ(nextKeys().size(), 2u);
+}
+
+TEST_F(StateWriterTest, WhatIsTooLargeAloneWaitsAsideWhileTheRestGoesOn) {
+    rent("m1", 1);
+    ASSERT_EQ(nextKeys(), Keys{storage::keys::machine("m1")});
+    answer(TxnStatus::tooLarge);
+    rent("m2", 1);
+    EXPECT_EQ(nextKeys(), Keys{storage::keys::machine("m2")});
+    answer(TxnStatus::applied);
+    EXPECT_EQ(nextKeys(), Keys{});
+    now += 30s;
+    EXPECT_EQ(nextKeys(), Keys{storage::keys::machine("m1")});
+}
+
+TEST_F(StateWriterTest, ABitmapThatIsTooLargeAloneIsCut) {
+    auto& job = accept("wk-1", 2000, 2000);
+    finish(job, 0);
+    ASSERT_EQ(nextKeys(), Keys{storage::keys::doneChunk("wk-1", 0)});
+    answer(TxnStatus::tooLarge);
+    const auto keys = nextKeys();
+    ASSERT_EQ(keys.size(), 1u);
+    EXPECT_NE(keys.front(), storage::keys::doneChunk("wk-1", 0));
+    answer(TxnStatus::applied);
+    EXPECT_TRUE(job.isDone(0));
+}
+
+TEST_F(StateWriterTest, NotesOfRentedMachinesComeAfterWhatSomebodyWaitsFor) {
+    rent("m0", 0);
+    rent("m1", 1);
+    finish(accept("wk-1", 1), 0);
+    finish(accept("wk-2", 10), 0);
+    types["cpu"].name = std::string("cpu");
+    writer().noteTypesChanged();
+    EXPECT_EQ(nextKeys(), (Keys{storage::keys::machine("m1"), storage::keys::job("wk-1"),
+                                storage::keys::kTypes, storage::keys::doneChunk("wk-2", 0)}));
+    answer(TxnStatus::applied);
+    EXPECT_EQ(replica.types.size(), 1u);
+    EXPECT_EQ(nextKeys(), Keys{storage::keys::machine("m0")});
+}
+
+TEST_F(StateWriterTest, TheRateBoundsWhatIsWritten) {
+    settings.stateWriteRps = 5;  // of which the leader takes three a second
+    for (const auto* id : {"m1", "m2", "m3", "m4", "m5"}) rent(id, 1);
+    ASSERT_EQ(nextKeys().size(), 3u);
+    answer(TxnStatus::applied);
+    EXPECT_EQ(nextKeys(), Keys{});
+    now += 800ms;
+    EXPECT_EQ(nextKeys().size(), 2u);
+}
+
+TEST_F(StateWriterTest, NothingIsStoredOfAJobThatIsOver) {
+    auto& job = accept("wk-1", 1);
+    finish(job, 0);
+    writer().forget(job);
+    EXPECT_EQ(nextKeys(), Keys{});
+}
--- a/tests/world.h
+++ b/tests/world.h
@@ -65,12 +65,6 @@
                 out += "machines of " + id + "; ";
         return out;
     }
-    static std::string writing(const Leader& l) {
-        return "writing " + std::to_string(l.writing_) + " refreshing " + std::to_string(l.refreshing_) +
-               " unstored " + std::to_string(l.unstored_.size()) + " roster +" +
-               std::to_string(l.roster_.additions().size()) + " -" +
-               std::to_string(l.roster_.removals().size());
-    }
 };
 
 }  // namespace burlpoint::coordination
@@ -332,7 +326,7 @@
                    std::to_string(job->run->liveTotal) + " unstored " +
                    std::to_string(job->run->unstored.size()) + " errors on " +
                    std::to_string(job->run->errorMachines.size());
-        out += "; last conflict " + lastFailed_ + "; " + coordination::LeaderProbe::writing(*tenant_->leader);
+        out += "; last conflict " + lastFailed_ + "; " + tenant_->leader->stateWriter().summary();
         for (const auto& [name, m] : tenant_->leader->fleet().machines())
             out += "\n  " + name + " " + m->type + "/" + m->zone + (m->spot ? "/spot" : "") + " heard " +
                    std::to_string(m->acknowledged) + " settled " + std::to_string(m->reconciled) +
