--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -21,11 +21,6 @@
 constexpr std::size_t kMaxOrders = 300;       // keeps a response well below 64 KiB
 constexpr std::uint32_t kMaxUndelivered = 2;  // answers that did not get through, in a row
 constexpr Seconds kGangReservation{5};        // machines of a stopped gang, beyond its save and reports
-constexpr auto kTakeOverGrace = 1500ms;  // within this after a take-over most workers report by themselves
-constexpr std::size_t kMaxProbes = 100;  // at a time
-constexpr auto kWithoutWorkersMargin =
-    20s;                       // beyond the leases: lost machines are given back and others rented
-constexpr auto kTickGap = 3s;  // without a tick this node did not lead in the meantime
 
 Clock::duration ticks(Seconds s) { return std::chrono::duration_cast<Clock::duration>(s); }
 
@@ -60,7 +55,7 @@
       now_(now),
       roster_(replica, fleet_),
       writer_(settings, replica, fleet_, roster_, types_, dayClock_, now),
-      lastReport_(now),
+      silence_(settings, fleet_, token, now, leaseBound(settings)),
       cloudBudget_(settings.cloudRps * 0.8, now) {
     for (const auto& type : replica.types) types_[type.name] = type;
     for (const auto& [id, job] : replica.jobs()) {
@@ -76,7 +71,6 @@
         machine.leaseUntil = now + leaseBound(settings);
         machine.lastReport = now;
     }
-    nextSilence_ = now;
 }
 
 Leader::~Leader() {
@@ -173,8 +167,7 @@
         return;
     }
     machine.staleReports = 0;
-    lastReport_ = now_;
-    anyReport_ = true;
+    silence_.noteReport(now_);
     machine.lastReport = now_;
     if (!machine.reconciled && behind) {
         // It has not taken our token, so no answer of ours to an earlier report has renewed its lease.
@@ -544,62 +537,21 @@
 }
 
 void Leader::checkSilentMachines() {
-    if (now_ < nextSilence_) return;
-    nextSilence_ = now_ + 500ms;
+    if (!silence_.isDue(now_)) return;
     roster_.dropOrphans();
-    const auto patience = ticks(settings_.report * 2 + Seconds(0.5));
-    std::size_t reporting = 0, silent = 0;
-    std::vector<Machine*> lapsed;
-    for (auto& [id, machine] : fleet_.machines()) {
-        const bool quiet = now_ - machine->lastReport > patience || machine->unreachableSince;
-        if (!machine->reconciled || machine->reports)
-            (quiet || !machine->reconciled ? silent : reporting) += 1;
-        if (now_ > machine->leaseUntil &&
-            (!machine->reconciled || machine->reports || !machine->placements.empty()))
-            lapsed.push_back(machine.get());
-    }
-    for (auto* machine : lapsed) {
+    const auto census = silence_.takeCensus(now_);
+    for (auto* machine : census.lapsed) {
         spdlog::info("the lease of {} is over", machine->id);
         clearAfterLease(*machine);
         machine->reports = false;
     }
-    const bool few = silent <= std::max<std::size_t>(2, (reporting + silent) / 4);
-    std::size_t probes = 0;
-    // A worker whose report fails waits 4 s, and another second before it tries the next node.
-    const auto giveUp = std::max(ticks(settings_.lease * 0.4), ticks(settings_.report * 1.25 + Seconds(5.5)));
-    for (auto& [id, machine] : fleet_.machines()) {
-        const bool unheard = !machine->reconciled;
-        if (!unheard && !machine->reports) continue;
-        // Reports prove nothing of a machine that has not taken the token or does not act on what it is sent.
-        const auto silence = now_ - (unheard                     ? began_
-                                     : machine->unreachableSince ? *machine->unreachableSince
-                                                                 : machine->lastReport);
-        if (!unheard && !machine->unreachableSince && silence <= patience) continue;
-        // The probe carries the token, so a reachable worker reports anew and an unheard one is heard. Most
-        // come by themselves after a take-over, when each answer is urgent, so probes wait and come a few at
-        // a time.
-        if (!machine->probing && (!unheard || silence > kTakeOverGrace) && ++probes <= kMaxProbes)
-            probe(*machine);
-        const bool answered = now_ - machine->probedAt < giveUp;
-        const bool holds = unheard || machine->unreachableSince || !machine->placements.empty();
-        if (few && holds && !answered && silence > giveUp && !machine->releasing) {
-            spdlog::info("{} is silent and is given up", id);
-            machine->releasing = true;
-        }
-    }
-    // Nobody reports here any more: more likely this node's network than all machines at once. Where each
-    // node has found the same in turn, they are gone: the next stays until their leases are over, or the
-    // nodes would make way for each other for ever.
-    // But one that has heard workers and does so no more makes way, and so does the one that stayed if even
-    // new machines are not heard.
-    const bool staysAllTheSame = !anyReport_ && token_ % (settings_.peers.size() + 2) == 0;
-    if (reporting == 0 && silent >= 2 && now_ - lastReport_ > patience + 4s &&
-        now_ - began_ > patience + 6s) {
-        if (!staysAllTheSame) actions_.push_back(Resign{"no worker reaches this node", true});
-        leadsWithoutWorkers_ = staysAllTheSame;
+    const auto findings = silence_.judge(census, now_);
+    for (auto* machine : findings.toProbe) probe(*machine);
+    for (auto* machine : findings.toGiveUp) {
+        spdlog::info("{} is silent and is given up", machine->id);
+        machine->releasing = true;
     }
-    if (leadsWithoutWorkers_ && !anyReport_ && now_ - began_ > leaseBound(settings_) + kWithoutWorkersMargin)
-        actions_.push_back(Resign{"no worker has reached this node", true});
+    if (findings.resignation) actions_.push_back(Resign{*findings.resignation, true});
 }
 
 // --- users and the state service --------------------------------------------------------------------------
@@ -677,13 +629,7 @@
 // --- time -------------------------------------------------------------------------------------------------
 
 void Leader::on(Tick&) {
-    if (lastTick_ != Time{} && now_ - lastTick_ > kTickGap) {
-        // This node was not entitled to act for a while, or too slow: silence meanwhile was its own.
-        lastReport_ = now_;
-        for (auto& [id, machine] : fleet_.machines())
-            machine->lastReport = std::max(machine->lastReport, now_ - ticks(settings_.report));
-    }
-    lastTick_ = now_;
+    silence_.noteTick(now_);
     checkSilentMachines();
     refreshOrder();
     refreshPacing();
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -12,6 +12,7 @@
 #include "bookkeeping/fleet.h"
 #include "coordination/day_clock.h"
 #include "coordination/roster.h"
+#include "coordination/silence_monitor.h"
 #include "coordination/state_writer.h"
 #include "protocol/settings.h"
 #include "storage/store.h"
@@ -257,6 +258,7 @@
 
     Roster roster_;
     StateWriter writer_;
+    SilenceMonitor silence_;
 
     // placement
     std::vector<Job*> order_;  // waiting jobs in the order they are walked
@@ -281,10 +283,7 @@
     std::uint32_t fetchesSeen_ = 0;
 
     // machines
-    Time lastTick_{};
-    Time nextSilence_{}, nextPreempt_{}, nextPlan_{}, nextDump_{}, nextList_{}, nextTypes_{}, lastReport_{};
-    bool anyReport_ = false,
-         leadsWithoutWorkers_ = false;  // a worker reached this leader; it leads though none does
+    Time nextPreempt_{}, nextPlan_{}, nextDump_{}, nextList_{}, nextTypes_{};
     bool listing_ = false;
     storage::RateBudget cloudBudget_;
     std::deque<PendingRental> rentalsPending_;
