--- a/src/bookkeeping/fleet.h
+++ b/src/bookkeeping/fleet.h
@@ -72,6 +72,15 @@
     auto operator<=>(const AttemptKey&) const = default;
 };
 
+/// Where a worker's message stands among its messages: sessions rise with each start of the worker, sequences
+/// with each message of a session. The lesser of two was made first.
+struct MessageOrder {
+    std::uint64_t session = 0;
+    std::uint64_t sequence = 0;
+    auto operator<=>(const MessageOrder&) const = default;
+};
+inline MessageOrder orderOf(const protocol::Report& report) { return {report.session, report.sequence}; }
+
 enum class RosterState { absent, writing, stored };
 
 struct Machine {
@@ -82,6 +91,7 @@
     std::uint64_t session = 0, sequence = 0;  // of the newest message
     Time newestAt{};                          // when that came
     std::uint64_t reportSequence = 0;         // of the newest report in that session
+    MessageOrder newestMessage() const { return {session, sequence}; }
     /// It showed our token: nothing that an earlier leader sent can start any more, and its list is whole.
     bool acknowledged = false;
     /// Nothing of earlier leaders can be on it, as it was heard or its lease ran out.
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -7,6 +7,7 @@
 namespace burlpoint::coordination {
 
 using bookkeeping::AttemptKey;
+using bookkeeping::orderOf;
 using bookkeeping::RosterState;
 using protocol::ExitReason;
 using protocol::Kind;
@@ -119,8 +120,10 @@
     machine.kind = typeOf(type);
     machine.reconciled = !roster_.mayHoldTasks(id);
     // Back in the cloud's list, say: what is not newer than its last message stays old.
-    if (const auto left = removedMachines_.find(id); left != removedMachines_.end())
-        std::tie(machine.session, machine.sequence) = left->second;
+    if (const auto left = removedMachines_.find(id); left != removedMachines_.end()) {
+        machine.session = left->second.session;
+        machine.sequence = left->second.sequence;
+    }
     return machine;
 }
 
@@ -134,9 +137,9 @@
         actions_.push_back(Resign{"a worker has seen a higher token"});
         return;
     }
-    const std::pair counters(report.session, report.sequence);
+    const auto order = orderOf(report);
     const auto left = removedMachines_.find(report.machine);
-    if (!fleet_.find(report.machine) && left != removedMachines_.end() && counters <= left->second) {
+    if (!fleet_.find(report.machine) && left != removedMachines_.end() && order <= left->second) {
         // A report that was held back, or a copy of one: the machine is gone.
         actions_.push_back(AnswerReport{command.request, false, {}});
         return;
@@ -148,7 +151,7 @@
         return;
     }
     const bool behind = report.token < token_;
-    if (counters <= std::pair(machine.session, machine.sequence)) {
+    if (order <= machine.newestMessage()) {
         // A late copy, or overtaken by a direct answer: old news either way. It was sent before the newest
         // message came, so an answer renews the lease from then at most.
         // With an older token it may come of a worker that counts anew, which must not take ours unnoticed.
@@ -203,16 +206,14 @@
     }
     if (machine->quarantined) return;
     // The answer was made after the probe was sent.
-    if (std::pair(report.session, report.sequence) <= command.known ||
-        (machine->acknowledged && report.token < token_))
+    if (orderOf(report) <= command.known || (machine->acknowledged && report.token < token_))
         return quarantine(*machine);
     machine->probedAt = now_;
     machine->unreachableSince.reset();
     machine->undelivered = 0;
     machine->staleReports = 0;
     const bool retry = !machine->acknowledged && report.token < token_ && report.session != machine->session;
-    if (std::pair(report.session, report.sequence) > std::pair(machine->session, machine->sequence))
-        applyReport(*machine, report, false);
+    if (orderOf(report) > machine->newestMessage()) applyReport(*machine, report, false);
     // The probe named an old session and was turned down; with the right one the token gets through.
     if (retry) probe(*machine);
 }
@@ -225,11 +226,8 @@
 }
 
 void Leader::sendOrders(const Machine& machine) {
-    actions_.push_back(SendOrders{machine.id,
-                                  machine.address,
-                                  machine.session,
-                                  stopOrders(machine),
-                                  {machine.session, machine.sequence}});
+    actions_.push_back(SendOrders{machine.id, machine.address, machine.session, stopOrders(machine),
+                                  machine.newestMessage()});
 }
 
 void Leader::quarantine(Machine& machine) {
@@ -529,7 +527,7 @@
 void Leader::removeMachine(Machine& machine) {
     const auto id = machine.id;
     auto& left = removedMachines_[id];
-    left = std::max(left, {machine.session, machine.sequence});
+    left = std::max(left, machine.newestMessage());
     clearAfterLease(machine);
     roster_.forget(machine);
     fleet_.erase(id);
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -22,6 +22,7 @@
 using bookkeeping::Fleet;
 using bookkeeping::Job;
 using bookkeeping::Machine;
+using bookkeeping::MessageOrder;
 using bookkeeping::Offering;
 using bookkeeping::Placement;
 using bookkeeping::PlacementState;
@@ -43,11 +44,10 @@
     Report report;
     bool cancellationsCurrent = true;  // what was cancelled until a moment ago is known here
 };
-using Counters = std::pair<std::uint64_t, std::uint64_t>;  // session and sequence of a worker's message
 struct WorkerAnswered {  // to SendOrders; no report: it could not be reached
     std::string machine;
     std::optional<Report> report;
-    Counters known{};  // as sent with the orders
+    MessageOrder known{};  // as sent with the orders
 };
 struct JobsChanged {
     std::vector<std::string> ids;
@@ -87,7 +87,7 @@
     std::string machine, address;
     std::uint64_t session = 0;
     std::vector<Order> orders;
-    Counters known{};  // the newest seen before: whatever answers these orders is newer
+    MessageOrder known{};  // the newest seen before: whatever answers these orders is newer
 };
 struct RefreshReplica {};
 struct Rent {
@@ -252,8 +252,8 @@
     Fleet fleet_;
     std::map<std::string, MachineType> types_;
     std::uint64_t attempts_ = 0, rentals_ = 0;
-    // Machines that are gone, with the newest counters seen: what is not newer is a late copy.
-    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> removedMachines_;
+    // Machines that are gone, with the newest message seen: what is not newer is a late copy.
+    std::map<std::string, MessageOrder> removedMachines_;
     std::set<std::string> urgent_;  // machines to be sent their stops at once
 
     Roster roster_;
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -339,7 +339,7 @@
     for (const Rented& rented : command.machines) {
         seen.insert(rented.id);
         const auto left = removedMachines_.find(rented.id);
-        if (left != removedMachines_.end() && left->second.first == kDeleted) continue;
+        if (left != removedMachines_.end() && left->second.session == kDeleted) continue;
         const bool known = fleet_.find(rented.id) != nullptr;
         auto& machine = findOrAddMachine(rented.id, rented.type, rented.zone, rented.spot);
         // Rented by an earlier leader, or by a request that was carried out late. One that may have had tasks
