--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "coordination/worker_orders.h"
+
 namespace burlpoint::coordination {
 
 using bookkeeping::AttemptKey;
@@ -11,7 +13,6 @@
 using bookkeeping::RosterState;
 using protocol::ExitReason;
 using protocol::Kind;
-using protocol::Op;
 using protocol::TaskReport;
 using protocol::TaskState;
 using storage::Final;
@@ -19,7 +20,6 @@
 
 namespace {
 
-constexpr std::size_t kMaxOrders = 300;       // keeps a response well below 64 KiB
 constexpr std::uint32_t kMaxUndelivered = 2;  // answers that did not get through, in a row
 constexpr Seconds kGangReservation{5};        // machines of a stopped gang, beyond its save and reports
 
@@ -432,16 +432,6 @@
     }
 }
 
-std::vector<Order> Leader::stopOrders(const Machine& machine) const {
-    std::vector<Order> orders;
-    for (const auto& [key, p] : machine.placements) {
-        if (!p.stopping || p.state == PlacementState::planned || orders.size() >= kMaxOrders) continue;
-        if (p.state == PlacementState::saving && p.grace > Seconds(0)) continue;  // it is at it
-        orders.push_back({Op::stop, {p.job->spec.id, p.task, p.attempt}, p.grace});
-    }
-    return orders;
-}
-
 void Leader::sendUrgentStops() {
     for (const auto& id : std::exchange(urgent_, {})) {
         const auto* machine = fleet_.find(id);
@@ -453,30 +443,9 @@
 }
 
 std::vector<Order> Leader::composeOrders(Machine& machine, const Report& report, bool cancellationsCurrent) {
+    if (!machine.acknowledged) return stopsOfEndedJobs(report, replica_);
     std::vector<Order> orders;
-    if (!machine.acknowledged) {
-        // This answer renews the lease. Without stops, what is cancelled would go on for one lease more with
-        // each change of leader. Stopping an attempt of a job that is over is right however old the list is.
-        for (const auto& task : report.tasks) {
-            const auto* job = replica_.find(task.attempt.job);
-            if (job && job->final != Final::open && task.state != TaskState::exited &&
-                orders.size() < kMaxOrders)
-                orders.push_back({Op::stop, task.attempt, Seconds(0)});
-        }
-        return orders;
-    }
-    for (const auto& task : report.tasks) {
-        if (orders.size() >= kMaxOrders) return orders;
-        const auto* job = replica_.find(task.attempt.job);
-        const bool stray = !job || task.attempt.task >= job->spec.tasks;
-        if (task.state != TaskState::exited) {
-            if (stray) orders.push_back({Op::stop, task.attempt, Seconds(0)});
-        } else if (stray || task.why != ExitReason::done || job->final != Final::open ||
-                   job->isDone(task.attempt.task) || job->spec.kind == Kind::service) {
-            // A result is cleared only once its bit is stored: until then the report is the only record.
-            orders.push_back({Op::forget, task.attempt, Seconds(0)});
-        }
-    }
+    if (!addSettlingOrders(report, replica_, orders)) return orders;
     for (auto& order : stopOrders(machine)) orders.push_back(std::move(order));
     // A leader cut off from the store is entitled for some seconds yet, in which others may tell users that
     // jobs are cancelled: what runs goes on, and nothing new starts.
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -181,7 +181,6 @@
     Time dueAt(const Job& job) const { return dayClock_.steadyAt(*job.dueMs); }
     void jobsChanged(const std::vector<bookkeeping::Change>& changes);
     std::vector<Order> composeOrders(Machine& machine, const Report& report, bool cancellationsCurrent);
-    std::vector<Order> stopOrders(const Machine& machine) const;
     void sendUrgentStops();
     void drainForRecall(Machine& machine);
     void checkSilentMachines();
