--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -133,41 +133,20 @@
     const Report& report = command.report;
     if (report.token > token_) {
         // Another node leads by now: its token outranks ours wherever it was seen.
-        actions_.push_back(AnswerReport{command.request, false, {}});
+        refuse(command);
         actions_.push_back(Resign{"a worker has seen a higher token"});
         return;
     }
-    const auto order = orderOf(report);
-    const auto left = removedMachines_.find(report.machine);
-    if (!fleet_.find(report.machine) && left != removedMachines_.end() && order <= left->second) {
-        // A report that was held back, or a copy of one: the machine is gone.
-        actions_.push_back(AnswerReport{command.request, false, {}});
-        return;
-    }
+    // A report that was held back, or a copy of one: the machine is gone.
+    if (isLateCopyOfRemoved(report)) return refuse(command);
     const bool expected = fleet_.find(report.machine);
     auto& machine = findOrAddMachine(report.machine, report.type, report.zone, report.spot);
-    if (machine.quarantined) {
-        actions_.push_back(AnswerReport{command.request, false, {}});
-        return;
-    }
+    if (machine.quarantined) return refuse(command);
+    if (orderOf(report) <= machine.newestMessage()) return answerOldNews(machine, command);
     const bool behind = report.token < token_;
-    if (order <= machine.newestMessage()) {
-        // A late copy, or overtaken by a direct answer: old news either way. It was sent before the newest
-        // message came, so an answer renews the lease from then at most.
-        // With an older token it may come of a worker that counts anew, which must not take ours unnoticed.
-        const bool answer = machine.reports && !behind;
-        if (answer)
-            machine.leaseUntil = std::max(machine.leaseUntil, machine.newestAt + leaseBound(settings_));
-        // As it may renew the lease, it brings what is to stop.
-        actions_.push_back(
-            AnswerReport{command.request, answer, answer ? stopOrders(machine) : std::vector<Order>{}});
-        if (++machine.staleReports >= 2) probe(machine);
-        return;
-    }
     if (machine.acknowledged && behind) {
         quarantine(machine);
-        actions_.push_back(AnswerReport{command.request, false, {}});
-        return;
+        return refuse(command);
     }
     machine.staleReports = 0;
     silence_.noteReport(now_);
@@ -177,22 +156,45 @@
         machine.leaseUntil = began_ + leaseBound(settings_);
         if (machine.undelivered >= kMaxUndelivered) {
             applyReport(machine, report, true);
-            actions_.push_back(AnswerReport{command.request, false, {}});
-            return;
+            return refuse(command);
         }
         ++machine.undelivered;
     }
-    machine.leaseUntil =
-        std::max(machine.reconciled ? Time{} : machine.leaseUntil, now_ + leaseBound(settings_));
+    const auto leaseSoFar = machine.reconciled ? Time{} : machine.leaseUntil;
+    machine.leaseUntil = std::max(leaseSoFar, now_ + leaseBound(settings_));
     machine.reports = true;
     applyReport(machine, report, true);
     // Its entry is written as it comes up, before it has taken the token and can be given tasks.
     if (machine.acknowledged || (expected && machine.reconciled)) roster_.ensureEntry(machine);
-    actions_.push_back(
-        AnswerReport{command.request, true, composeOrders(machine, report, command.cancellationsCurrent)});
+    auto orders = composeOrders(machine, report, command.cancellationsCurrent);
+    actions_.push_back(AnswerReport{command.request, true, std::move(orders)});
     urgent_.erase(machine.id);  // the response has its stops
 }
 
+void Leader::refuse(const ReportArrived& command) {
+    actions_.push_back(AnswerReport{command.request, false, {}});
+}
+
+bool Leader::isLateCopyOfRemoved(const Report& report) {
+    if (fleet_.find(report.machine)) return false;
+    const auto left = removedMachines_.find(report.machine);
+    return left != removedMachines_.end() && orderOf(report) <= left->second;
+}
+
+/// A late copy, or overtaken by a direct answer: old news either way. It was sent before the newest message
+/// came, so an answer renews the lease from then at most.
+void Leader::answerOldNews(Machine& machine, const ReportArrived& command) {
+    // With an older token it may come of a worker that counts anew, which must not take ours unnoticed.
+    if (machine.reports && command.report.token >= token_) {
+        machine.leaseUntil = std::max(machine.leaseUntil, machine.newestAt + leaseBound(settings_));
+        // As it may renew the lease, it brings what is to stop.
+        actions_.push_back(AnswerReport{command.request, true, stopOrders(machine)});
+    } else {
+        refuse(command);
+    }
+    if (++machine.staleReports >= 2) probe(machine);
+}
+
 void Leader::on(WorkerAnswered& command) {
     auto* machine = fleet_.find(command.machine);
     if (!machine) return;
@@ -243,21 +245,36 @@
     machine.unreachableSince = now_;
 }
 
+/// Ends the placements that `isGone` names, in their order. Others may go with them, as gangs end as a whole.
+template <typename Predicate>
+void Leader::endPlacementsIf(Machine& machine, Predicate isGone) {
+    for (auto at = machine.placements.begin(); at != machine.placements.end();) {
+        const Placement placement = at->second;
+        if (!isGone(placement)) {
+            ++at;
+            continue;
+        }
+        fleet_.remove(machine, at);
+        endPlacement(machine, placement, ExitReason::none);
+        at = machine.placements.upper_bound({placement.job, placement.task, placement.attempt});
+    }
+}
+
+/// Takes in a message that is newer than all before it: a report, or else the answer to a direct command.
 void Leader::applyReport(Machine& machine, const Report& report, bool isReport) {
     if (report.session > machine.session && machine.acknowledged) {
         if (machine.reports && machine.session > 0) noteUndelivered(machine);
         // The worker killed and forgot all its tasks; planned ones never reached it.
-        for (auto at = machine.placements.begin(); at != machine.placements.end();) {
-            const Placement placement = at->second;
-            if (placement.state == PlacementState::planned) {
-                ++at;
-                continue;
-            }
-            fleet_.remove(machine, at);
-            endPlacement(machine, placement, ExitReason::none);
-            at = machine.placements.upper_bound({placement.job, placement.task, placement.attempt});
-        }
+        endPlacementsIf(machine, [](const Placement& p) { return p.state != PlacementState::planned; });
     }
+    noteMessage(machine, report);
+    if (!machine.acknowledged) return;
+    settlePlacements(machine, report, isReport);
+    if (machine.recallAt) drainForRecall(machine);
+    if (!machine.placements.empty()) machine.busyUntil = now_;
+}
+
+void Leader::noteMessage(Machine& machine, const Report& report) {
     machine.session = report.session;
     machine.sequence = report.sequence;
     machine.newestAt = now_;
@@ -269,78 +286,78 @@
         fleet_.setReconciled(machine, true);
         orderStale_ = true;
     }
-    if (!machine.acknowledged) return;
+}
 
+/// Brings what is taken to be on the machine in line with the report's list.
+void Leader::settlePlacements(Machine& machine, const Report& report, bool isReport) {
     for (auto& [key, placement] : machine.placements)
         placement.seen = placement.state == PlacementState::planned;
     for (const auto& task : report.tasks) applyTaskReport(machine, task);
     bool undelivered = false;
-    for (auto at = machine.placements.begin(); at != machine.placements.end();) {
-        const Placement placement = at->second;
+    endPlacementsIf(machine, [&](const Placement& placement) {
         // A start that left with a report's response may still be on its way when a direct command's reply
         // comes in. Only the worker's next report shows that it was taken or dropped.
         const bool inFlight = placement.state == PlacementState::sent &&
                               (!isReport || report.sequence <= placement.sentSequence);
-        if (placement.seen || inFlight) {
-            ++at;
-            continue;
-        }
-        undelivered |= placement.state == PlacementState::sent;
-        fleet_.remove(machine, at);
-        endPlacement(machine, placement, ExitReason::none);
-        at = machine.placements.upper_bound({placement.job, placement.task, placement.attempt});
-    }
+        const bool gone = !placement.seen && !inFlight;
+        undelivered |= gone && placement.state == PlacementState::sent;
+        return gone;
+    });
     if (undelivered) noteUndelivered(machine);
-    if (machine.recallAt) drainForRecall(machine);
-    if (!machine.placements.empty()) machine.busyUntil = now_;
 }
 
 void Leader::applyTaskReport(Machine& machine, const TaskReport& task) {
     auto* job = replica_.find(task.attempt.job);
-    if (!job || task.attempt.task >= job->spec.tasks) return;  // compose() has it killed
+    if (!job || task.attempt.task >= job->spec.tasks) return;  // composeOrders() has it killed
     const AttemptKey key{job, task.attempt.task, task.attempt.number};
     const auto at = machine.placements.find(key);
+    const bool known = at != machine.placements.end();
     if (task.state == TaskState::exited) {
         if (task.why == ExitReason::done) noteTaskDone(*job, key.task);
-        if (at == machine.placements.end()) return;
+        if (!known) return;
         const Placement placement = at->second;
         fleet_.remove(machine, at);
         endPlacement(machine, placement, task.why);
         return;
     }
     const auto state = placementState(task.state);
-    Placement* placement = nullptr;
-    if (at == machine.placements.end()) {
-        if (!job->run) beginJob(*job, true);
-        placement = &fleet_.place(machine, *job, key.task, key.attempt, state, now_);
-        if (job->spec.kind == Kind::gang)
-            job->run->gangAttempt = std::max(job->run->gangAttempt, key.attempt);
-        orderStale_ = true;
-    } else {
-        placement = &at->second;
-        if (placement->state == PlacementState::sent) {
-            machine.undelivered = 0;
-            machine.unreachableSince.reset();
-        }
-        if (placement->state == PlacementState::fetching && state != PlacementState::fetching) {
-            const double took = Seconds(now_ - placement->since).count();
-            meanFetch_ = fetchesSeen_ == 0 ? took : meanFetch_ + (took - meanFetch_) * 0.1;
-            ++fetchesSeen_;
-        }
-        if (placement->state != state)
-            spdlog::debug("{}/{} on {} turns from {} to {}", job->spec.id, key.task, machine.id,
-                          static_cast<int>(placement->state), static_cast<int>(state));
-        fleet_.setState(*placement, state, now_);
-    }
-    placement->seen = true;
+    if (known) noteProgress(machine, at->second, state);
+    auto& placement = known ? at->second : adoptPlacement(machine, *job, key, state);
+    placement.seen = true;
     if (state != PlacementState::fetching) {
         const auto* type = machine.kind;
         fleet_.useImage(machine, job->spec.image, job->spec.imageGb, type ? type->cacheGb : 0);
     }
     if (job->final != Final::open || job->isFinished(key.task)) {
         // Cancelled, or done elsewhere under an earlier leader. Gang tasks end with their gang.
-        if (job->final != Final::open || job->spec.kind != Kind::gang) stop(machine, *placement, Seconds(0));
+        if (job->final != Final::open || job->spec.kind != Kind::gang) stop(machine, placement, Seconds(0));
+    }
+}
+
+/// An attempt that an earlier leader started.
+Placement& Leader::adoptPlacement(Machine& machine, Job& job, const AttemptKey& key, PlacementState state) {
+    if (!job.run) beginJob(job, true);
+    auto& placement = fleet_.place(machine, job, key.task, key.attempt, state, now_);
+    if (job.spec.kind == Kind::gang) job.run->gangAttempt = std::max(job.run->gangAttempt, key.attempt);
+    orderStale_ = true;
+    return placement;
+}
+
+/// A report shows the attempt in `state`.
+void Leader::noteProgress(Machine& machine, Placement& placement, PlacementState state) {
+    if (placement.state == PlacementState::sent) {
+        machine.undelivered = 0;
+        machine.unreachableSince.reset();
+    }
+    if (placement.state == PlacementState::fetching && state != PlacementState::fetching) {
+        const double took = Seconds(now_ - placement.since).count();
+        meanFetch_ = fetchesSeen_ == 0 ? took : meanFetch_ + (took - meanFetch_) * 0.1;
+        ++fetchesSeen_;
     }
+    if (placement.state != state)
+        spdlog::debug("{}/{} on {} turns from {} to {}", placement.job->spec.id, placement.task, machine.id,
+                      static_cast<int>(placement.state), static_cast<int>(state));
+    fleet_.setState(placement, state, now_);
 }
 
 /// The task is done, whichever attempt did it. Its bit is to be stored before anybody hears of it.
@@ -360,12 +377,27 @@
     job.run->succeeded = true;
 }
 
+/// The attempt is no longer on the machine and has been taken off it.
 void Leader::endPlacement(Machine& machine, const Placement& placement, ExitReason why) {
     Job& job = *placement.job;
     orderStale_ = true;
     spdlog::debug("gone {}/{} attempt {} from {}, state {}, reason {}", job.spec.id, placement.task,
                   placement.attempt, machine.id, static_cast<int>(placement.state), static_cast<int>(why));
     if (machine.placements.empty()) machine.busyUntil = now_;
+    noteExitReason(machine, job, why);
+    if (job.final != Final::open) return;
+    if (job.run->firstTask == placement.task) job.run->firstTask.reset();
+    // Stopped again at once, it has not begun: were its place among the overdue spent, it might wait for
+    // ever.
+    if (why == ExitReason::stopped && job.run->liveTotal == 0 && job.doneCount == 0 &&
+        job.run->unstored.empty() && startedRecently(placement))
+        job.run->launched = job.run->paced = 0;
+    if (job.run->waiting > 0) job.run->waitingSince = now_;
+    if (job.spec.kind == Kind::gang) noteGangTaskGone(machine, placement, why);
+}
+
+/// What the end of a task tells of its machine and its job.
+void Leader::noteExitReason(Machine& machine, Job& job, ExitReason why) {
     switch (why) {
         case ExitReason::done:
             machine.errorJobs.clear();
@@ -389,24 +421,17 @@
         default:
             break;
     }
-    if (job.final != Final::open) return;
-    if (job.run->firstTask == placement.task) job.run->firstTask.reset();
-    // Stopped again at once, it has not begun: were its place among the overdue spent, it might wait for
-    // ever.
-    if (why == ExitReason::stopped && job.run->liveTotal == 0 && job.doneCount == 0 &&
-        job.run->unstored.empty() && startedRecently(placement))
-        job.run->launched = job.run->paced = 0;
-    if (job.run->waiting > 0) job.run->waitingSince = now_;
-    if (job.spec.kind == Kind::gang) {
-        // Without one of its tasks this attempt comes to nothing, unless it had not begun and another can
-        // stand in. The next attempt waits until all have left.
-        job.run->machinesLeft.insert(machine.id);
-        const bool standIn =
-            (why == ExitReason::none || why == ExitReason::noRoom || why == ExitReason::busy) &&
-            mayComplete(job);
-        if (!job.isFinished(placement.task) && !standIn) stopJob(job, job.spec.save);
-        if (job.run->liveTotal == 0) job.run->gangAttempt = 0;
-    }
+}
+
+/// Without one of its tasks a gang's attempt comes to nothing, unless it had not begun and another can stand
+/// in. The next attempt waits until all have left.
+void Leader::noteGangTaskGone(Machine& machine, const Placement& placement, ExitReason why) {
+    Job& job = *placement.job;
+    job.run->machinesLeft.insert(machine.id);
+    const bool neverBegan = why == ExitReason::none || why == ExitReason::noRoom || why == ExitReason::busy;
+    const bool standIn = neverBegan && mayComplete(job);
+    if (!job.isFinished(placement.task) && !standIn) stopJob(job, job.spec.save);
+    if (job.run->liveTotal == 0) job.run->gangAttempt = 0;
 }
 
 void Leader::stop(Machine& machine, Placement& placement, Seconds grace) {
@@ -473,16 +498,7 @@
             stop(machine, placement, Seconds(0));
         }
     }
-    for (auto at = machine.placements.begin(); at != machine.placements.end();) {
-        if (at->second.state != PlacementState::planned) {
-            ++at;
-            continue;
-        }
-        const Placement placement = at->second;
-        fleet_.remove(machine, at);
-        endPlacement(machine, placement, ExitReason::none);
-        at = machine.placements.upper_bound({placement.job, placement.task, placement.attempt});
-    }
+    endPlacementsIf(machine, [](const Placement& p) { return p.state == PlacementState::planned; });
 }
 
 /// Proof that nothing sent so far is on the machine.
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -165,10 +165,22 @@
 
     Machine& findOrAddMachine(const std::string& id, const std::string& type, const std::string& zone,
                               bool spot);
+    void refuse(const ReportArrived& command);
+    bool isLateCopyOfRemoved(const Report& report);
+    void answerOldNews(Machine& machine, const ReportArrived& command);
+    template <typename Predicate>
+    void endPlacementsIf(Machine& machine, Predicate isGone);
     void applyReport(Machine& machine, const Report& report, bool isReport);
+    void noteMessage(Machine& machine, const Report& report);
+    void settlePlacements(Machine& machine, const Report& report, bool isReport);
     void applyTaskReport(Machine& machine, const protocol::TaskReport& task);
+    Placement& adoptPlacement(Machine& machine, Job& job, const bookkeeping::AttemptKey& key,
+                              PlacementState state);
+    void noteProgress(Machine& machine, Placement& placement, PlacementState state);
     void noteTaskDone(Job& job, std::uint32_t task);
     void endPlacement(Machine& machine, const Placement& placement, protocol::ExitReason why);
+    void noteExitReason(Machine& machine, Job& job, protocol::ExitReason why);
+    void noteGangTaskGone(Machine& machine, const Placement& placement, protocol::ExitReason why);
     void stop(Machine& machine, Placement& placement, Seconds grace);
     void stopJob(Job& job, Seconds grace);
     void clearAfterLease(Machine& machine);
