--- a/src/coordination/action_executor.cpp
+++ b/src/coordination/action_executor.cpp
@@ -27,7 +27,8 @@
 constexpr unsigned kPageMachines = 500;  // in one page of the cloud's list
 
 /// What a worker's answer to orders tells. 409 carries a report, too.
-WorkerAnswered readWorkerAnswer(const Outcome& outcome, const std::string& machine, const Counters& known) {
+WorkerAnswered readWorkerAnswer(const Outcome& outcome, const std::string& machine,
+                                const bookkeeping::MessageOrder& known) {
     WorkerAnswered answered{machine, std::nullopt, known};
     try {
         if (outcome.status == 200 || outcome.status == 409)
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -9,7 +9,11 @@
 #include <vector>
 
 #include "bookkeeping/fleet.h"
+#include "coordination/day_clock.h"
 #include "coordination/provisioner.h"
+#include "coordination/roster.h"
+#include "coordination/silence_monitor.h"
+#include "coordination/state_writer.h"
 #include "protocol/settings.h"
 #include "storage/store.h"
 
@@ -18,6 +22,7 @@
 using bookkeeping::Fleet;
 using bookkeeping::Job;
 using bookkeeping::Machine;
+using bookkeeping::MessageOrder;
 using bookkeeping::Offering;
 using bookkeeping::Placement;
 using bookkeeping::PlacementState;
@@ -39,18 +44,14 @@
     Report report;
     bool cancellationsCurrent = true;  // what was cancelled until a moment ago is known here
 };
-using Counters = std::pair<std::uint64_t, std::uint64_t>;  // session and sequence of a worker's message
 struct WorkerAnswered {  // to SendOrders; no report: it could not be reached
     std::string machine;
     std::optional<Report> report;
-    Counters known{};  // as sent with the orders
+    MessageOrder known{};  // as sent with the orders
 };
 struct JobsChanged {
     std::vector<std::string> ids;
 };
-struct StateWritten {  // what came of WriteState
-    storage::TxnResult result;
-};
 struct ReplicaRefreshed {
     bool ok = false;
 };
@@ -86,11 +87,7 @@
     std::string machine, address;
     std::uint64_t session = 0;
     std::vector<Order> orders;
-    Counters known{};  // the newest seen before: whatever answers these orders is newer
-};
-struct WriteState {
-    std::vector<protocol::KeyCondition> conditions;
-    std::vector<protocol::KeyWrite> writes;
+    MessageOrder known{};  // the newest seen before: whatever answers these orders is newer
 };
 struct RefreshReplica {};
 struct Rent {
@@ -124,6 +121,8 @@
 
     std::uint64_t token() const { return token_; }
     const Fleet& fleet() const { return fleet_; }
+    /// What is stored and what is still to be, for tests and logs.
+    const StateWriter& stateWriter() const { return writer_; }
     std::vector<std::pair<std::string, std::uint32_t>> runningCounts() const;
 
     /// The worker's lease as its controllers must count it: from the receipt of a report, with drift.
@@ -132,11 +131,6 @@
   private:
     friend class LeaderProbe;  // tests look inside
 
-    struct DoneWrite {
-        Job* job;
-        bookkeeping::BitRange range;
-        std::vector<std::uint32_t> tasks;
-    };
     struct ZoneReservation {  // a zone for a gang
         const Job* job = nullptr;
         Time until{}, since{};
@@ -162,10 +156,22 @@
 
     Machine& findOrAddMachine(const std::string& id, const std::string& type, const std::string& zone,
                               bool spot);
+    void refuse(const ReportArrived& command);
+    bool isLateCopyOfRemoved(const Report& report);
+    void answerOldNews(Machine& machine, const ReportArrived& command);
+    template <typename Predicate>
+    void endPlacementsIf(Machine& machine, Predicate isGone);
     void applyReport(Machine& machine, const Report& report, bool isReport);
+    void noteMessage(Machine& machine, const Report& report);
+    void settlePlacements(Machine& machine, const Report& report, bool isReport);
     void applyTaskReport(Machine& machine, const protocol::TaskReport& task);
+    Placement& adoptPlacement(Machine& machine, Job& job, const bookkeeping::AttemptKey& key,
+                              PlacementState state);
+    void noteProgress(Machine& machine, Placement& placement, PlacementState state);
     void noteTaskDone(Job& job, std::uint32_t task);
     void endPlacement(Machine& machine, const Placement& placement, protocol::ExitReason why);
+    void noteExitReason(Machine& machine, Job& job, protocol::ExitReason why);
+    void noteGangTaskGone(Machine& machine, const Placement& placement, protocol::ExitReason why);
     void stop(Machine& machine, Placement& placement, Seconds grace);
     void stopJob(Job& job, Seconds grace);
     void clearAfterLease(Machine& machine);
@@ -175,22 +181,13 @@
     void noteUndelivered(Machine& machine);
     void removeMachine(Machine& machine);
     void beginJob(Job& job, bool inherited);
-    Time clockOf(std::uint64_t dayMs) const;
-    Time dueAt(const Job& job) const { return clockOf(*job.dueMs); }
+    Time dueAt(const Job& job) const { return dayClock_.steadyAt(*job.dueMs); }
     void jobsChanged(const std::vector<bookkeeping::Change>& changes);
     std::vector<Order> composeOrders(Machine& machine, const Report& report, bool cancellationsCurrent);
-    std::vector<Order> stopOrders(const Machine& machine) const;
     void sendUrgentStops();
     void drainForRecall(Machine& machine);
     void checkSilentMachines();
-    storage::MachineRecord recordOf(const Machine& machine) const;
-    bool mayHoldTasks(const std::string& id) const;
-    void ensureRosterEntry(Machine& machine);
-    void maybeWrite();
-    void shrinkWrites();
-    void growWrites();
     void dump() const;
-    bool finalWriteSuffices(const Job& job) const;
 
     // placement.cpp
     bool usable(const Machine& machine) const;
@@ -244,37 +241,20 @@
     StateReplica& replica_;
     const std::uint64_t token_;
     const Time began_;
-    const std::uint64_t beganMs_;
+    const DayClock dayClock_;
     Time now_;
     std::vector<Action> actions_;
 
     Fleet fleet_;
     MachineTypes types_;
     std::uint64_t attempts_ = 0;
-    // Machines that are gone, with the newest counters seen: what is not newer is a late copy.
-    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> removedMachines_;
+    // Machines that are gone, with the newest message seen: what is not newer is a late copy.
+    std::map<std::string, MessageOrder> removedMachines_;
     std::set<std::string> urgent_;  // machines to be sent their stops at once
 
-    // the state service
-    storage::RateBudget writeBudget_;
-    // What a transaction may have. Lowered when the service says that one was too large, and raised again.
-    std::size_t maxOperations_, maxBytes_, maxBitmapBytes_, maxFinalBytes_;
-    Clock::duration growthPause_{};
-    Time nextGrowth_{};
-    std::map<std::string, Time> deferredKeys_;  // keys whose value is too large alone, until when
-    std::vector<std::string> writingKeys_;      // of the write under way
-    std::size_t writingBytes_ = 0;
-    bool writing_ = false, refreshing_ = false;
-    Time nextWrite_{};
-    std::set<Job*> unstored_;  // with done tasks whose bits are to be stored
-    std::set<std::string> rosterAdd_, rosterDrop_;
-    std::set<std::string> rosterDeleted_;  // entries whose deletion was sent and that were not written since
-    bool typesUnstored_ = false;
-    std::vector<DoneWrite> doneWrites_;                        // of the write under way
-    std::vector<std::pair<Job*, std::uint64_t>> finalWrites_;  // and the time of day of their ends
-    std::vector<std::pair<std::string, storage::MachineRecord>> rosterWrites_;
-    std::vector<std::string> rosterDeletes_;
-    std::vector<MachineType> typesWrite_;
+    Roster roster_;
+    StateWriter writer_;
+    SilenceMonitor silence_;
 
     // placement
     std::vector<Job*> order_;  // waiting jobs in the order they are walked
@@ -299,10 +279,7 @@
     std::uint32_t fetchesSeen_ = 0;
 
     // machines
-    Time lastTick_{};
-    Time nextSilence_{}, nextPreempt_{}, nextPlan_{}, nextDump_{}, lastReport_{};
-    bool anyReport_ = false,
-         leadsWithoutWorkers_ = false;  // a worker reached this leader; it leads though none does
+    Time nextPreempt_{}, nextPlan_{}, nextDump_{};
     Provisioner provisioner_;
 };
 
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -3,6 +3,7 @@
 #include <limits>
 
 #include "coordination/leader.h"
+#include "coordination/machine_status.h"
 
 namespace burlpoint::coordination {
 
@@ -44,7 +45,7 @@
     for (const auto& id : command.machines) {
         if (removedMachines_.contains(id) || fleet_.find(id)) continue;
         findOrAddMachine(id, request->type, request->zone, request->spot);
-        rosterAdd_.insert(id);  // noted for the next leader, which would rent it again
+        roster_.noteRented(id);
     }
 }
 
@@ -72,11 +73,11 @@
 /// late.
 void Leader::noteListed(const Rented& rented) {
     const auto left = removedMachines_.find(rented.id);
-    if (left != removedMachines_.end() && left->second.first == kDeleted) return;
+    if (left != removedMachines_.end() && left->second.session == kDeleted) return;
     const bool known = fleet_.find(rented.id) != nullptr;
     auto& machine = findOrAddMachine(rented.id, rented.type, rented.zone, rented.spot);
     // One that may have had tasks is silent, not booting, and its age says nothing.
-    if (machine.session == 0 && !mayHoldTasks(rented.id))
+    if (machine.session == 0 && !mayHoldTasks(replica_, rented.id))
         machine.knownSince = std::min(machine.knownSince, now_ - ticks(std::min(rented.age, kMaxAge)));
     if (!known) machine.busyUntil = now_;
     if (machine.address.empty()) machine.address = rented.address;
@@ -97,7 +98,7 @@
     }
     for (const auto& [id, machine] : fleet_.machines())
         if (!machine->kind) machine->kind = typeOf(machine->type);
-    if (changed) typesUnstored_ = true;
+    if (changed) writer_.noteTypesChanged();
     orderStale_ = true;
 }
 
--- a/tests/action_executor_test.cpp
+++ b/tests/action_executor_test.cpp
@@ -129,7 +129,7 @@
     perform(orders());
     const auto answered = next<coordination::WorkerAnswered>();
     EXPECT_EQ(answered.machine, "m1");
-    EXPECT_EQ(answered.known, (coordination::Counters{1, 5}));
+    EXPECT_EQ(answered.known, (bookkeeping::MessageOrder{1, 5}));
     EXPECT_EQ(answered.report, report("m1"));
     perform(coordination::Release{{"m1", "m2"}});
     const auto released = next<coordination::ReleaseAnswered>();
