--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -71,6 +71,7 @@
       maxBytes_(kMaxBytes),
       maxBitmapBytes_(settings.valueBytes()),
       maxFinalBytes_(settings.valueBytes()),
+      pacing_(settings, policy),
       lastReport_(now),
       cloudBudget_(settings.cloudRps * 0.8, now) {
     for (const auto& type : replica.types) types_[type.name] = type;
@@ -361,11 +362,8 @@
             machine.undelivered = 0;
             machine.unreachableSince.reset();
         }
-        if (placement->state == PlacementState::fetching && state != PlacementState::fetching) {
-            const double took = Seconds(now_ - placement->since).count();
-            meanFetch_ = fetchesSeen_ == 0 ? took : meanFetch_ + (took - meanFetch_) * 0.1;
-            ++fetchesSeen_;
-        }
+        if (placement->state == PlacementState::fetching && state != PlacementState::fetching)
+            pacing_.recordFetchTime(now_ - placement->since);
         if (placement->state != state)
             spdlog::debug("{}/{} on {} turns from {} to {}", job->spec.id, key.task, machine.id,
                           static_cast<int>(placement->state), static_cast<int>(state));
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "bookkeeping/fleet.h"
+#include "coordination/fetch_pacing.h"
 #include "protocol/settings.h"
 #include "storage/store.h"
 
@@ -217,10 +218,8 @@
     bool blockedByUnreconciled(const Job& job) const;
     int rankOf(const Job& job) const;
     void refreshOrder();
-    void admit(Job& job);
     void schedule(Machine& machine, std::vector<Order>& orders);
     bool startOne(Machine& machine, Job& job, std::vector<Order>& orders);
-    bool paceAllows(const Job& job, const Machine& machine);
     std::uint32_t roomWithImage(Job& job);
     bool mayPreempt(const Placement& placement, const Job& job) const;
     bool startedRecently(const Placement& placement) const;
@@ -228,8 +227,7 @@
     bool waitsForImage(Job& job);
     Resources maxRoom(const Machine& machine, const Job& job) const;
     void refreshPacing();
-    double cachedSeconds(const Machine& machine) const;
-    void recordFetch(Machine& machine, Job& job);
+    void refreshAcceleratorRoom(const std::vector<const Machine*>& up);
     void reserveFreedRoom(Machine& machine, const Job& job);
     void planGangs();
     bool mayComplete(const Job& job);
@@ -292,6 +290,7 @@
     std::vector<MachineType> typesWrite_;
 
     // placement
+    FetchPacing pacing_;
     std::vector<Job*> order_;  // waiting jobs in the order they are walked
     double minCpus_ = 0;       // that any of them needs
     std::vector<Job*> open_;
@@ -302,16 +301,9 @@
     std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> sharedWithServices_;
     // Processors, per zone and kind, that replicas could have on machines without accelerators.
     std::map<std::pair<std::string, bool>, double> plainRoom_;
-    std::map<std::string, Time> zoneFetch_;    // the last fetch started per zone
-    std::map<std::string, double> imageWork_;  // processor seconds waiting per image and cached processor
-    double meanCachedSeconds_ = 0;
-    std::size_t machinesUp_ = 0;
-    std::set<std::string> liveZones_;
     std::map<std::string, ZoneReservation> zoneReservations_;  // per zone
     std::size_t preemptFrom_ = 0, turn_ = 0;
     std::uint64_t visited_ = 0;  // machines looked at on behalf of jobs; tests count them
-    double meanFetch_ = 0;
-    std::uint32_t fetchesSeen_ = 0;
 
     // machines
     Time lastTick_{};
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -27,6 +27,7 @@
 constexpr auto kMinCountedStart = 30s;  // a start that is stopped sooner is none to its users
 constexpr std::size_t kFaultyAfterJobs = 2;
 constexpr auto kPlainMachinesOnly = 12s;  // how long a replica waits for a machine without accelerators
+constexpr auto kSurveyInterval = 500ms;   // between walks over the fleet for pacing and accelerators
 constexpr auto kLookupInterval = 250ms;   // how long a look at the other machines serves a job
 constexpr double kReservedBonus = 1e6, kSpotLoss = 100,
                  kFetchLoss = 150;      // processor seconds, when a gang's machines are chosen
@@ -220,7 +221,7 @@
         run.rank = production       ? kProductionRank
                    : run.guaranteed ? kGuaranteedRank
                                     : static_cast<int>(run.priority);
-        if (!run.admitted) admit(*job);
+        pacing_.admit(*job, fleet_);
         recordAcceleratorNeed(*job);
         if (run.waiting == 0) continue;
         order_.push_back(job);
@@ -247,41 +248,21 @@
     });
 }
 
-/// Md: the job's tasks times the share of up machines that lack its image as it is admitted.
-void Leader::admit(Job& job) {
-    if (machinesUp_ == 0) return;
-    const auto& having = fleet_.withImage(job.spec.image);
-    const auto has = std::count_if(having.begin(), having.end(),
-                                   [](const auto* m) { return m->reports && m->acknowledged; });
-    const double lacking = 1 - std::min(1.0, static_cast<double>(has) / static_cast<double>(machinesUp_));
-    job.run->admitted = true;
-    job.run->pacedTotal = job.spec.tasks * lacking;
-}
-
-// ts and E[ts]: the cached-task time of a machine is the work waiting for images that it has, each image's
-// work shared by the processors of all machines that have it.
+/// What is counted over all machines that are up, now and then and not for each report.
 void Leader::refreshPacing() {
     if (now_ < nextPacing_) return;
-    nextPacing_ = now_ + 500ms;
-    imageWork_.clear();
-    for (const auto* job : order_) {
-        const double estimate = std::max(job->spec.estimate.count(), 0.0);
-        imageWork_[job->spec.image] += job->run->waiting * job->spec.cpus * estimate;
-    }
-    for (auto& [image, work] : imageWork_) {
-        double processors = 0;
-        for (const auto* m : fleet_.withImage(image))
-            if (m->reports && m->kind) processors += m->kind->cpus;
-        work = processors > 0 ? work / processors : 0;
-    }
-    machinesUp_ = 0;
+    nextPacing_ = now_ + kSurveyInterval;
+    std::vector<const Machine*> up;
+    for (const auto& [id, machine] : fleet_.machines())
+        if (machine->reports && machine->acknowledged) up.push_back(machine.get());
+    pacing_.refresh(order_, up, fleet_, now_);
+    refreshAcceleratorRoom(up);
+}
+
+void Leader::refreshAcceleratorRoom(const std::vector<const Machine*>& up) {
     sharedWithServices_.clear();
     plainRoom_.clear();
-    liveZones_.clear();
-    double sum = 0;
-    for (const auto& [id, m] : fleet_.machines()) {
-        if (!m->reports || !m->acknowledged) continue;
-        ++machinesUp_;
+    for (const auto* m : up) {
         if (m->kind && m->kind->gpus <= 0 && usable(*m)) {
             auto& room = plainRoom_[{m->zone, m->spot}];
             room += m->kind->cpus - m->used.cpus;
@@ -294,42 +275,7 @@
             const auto left = bookkeeping::sizeOf(*m->kind) - m->plainUse[4];
             given += !left.covers(need->second.first);
         }
-        sum += cachedSeconds(*m);
-        // Only zones that report count: one that is cut off would raise the mean for all others.
-        if (now_ - m->lastReport < std::chrono::duration_cast<Clock::duration>(settings_.report * 3))
-            liveZones_.insert(m->zone);
-    }
-    meanCachedSeconds_ = machinesUp_ ? sum / static_cast<double>(machinesUp_) : 0;
-}
-
-double Leader::cachedSeconds(const Machine& machine) const {
-    double seconds = 0;
-    for (const auto& [image, gb] : machine.images) {
-        const auto found = imageWork_.find(image);
-        if (found != imageWork_.end()) seconds += found->second;
-    }
-    return seconds;
-}
-
-/// m/M >= md/Md, a machine with time to spare, and a zone that did not just start a fetch.
-bool Leader::paceAllows(const Job& job, const Machine& machine) {
-    const auto& run = *job.run;
-    if (run.pacedTotal > 0 && run.launched * run.pacedTotal < run.paced * static_cast<double>(job.spec.tasks))
-        return false;
-    if (cachedSeconds(machine) > meanCachedSeconds_ + 1e-9) return false;
-    const auto own = zoneFetch_.find(machine.zone);
-    if (own == zoneFetch_.end()) return true;
-    double sum = 0;
-    std::size_t count = 0;
-    for (const auto& zone : liveZones_) {
-        const auto last = zoneFetch_.find(zone);
-        if (last == zoneFetch_.end()) continue;
-        sum += Seconds(now_ - last->second).count();
-        ++count;
     }
-    const double mean = count ? sum / static_cast<double>(count) : 0;
-    const double threshold = fetchesSeen_ ? meanFetch_ : policy_.fetchStart.count();
-    return Seconds(now_ - own->second).count() >= std::min(mean, threshold);
 }
 
 /// How many of the job's waiting tasks fit on machines that have its image and report soon.
@@ -379,7 +325,7 @@
 bool Leader::waitsForImage(Job& job) {
     auto& run = *job.run;
     if (!run.tightWait || !policy_.preempt) return false;
-    const Seconds fetch(fetchesSeen_ ? meanFetch_ : policy_.fetchStart.count());
+    const Seconds fetch = pacing_.expectedFetchTime();
     const Seconds waited = now_ - run.waitingSince;
     if (*run.tightWait >= fetch + settings_.report || waited >= *run.tightWait) return false;
     if (now_ < run.imageWaitUntil) return run.imageWait;
@@ -403,11 +349,6 @@
     return room;
 }
 
-void Leader::recordFetch(Machine& machine, Job& job) {
-    ++job.run->paced;
-    zoneFetch_[machine.zone] = now_;
-}
-
 bool Leader::startOne(Machine& machine, Job& job, std::vector<Order>& orders) {
     if (orders.size() >= kMaxStarts || !mayStart(job, machine) || blockedByUnreconciled(job)) return false;
     if (job.spec.kind == Kind::gang && (job.spec.tasks > 1 || job.run->liveTotal > 0)) return false;
@@ -456,10 +397,11 @@
                 }
             } else if (waitsForImage(job)) {
                 continue;
-            } else if (!fetchPlaced && !machine.isFetching(job.spec.image) && paceAllows(job, machine) &&
-                       roomWithImage(job) < job.run->waiting && startOne(machine, job, orders)) {
+            } else if (!fetchPlaced && !machine.isFetching(job.spec.image) &&
+                       pacing_.allows(job, machine, now_) && roomWithImage(job) < job.run->waiting &&
+                       startOne(machine, job, orders)) {
                 fetchPlaced = true;
-                recordFetch(machine, job);
+                pacing_.recordFetch(job, machine.zone, now_);
             }
         }
         if (rank >= static_cast<int>(Priority::high))
@@ -474,7 +416,7 @@
             const auto elsewhere = roomWithImage(job);
             bool fetching = machine.isFetching(job.spec.image);
             for (std::uint32_t n = elsewhere; n < waiting && startOne(machine, job, orders); ++n) {
-                if (!fetching) recordFetch(machine, job);
+                if (!fetching) pacing_.recordFetch(job, machine.zone, now_);
                 fetching = true;
             }
         }
--- /dev/null
+++ b/tests/fetch_pacing_test.cpp
@@ -0,0 +1,222 @@
+#include "coordination/fetch_pacing.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+using namespace burlpoint;
+using namespace std::chrono_literals;
+using bookkeeping::Fleet;
+using bookkeeping::Job;
+using bookkeeping::Machine;
+using coordination::FetchPacing;
+using protocol::Seconds;
+using transport::Clock;
+using transport::Time;
+
+namespace {
+
+constexpr double kCacheGb = 10;
+
+/// Machines of eight processors and jobs of one processor and ten seconds a task.
+struct Pacing : testing::Test {
+    protocol::Settings settings;
+    protocol::Policy policy;
+    protocol::MachineType type{"plain", 8, 0, 32, kCacheGb, 1, 1, 0.3, Seconds(10), {"a", "b"}};
+    Fleet fleet;
+    std::vector<std::unique_ptr<Job>> jobs;
+    Time now{1000s};
+    FetchPacing pacing{settings, policy};
+
+    Pacing() {
+        settings.report = Seconds(2);
+        policy.fetchStart = Seconds(5);
+    }
+    Machine& machine(const std::string& id, const std::string& zone, const std::vector<std::string>& images) {
+        auto& machine = fleet.add(id, now);
+        machine.type = type.name;
+        machine.kind = &type;
+        machine.zone = zone;
+        machine.reports = true;
+        machine.acknowledged = true;
+        machine.lastReport = now;
+        for (const auto& image : images) fleet.useImage(machine, image, 1, kCacheGb);
+        return machine;
+    }
+    Job& job(const std::string& image, std::uint32_t tasks) {
+        auto& job = *jobs.emplace_back(std::make_unique<Job>());
+        job.spec.id = "job-" + std::to_string(jobs.size());
+        job.spec.image = image;
+        job.spec.tasks = tasks;
+        job.spec.cpus = 1;
+        job.spec.estimate = Seconds(10);
+        job.beginRun(false, now);
+        return job;
+    }
+    void refresh() {
+        std::vector<Job*> waiting;
+        for (const auto& each : jobs) waiting.push_back(each.get());
+        std::vector<const Machine*> up;
+        for (const auto& [id, each] : fleet.machines())
+            if (each->reports && each->acknowledged) up.push_back(each.get());
+        pacing.refresh(waiting, up, fleet, now);
+    }
+};
+
+}  // namespace
+
+// Md = M times the share of the machines that are up and lack the image.
+TEST_F(Pacing, AdmissionExpectsFetchesOnTheMachinesThatLackTheImage) {
+    machine("m1", "a", {"i"});
+    machine("m2", "a", {});
+    machine("m3", "b", {});
+    machine("m4", "b", {"i"}).reports = false;  // not up, so it counts on neither side
+    auto& paced = job("i", 30);
+    refresh();
+    pacing.admit(paced, fleet);
+    EXPECT_TRUE(paced.run->admitted);
+    EXPECT_NEAR(paced.run->pacedTotal, 20, 1e-9);
+}
+
+TEST_F(Pacing, AdmissionWaitsForAMachineAndHappensOnce) {
+    auto& paced = job("i", 10);
+    refresh();
+    pacing.admit(paced, fleet);
+    EXPECT_FALSE(paced.run->admitted);
+    auto& first = machine("m1", "a", {});
+    refresh();
+    pacing.admit(paced, fleet);
+    EXPECT_TRUE(paced.run->admitted);
+    EXPECT_DOUBLE_EQ(paced.run->pacedTotal, 10);
+    fleet.useImage(first, "i", 1, kCacheGb);
+    refresh();
+    pacing.admit(paced, fleet);
+    EXPECT_DOUBLE_EQ(paced.run->pacedTotal, 10);  // Md is that of the admission
+}
+
+// More machines may have the image than were up at the last refresh.
+TEST_F(Pacing, NoFewerFetchesThanNoneAreExpected) {
+    machine("m1", "a", {"i"});
+    auto& paced = job("i", 10);
+    refresh();
+    machine("m2", "a", {"i"});
+    pacing.admit(paced, fleet);
+    EXPECT_DOUBLE_EQ(paced.run->pacedTotal, 0);
+}
+
+// m/M >= md/Md: with M = 10 and Md = 5, each fetch takes two launches.
+TEST_F(Pacing, FetchesKeepToTheirShareOfTheLaunches) {
+    machine("m1", "a", {"i"});
+    auto& lacking = machine("m2", "b", {});
+    auto& paced = job("i", 10);
+    refresh();
+    pacing.admit(paced, fleet);
+    ASSERT_DOUBLE_EQ(paced.run->pacedTotal, 5);
+    EXPECT_TRUE(pacing.allows(paced, lacking, now));  // 0/10 >= 0/5
+    paced.run->launched = 1;
+    paced.run->paced = 1;
+    EXPECT_FALSE(pacing.allows(paced, lacking, now));  // 1/10 < 1/5
+    paced.run->launched = 2;
+    EXPECT_TRUE(pacing.allows(paced, lacking, now));  // 2/10 >= 1/5
+    paced.run->paced = 2;
+    EXPECT_FALSE(pacing.allows(paced, lacking, now));  // 2/10 < 2/5
+}
+
+// Nothing is left to spread where every machine had the image at admission.
+TEST_F(Pacing, AJobWithoutExpectedFetchesIsNotHeldToAShare) {
+    machine("m1", "a", {"i"});
+    auto& paced = job("i", 10);
+    refresh();
+    pacing.admit(paced, fleet);
+    ASSERT_DOUBLE_EQ(paced.run->pacedTotal, 0);
+    auto& later = machine("m2", "b", {});
+    refresh();
+    paced.run->paced = 3;
+    EXPECT_TRUE(pacing.allows(paced, later, now));
+}
+
+// ts is work over the processors of all machines that have the image; a machine above E[ts] fetches nothing.
+TEST_F(Pacing, AMachineWithMoreCachedWorkThanTheMeanFetchesNothing) {
+    auto& busy = machine("m1", "a", {"x", "y"});
+    auto& lighter = machine("m2", "a", {"y"});
+    auto& idle = machine("m3", "b", {});
+    job("x", 8);   // 80 s of work over 8 processors: 10 s on m1
+    job("y", 16);  // 160 s over 16: 10 s each on m1 and m2; E[ts] = (20 + 10 + 0) / 3 = 10 s
+    auto& other = job("z", 4);
+    refresh();
+    EXPECT_FALSE(pacing.allows(other, busy, now));
+    EXPECT_TRUE(pacing.allows(other, lighter, now));  // as much as the mean
+    EXPECT_TRUE(pacing.allows(other, idle, now));
+    fleet.useImage(lighter, "x", 1, kCacheGb);  // x now takes 5 s on both, E[ts] = 10 s still, ts = 15 s
+    refresh();
+    EXPECT_FALSE(pacing.allows(other, lighter, now));
+}
+
+// tr >= min(E[tr], threshold), with the threshold as the smaller: the zone rests for the mean fetch time.
+TEST_F(Pacing, AZoneRestsForTheMeanFetchTime) {
+    auto& here = machine("m1", "a", {});
+    machine("m2", "b", {});
+    auto& paced = job("i", 100);
+    refresh();
+    pacing.recordFetch(paced, "b", now - 1h);  // E[tr] is half an hour and more
+    pacing.recordFetch(paced, "a", now);
+    EXPECT_EQ(paced.run->paced, 2u);
+    EXPECT_FALSE(pacing.allows(paced, here, now));
+    EXPECT_FALSE(pacing.allows(paced, here, now + 4900ms));
+    EXPECT_TRUE(pacing.allows(paced, here, now + 5s));  // the operators' starting value
+    pacing.recordFetchTime(Seconds(3));
+    EXPECT_FALSE(pacing.allows(paced, here, now + 2900ms));
+    EXPECT_TRUE(pacing.allows(paced, here, now + 3s));
+}
+
+// With the mean as the smaller: of two zones only the one that waits longer than the mean may fetch.
+TEST_F(Pacing, OfTwoZonesTheOneThatRestedLongerFetches) {
+    auto& first = machine("m1", "a", {});
+    auto& second = machine("m2", "b", {});
+    auto& paced = job("i", 100);
+    refresh();
+    pacing.recordFetch(paced, "a", now - 3s);
+    pacing.recordFetch(paced, "b", now - 1s);
+    EXPECT_TRUE(pacing.allows(paced, first, now));    // tr = 3 s, E[tr] = 2 s, threshold 5 s
+    EXPECT_FALSE(pacing.allows(paced, second, now));  // tr = 1 s
+}
+
+TEST_F(Pacing, AZoneThatNeverFetchedMayFetchAtOnce) {
+    machine("m1", "a", {});
+    auto& second = machine("m2", "b", {});
+    auto& paced = job("i", 100);
+    refresh();
+    pacing.recordFetch(paced, "a", now);
+    EXPECT_TRUE(pacing.allows(paced, second, now));
+}
+
+// DESIGN: with one zone tr equals E[tr], so that the zone check never bites.
+TEST_F(Pacing, ASingleZoneNeverWaitsForItself) {
+    auto& here = machine("m1", "a", {});
+    auto& paced = job("i", 100);
+    refresh();
+    pacing.recordFetch(paced, "a", now);
+    EXPECT_TRUE(pacing.allows(paced, here, now));
+}
+
+// DESIGN: a cut zone inflates E[tr]. Only zones that were heard within three report intervals count.
+TEST_F(Pacing, AZoneThatIsCutOffDoesNotHoldBackTheOthers) {
+    auto& first = machine("m1", "a", {});
+    machine("m2", "b", {}).lastReport = now - 6s;
+    auto& paced = job("i", 100);
+    pacing.recordFetch(paced, "a", now - 1s);
+    pacing.recordFetch(paced, "b", now - 1h);
+    refresh();
+    EXPECT_TRUE(pacing.allows(paced, first, now));  // E[tr] is that of zone a alone
+    fleet.find("m2")->lastReport = now - 5900ms;
+    refresh();
+    EXPECT_FALSE(pacing.allows(paced, first, now));
+}
+
+TEST_F(Pacing, TheMeanFetchTimeFollowsByTenths) {
+    EXPECT_EQ(pacing.expectedFetchTime(), Seconds(5));
+    pacing.recordFetchTime(Seconds(10));
+    EXPECT_DOUBLE_EQ(pacing.expectedFetchTime().count(), 10);  // the first counts in full
+    pacing.recordFetchTime(Seconds(20));
+    EXPECT_DOUBLE_EQ(pacing.expectedFetchTime().count(), 11);
+}
