--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -25,6 +25,10 @@
 struct JobRun {
     /// Some task of the job is or was on a machine.
     bool began() const { return launched > 0 || liveTotal > 0; }
+    /// None of the job's tasks has been on a machine for that time.
+    bool hasWaitedUnstarted(Clock::duration time, Time now) const {
+        return liveTotal == 0 && now - waitingSince >= time;
+    }
     explicit JobRun(std::uint32_t tasks) : live(tasks, 0) {}
 
     std::vector<std::uint8_t> live;                 // machines that each task is possibly on
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -72,6 +72,7 @@
       maxBitmapBytes_(settings.valueBytes()),
       maxFinalBytes_(settings.valueBytes()),
       pacing_(settings, policy),
+      zoneReservations_(policy),
       lastReport_(now),
       cloudBudget_(settings.cloudRps * 0.8, now) {
     for (const auto& type : replica.types) types_[type.name] = type;
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -11,6 +11,7 @@
 
 #include "bookkeeping/fleet.h"
 #include "coordination/fetch_pacing.h"
+#include "coordination/zone_reservations.h"
 #include "protocol/settings.h"
 #include "storage/store.h"
 
@@ -143,10 +144,6 @@
         Time since{}, nextTry{};
         bool asked = false, fresh = true;  // fresh: never asked for so far
     };
-    struct ZoneReservation {  // a zone for a gang
-        const Job* job = nullptr;
-        Time until{}, since{};
-    };
     struct PreemptionPlan {  // what would stop on a machine to make room
         Machine* machine = nullptr;
         std::vector<Placement*> victims;
@@ -208,7 +205,6 @@
     Resources availableRoom(const Machine& machine, const Job& job) const;
     bool allows(const Job& job, const std::string& type, const std::string& zone, bool spot) const;
     bool mayStart(const Job& job, const Machine& machine) const;
-    bool hasWaitedUnstarted(const Job& job, Clock::duration time) const;
     bool acceleratorRoomAllows(const Job& job, const Machine& machine) const;
     bool plainMachineRentable(const Job& job) const;
     bool allOfferingsRefused(const std::string& type) const;
@@ -238,8 +234,6 @@
     void execute(const PreemptionPlan& plan, Job& job, Clock::duration until);
     int makeRoomFor(Job& job);
     int makeRoomForGang(Job& job);
-    void reserveZone(const Job& job, const std::string& zone);
-    bool reservedForOther(const Job& job, const Machine& machine) const;
 
     // provisioning.cpp
     void provision();
@@ -301,7 +295,7 @@
     std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> sharedWithServices_;
     // Processors, per zone and kind, that replicas could have on machines without accelerators.
     std::map<std::pair<std::string, bool>, double> plainRoom_;
-    std::map<std::string, ZoneReservation> zoneReservations_;  // per zone
+    ZoneReservations zoneReservations_;
     std::size_t preemptFrom_ = 0, turn_ = 0;
     std::uint64_t visited_ = 0;  // machines looked at on behalf of jobs; tests count them
 
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -21,17 +21,13 @@
 // Nothing may wait for 90 s beside room that it fits in, whatever speaks for keeping it from there.
 constexpr auto kMaxHeldBack = 60s;
 constexpr auto kErrorMemory = kMaxHeldBack;  // a task's failure on a machine keeps its job away from it
-constexpr auto kReservationTurn = 60s;       // a zone is kept for a gang for so long,
-constexpr auto kReservationGap = 30s;        // then what has waited has its turn there, and so on
-constexpr auto kReservationGapMinWait = 20s;
-constexpr auto kMinCountedStart = 30s;  // a start that is stopped sooner is none to its users
+constexpr auto kMinCountedStart = 30s;       // a start that is stopped sooner is none to its users
 constexpr std::size_t kFaultyAfterJobs = 2;
 constexpr auto kPlainMachinesOnly = 12s;  // how long a replica waits for a machine without accelerators
 constexpr auto kSurveyInterval = 500ms;   // between walks over the fleet for pacing and accelerators
 constexpr auto kLookupInterval = 250ms;   // how long a look at the other machines serves a job
 constexpr double kReservedBonus = 1e6, kSpotLoss = 100,
-                 kFetchLoss = 150;      // processor seconds, when a gang's machines are chosen
-constexpr auto kZoneReservation = 10s;  // renewed while the gang waits
+                 kFetchLoss = 150;  // processor seconds, when a gang's machines are chosen
 constexpr int kProductionRank = 10, kOverdueRank = 6, kGuaranteedRank = 5;
 
 }  // namespace
@@ -115,7 +111,7 @@
     if (job.final != Final::open || !job.ready() || run.waiting == 0 || run.notBefore > now_) return false;
     if (!allows(job, machine.type, machine.zone, machine.spot) || !zoneAllows(job, machine.zone))
         return false;
-    if (!acceleratorRoomAllows(job, machine) || reservedForOther(job, machine)) return false;
+    if (!acceleratorRoomAllows(job, machine) || zoneReservations_.keepsOut(job, machine, now_)) return false;
     const auto failed = run.errorMachines.find(machine.id);
     if (failed != run.errorMachines.end() && now_ - failed->second < kErrorMemory &&
         run.errorMachines.size() < 3)
@@ -123,16 +119,12 @@
     return true;
 }
 
-/// None of the job's tasks has been on a machine for that time.
-bool Leader::hasWaitedUnstarted(const Job& job, Clock::duration time) const {
-    return job.run->liveTotal == 0 && now_ - job.run->waitingSince >= time;
-}
-
 /// Machines with accelerators are few and slow to come by. Work that needs none may use them, but only so far
 /// that a job that does need them can still have the room: at once, or by stopping lower work.
 bool Leader::acceleratorRoomAllows(const Job& job, const Machine& machine) const {
     const auto* type = machine.kind;
-    if (!type || type->gpus <= 0 || job.spec.gpus > 0 || hasWaitedUnstarted(job, kMaxHeldBack)) return true;
+    if (!type || type->gpus <= 0 || job.spec.gpus > 0 || job.run->hasWaitedUnstarted(kMaxHeldBack, now_))
+        return true;
     const bool service = job.spec.kind == Kind::service;
     // A replica stays for as long as its service does, and would hold the dear machine for all that time.
     if (service && now_ - job.run->waitingSince < kPlainMachinesOnly && plainMachineRentable(job))
@@ -530,7 +522,7 @@
         fleet_.place(*machine, job, task, job.run->gangAttempt, PlacementState::planned, now_);
         if (machine->reservedFor == &job) fleet_.reserve(*machine, nullptr);
     }
-    std::erase_if(zoneReservations_, [&](const auto& entry) { return entry.second.job == &job; });
+    zoneReservations_.release(job);
     orderStale_ = true;
     return true;
 }
@@ -715,7 +707,7 @@
     }
     if (std::get<0>(bestMerit) < job.spec.tasks) {
         // Unless more machines have to come first.
-        if (std::get<1>(bestMerit) >= job.spec.tasks) reserveZone(job, bestZone);
+        if (std::get<1>(bestMerit) >= job.spec.tasks) zoneReservations_.reserve(job, bestZone, now_);
         return 0;
     }
     std::vector<PreemptionPlan> plans;
@@ -745,37 +737,4 @@
     return 1;
 }
 
-/// One zone at a time, so that smaller work has another to go to; a gang that is overdue may take a further
-/// one.
-void Leader::reserveZone(const Job& job, const std::string& zone) {
-    std::erase_if(zoneReservations_, [&](const auto& entry) { return entry.second.until <= now_; });
-    const auto own = std::find_if(zoneReservations_.begin(), zoneReservations_.end(),
-                                  [&](const auto& entry) { return entry.second.job == &job; });
-    if (own != zoneReservations_.end()) {  // it stays where it began
-        own->second.until = now_ + kZoneReservation;
-        return;
-    }
-    if (now_ - job.run->readyAt <= policy_.longestPassedOver / 3) return;
-    const auto there = zoneReservations_.find(zone);
-    // The oldest goes first, or one after the other might be younger.
-    const bool older = there != zoneReservations_.end() && job.run->readyAt < there->second.job->run->readyAt;
-    if (older || zoneReservations_.empty() || (job.run->overdue && there == zoneReservations_.end()))
-        zoneReservations_[zone] = {&job, now_ + kZoneReservation, now_};
-}
-
-/// A gang that waits for machines like this one has bespoken the zone.
-bool Leader::reservedForOther(const Job& job, const Machine& machine) const {
-    if (zoneReservations_.empty() || !machine.kind || job.priority() == Priority::production) return false;
-    return std::any_of(zoneReservations_.begin(), zoneReservations_.end(), [&](const auto& entry) {
-        const auto& [zone, by] = entry;
-        if (by.until <= now_ || by.job == &job || (!zone.empty() && machine.zone != zone)) return false;
-        const bool othersTurn = (now_ - by.since) % (kReservationTurn + kReservationGap) >= kReservationTurn;
-        if (othersTurn && hasWaitedUnstarted(job, kReservationGapMinWait)) return false;
-        const auto& spec = by.job->spec;
-        if (job.priority() < by.job->priority()) return false;
-        if (spec.gpus > 0 ? job.spec.gpus <= 0 : job.spec.kind != Kind::gang) return false;
-        return bookkeeping::sizeOf(*machine.kind).covers(bookkeeping::needOf(spec));
-    });
-}
-
 }  // namespace burlpoint::coordination
