--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -72,6 +72,7 @@
       maxBitmapBytes_(settings.valueBytes()),
       maxFinalBytes_(settings.valueBytes()),
       pacing_(settings, policy),
+      order_(policy),
       zoneReservations_(policy),
       lastReport_(now),
       cloudBudget_(settings.cloudRps * 0.8, now) {
@@ -98,7 +99,7 @@
 
 std::vector<std::pair<std::string, std::uint32_t>> Leader::runningCounts() const {
     std::vector<std::pair<std::string, std::uint32_t>> out;
-    for (const auto* job : open_)
+    for (const auto* job : order_.open())
         if (job->run && job->run->running > 0) out.emplace_back(job->spec.id, job->run->running);
     return out;
 }
@@ -122,15 +123,11 @@
                   Seconds(now_ - job.run->readyAt).count());
     // An earlier leader may have stored the last bits and not the end of the job.
     if (job.doneCount == job.spec.tasks) unstored_.insert(&job);
-    open_.push_back(&job);
-    orderStale_ = true;
+    order_.add(job);
 }
 
 /// When it was that time of day, by this node's steady clock.
-Time Leader::clockOf(std::uint64_t dayMs) const {
-    return began_ +
-           std::chrono::milliseconds(static_cast<std::int64_t>(dayMs) - static_cast<std::int64_t>(beganMs_));
-}
+Time Leader::clockOf(std::uint64_t dayMs) const { return DayClock{began_, beganMs_}.at(dayMs); }
 
 /// The roster entry of a machine that has not reported yet has no address. It is a note for the next leader
 /// and no task is given under it: were it otherwise, each take-over would wait for all machines that are
@@ -308,7 +305,7 @@
     if (report.token == token_ && !machine.acknowledged) {
         machine.acknowledged = true;
         fleet_.setReconciled(machine, true);
-        orderStale_ = true;
+        order_.markStale();
     }
     if (!machine.acknowledged) return;
 
@@ -356,7 +353,7 @@
         placement = &fleet_.place(machine, *job, key.task, key.attempt, state, now_);
         if (job->spec.kind == Kind::gang)
             job->run->gangAttempt = std::max(job->run->gangAttempt, key.attempt);
-        orderStale_ = true;
+        order_.markStale();
     } else {
         placement = &at->second;
         if (placement->state == PlacementState::sent) {
@@ -400,7 +397,7 @@
 
 void Leader::endPlacement(Machine& machine, const Placement& placement, ExitReason why) {
     Job& job = *placement.job;
-    orderStale_ = true;
+    order_.markStale();
     spdlog::debug("gone {}/{} attempt {} from {}, state {}, reason {}", job.spec.id, placement.task,
                   placement.attempt, machine.id, static_cast<int>(placement.state), static_cast<int>(why));
     if (machine.placements.empty()) machine.busyUntil = now_;
@@ -458,7 +455,7 @@
     for (auto [machine, placement] : fleet_.placementsOf(job)) {
         if (placement->state == PlacementState::planned) {
             fleet_.remove(*machine, machine->placements.find({&job, placement->task, placement->attempt}));
-            orderStale_ = true;
+            order_.markStale();
         } else {
             stop(*machine, *placement, grace);
             // A gang that goes on later does so at once if the machines it has are kept for it meanwhile.
@@ -557,7 +554,7 @@
 /// Proof that nothing sent so far is on the machine.
 void Leader::clearAfterLease(Machine& machine) {
     fleet_.setReconciled(machine, true);
-    orderStale_ = true;
+    order_.markStale();
     fleet_.removeAll(machine,
                      [&](const Placement& placement) { endPlacement(machine, placement, ExitReason::none); });
 }
@@ -570,7 +567,7 @@
     if (machine.roster != RosterState::absent) rosterDrop_.insert(id);
     rosterAdd_.erase(id);
     fleet_.erase(id);
-    orderStale_ = true;
+    order_.markStale();
 }
 
 void Leader::ensureRosterEntry(Machine& machine) {
@@ -666,14 +663,14 @@
     for (const auto& id : command.ids) {
         auto* job = replica_.find(id);
         if (!job) continue;
-        orderStale_ = true;
+        order_.markStale();
         if (job->final == Final::open) {
             // One that waited for others cannot be on a machine: an earlier leader would have seen them
             // stored as done, and so would this one as it began.
             if (!job->run && job->ready()) beginJob(*job, false);
             continue;
         }
-        std::erase(open_, job);
+        order_.remove(*job);
         unstored_.erase(job);
         if (job->run) stopJob(*job, Seconds(0));
     }
@@ -809,8 +806,7 @@
             if (job->final != Final::open) continue;
             replica_.noteDone(*job, result.revision, endedMs, changes);
             unstored_.erase(job);
-            std::erase(open_, job);
-            orderStale_ = true;
+            order_.remove(*job);
         }
         // Only now may what needs these jobs start: until its end was stored a cancellation could still win.
         jobsChanged(changes);
@@ -887,7 +883,7 @@
             m->used.cpus, m->used.gpus, m->used.memoryGb, m->images.size(),
             m->draining || m->releasing || m->failed || m->recallAt ? ", leaving" : "",
             m->reservedFor && m->reservedUntil > now_ ? ", reserved" : "");
-    for (const auto* job : order_)
+    for (const auto* job : order_.waiting())
         spdlog::debug("job {} {} rank {} waits: {} of {} tasks, {} possible, for {:.1f} s", job->spec.id,
                       job->spec.jobClass, rankOf(*job), job->run->waiting, job->spec.tasks,
                       job->run->liveTotal, Seconds(now_ - job->run->waitingSince).count());
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -11,6 +11,7 @@
 
 #include "bookkeeping/fleet.h"
 #include "coordination/fetch_pacing.h"
+#include "coordination/job_order.h"
 #include "coordination/zone_reservations.h"
 #include "protocol/settings.h"
 #include "storage/store.h"
@@ -212,7 +213,6 @@
     bool withinTeamLimit(const Job& job, std::uint32_t tasks) const;
     bool zoneAllows(const Job& job, const std::string& zone) const;
     bool blockedByUnreconciled(const Job& job) const;
-    int rankOf(const Job& job) const;
     void refreshOrder();
     void schedule(Machine& machine, std::vector<Order>& orders);
     bool startOne(Machine& machine, Job& job, std::vector<Order>& orders);
@@ -285,11 +285,8 @@
 
     // placement
     FetchPacing pacing_;
-    std::vector<Job*> order_;  // waiting jobs in the order they are walked
-    double minCpus_ = 0;       // that any of them needs
-    std::vector<Job*> open_;
-    bool orderStale_ = true;
-    Time nextOrder_{}, nextPacing_{}, nextGangs_{};
+    JobOrder order_;
+    Time nextPacing_{}, nextGangs_{};
     std::map<std::string, std::pair<Resources, Priority>> acceleratorNeeds_;
     // Machines per type whose replicas leave no room for the jobs that need accelerators, and all.
     std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> sharedWithServices_;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -28,7 +28,6 @@
 constexpr auto kLookupInterval = 250ms;   // how long a look at the other machines serves a job
 constexpr double kReservedBonus = 1e6, kSpotLoss = 100,
                  kFetchLoss = 150;  // processor seconds, when a gang's machines are chosen
-constexpr int kProductionRank = 10, kOverdueRank = 6, kGuaranteedRank = 5;
 
 }  // namespace
 
@@ -184,60 +183,12 @@
     }
 }
 
-/// Production first, then what teams are guaranteed, then by priority.
-int Leader::rankOf(const Job& job) const { return job.run ? job.run->rank : 0; }
-
 void Leader::refreshOrder() {
-    if (!orderStale_ || now_ < nextOrder_) return;
-    orderStale_ = false;
-    replica_.updateUrgency();
-    nextOrder_ = now_ + 100ms;
-    std::sort(open_.begin(), open_.end(),
-              [](const Job* a, const Job* b) { return a->accepted < b->accepted; });
-    order_.clear();
-    minCpus_ = std::numeric_limits<double>::max();
-    std::unordered_map<std::string_view, Resources> teams;
-    constexpr double last = 1e18;
-    for (auto* job : open_) {
-        auto& run = *job->run;
-        const auto& spec = job->spec;
-        fleet_.setPriority(*job, job->urgency);
-        auto& demand = teams[spec.team];
-        const auto unfinished = spec.tasks - job->doneCount;
-        demand += {spec.cpus * unfinished, spec.gpus * unfinished, 0};
-        const auto* team = run.team;
-        // "A value of 0 means none": with no guarantee of accelerators, work that needs them has none.
-        run.guaranteed = team && (team->cpus > 0 || team->gpus > 0) && demand.cpus <= team->cpus + 1e-6 &&
-                         demand.gpus <= team->gpus + 1e-6;
-        const bool production = run.priority == Priority::production;
-        run.rank = production       ? kProductionRank
-                   : run.guaranteed ? kGuaranteedRank
-                                    : static_cast<int>(run.priority);
+    if (!order_.refresh(replica_, fleet_, DayClock{began_, beganMs_}, now_)) return;
+    for (auto* job : order_.open()) {
         pacing_.admit(*job, fleet_);
         recordAcceleratorNeed(*job);
-        if (run.waiting == 0) continue;
-        order_.push_back(job);
-        minCpus_ = std::min(minCpus_, spec.cpus);
-        // Within a rank by arrival. Where deadlines count, what is soonest through goes first, so that as
-        // many jobs as possible meet theirs, and what can no longer meet its own goes last.
-        run.place = last / 2;
-        // A deadline handed down by a job that needs this one is never past saving: more than this job hangs
-        // on it.
-        const Seconds age = now_ - run.readyAt;
-        if (job->dueMs)
-            run.place = spec.deadline && Seconds(dueAt(*job) - now_) < spec.estimate * 0.8
-                            ? last
-                            : run.waiting * spec.cpus * spec.estimate.count();
-        // But nothing is passed over for ever: what has waited for long goes first, by arrival.
-        run.overdue = age > policy_.longestPassedOver;
-        if (run.overdue) {
-            run.place = -1;
-            if (!run.began() && job->doneCount == 0) run.rank = std::max(run.rank, kOverdueRank);
-        }
     }
-    std::stable_sort(order_.begin(), order_.end(), [](const Job* a, const Job* b) {
-        return std::pair(-a->run->rank, a->run->place) < std::pair(-b->run->rank, b->run->place);
-    });
 }
 
 /// What is counted over all machines that are up, now and then and not for each report.
@@ -247,7 +198,7 @@
     std::vector<const Machine*> up;
     for (const auto& [id, machine] : fleet_.machines())
         if (machine->reports && machine->acknowledged) up.push_back(machine.get());
-    pacing_.refresh(order_, up, fleet_, now_);
+    pacing_.refresh(order_.waiting(), up, fleet_, now_);
     refreshAcceleratorRoom(up);
 }
 
@@ -359,7 +310,7 @@
     spdlog::debug("start {}/{} attempt {} on {} after report {}.{}", job.spec.id, *task, attempt, machine.id,
                   machine.session, machine.sequence);
     orders.push_back({Op::start, {job.spec.id, *task, attempt}, Seconds(0)});
-    orderStale_ |= job.run->waiting == 0;
+    if (job.run->waiting == 0) order_.markStale();
     return true;
 }
 
@@ -374,13 +325,14 @@
         ++p.job->run->launched;
         orders.push_back({Op::start, {p.job->spec.id, p.task, p.attempt}, Seconds(0)});
     }
-    const bool full = !machine.kind || machine.kind->cpus - machine.used.cpus < minCpus_ - 1e-6;
+    const bool full = !machine.kind || machine.kind->cpus - machine.used.cpus < order_.minCpus() - 1e-6;
     bool fetchPlaced = false;
     // One rank after the other, so that a low job's cached tasks do not take the room of a high one's fetch.
-    for (auto first = order_.begin(); first != order_.end();) {
+    const auto& jobs = order_.waiting();
+    for (auto first = jobs.begin(); first != jobs.end();) {
         const int rank = rankOf(**first);
         const auto last =
-            std::find_if(first, order_.end(), [&](const Job* job) { return rankOf(*job) != rank; });
+            std::find_if(first, jobs.end(), [&](const Job* job) { return rankOf(*job) != rank; });
         for (auto at = first; at != last && !full; ++at) {
             Job& job = **at;
             if (job.run->waiting == 0 || !mayStart(job, machine)) continue;
@@ -437,9 +389,9 @@
     nextGangs_ = now_ + 200ms;
     std::vector<Machine*> machines;
     for (const auto& [id, m] : fleet_.machines())
-        if (m->kind && m->kind->cpus - m->used.cpus >= minCpus_ - 1e-6 && usable(*m))
+        if (m->kind && m->kind->cpus - m->used.cpus >= order_.minCpus() - 1e-6 && usable(*m))
             machines.push_back(m.get());
-    for (auto* job : std::vector<Job*>(order_)) {
+    for (auto* job : std::vector<Job*>(order_.waiting())) {
         const auto& run = *job->run;
         if (job->spec.kind != Kind::gang || job->spec.tasks < 2 || job->final != Final::open) continue;
         if (run.waiting == 0 || run.notBefore > now_ || !mayComplete(*job)) continue;
@@ -523,7 +475,7 @@
         if (machine->reservedFor == &job) fleet_.reserve(*machine, nullptr);
     }
     zoneReservations_.release(job);
-    orderStale_ = true;
+    order_.markStale();
     return true;
 }
 
@@ -548,7 +500,7 @@
     const auto mostVisits = std::max<std::uint64_t>(6000, fleet_.machines().size() * 12);
     const auto visitedBefore = visited_;
     int made = 0;
-    const auto jobs = order_;
+    const auto jobs = order_.waiting();
     // Production has its turn each time.
     const auto production = static_cast<std::size_t>(
         std::find_if(jobs.begin(), jobs.end(),
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -108,7 +108,7 @@
     }
     std::map<Offering, std::uint32_t> wanted;
     std::map<std::string, Resources> teamUse;
-    for (auto* job : order_) {
+    for (auto* job : order_.waiting()) {
         const auto& spec = job->spec;
         if (job->final != Final::open || job->run->waiting == 0) continue;
         if (job->run->errorMachines.size() >= 3) continue;  // nothing is rented for what fails everywhere
@@ -376,7 +376,7 @@
     for (const auto& [id, machine] : fleet_.machines())
         if (!machine->kind) machine->kind = typeOf(machine->type);
     if (changed) typesUnstored_ = true;
-    orderStale_ = true;
+    order_.markStale();
 }
 
 }  // namespace burlpoint::coordination
