--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -515,7 +515,7 @@
     for (auto& order : stopOrders(machine)) orders.push_back(std::move(order));
     // A leader cut off from the store is entitled for some seconds yet, in which others may tell users that
     // jobs are cancelled: what runs goes on, and nothing new starts.
-    if (cancellationsCurrent && usable(machine)) schedule(machine, orders);
+    if (cancellationsCurrent && usable(machine, now_)) schedule(machine, orders);
     return orders;
 }
 
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -12,6 +12,7 @@
 #include "bookkeeping/fleet.h"
 #include "coordination/fetch_pacing.h"
 #include "coordination/job_order.h"
+#include "coordination/placement_rules.h"
 #include "coordination/zone_reservations.h"
 #include "protocol/settings.h"
 #include "storage/store.h"
@@ -201,18 +202,12 @@
     bool finalWriteSuffices(const Job& job) const;
 
     // placement.cpp
-    bool usable(const Machine& machine) const;
     const MachineType* typeOf(const std::string& name) const;
-    Resources availableRoom(const Machine& machine, const Job& job) const;
-    bool allows(const Job& job, const std::string& type, const std::string& zone, bool spot) const;
     bool mayStart(const Job& job, const Machine& machine) const;
     bool acceleratorRoomAllows(const Job& job, const Machine& machine) const;
     bool plainMachineRentable(const Job& job) const;
     bool allOfferingsRefused(const std::string& type) const;
     void recordAcceleratorNeed(const Job& job);
-    bool withinTeamLimit(const Job& job, std::uint32_t tasks) const;
-    bool zoneAllows(const Job& job, const std::string& zone) const;
-    bool blockedByUnreconciled(const Job& job) const;
     void refreshOrder();
     void schedule(Machine& machine, std::vector<Order>& orders);
     bool startOne(Machine& machine, Job& job, std::vector<Order>& orders);
@@ -221,7 +216,6 @@
     bool startedRecently(const Placement& placement) const;
     bool isProtectedStart(const Placement& placement) const;
     bool waitsForImage(Job& job);
-    Resources maxRoom(const Machine& machine, const Job& job) const;
     void refreshPacing();
     void refreshAcceleratorRoom(const std::vector<const Machine*>& up);
     void reserveFreedRoom(Machine& machine, const Job& job);
@@ -256,7 +250,7 @@
     std::vector<Action> actions_;
 
     Fleet fleet_;
-    std::map<std::string, MachineType> types_;
+    MachineTypes types_;
     std::uint64_t attempts_ = 0, rentals_ = 0;
     // Machines that are gone, with the newest counters seen: what is not newer is a late copy.
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> removedMachines_;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -2,14 +2,12 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
 
 #include "coordination/leader.h"
 
 namespace burlpoint::coordination {
 
-using bookkeeping::RosterState;
 using protocol::Kind;
 using protocol::Op;
 using storage::Final;
@@ -18,14 +16,11 @@
 namespace {
 
 constexpr std::size_t kMaxStarts = 250;
-// Nothing may wait for 90 s beside room that it fits in, whatever speaks for keeping it from there.
-constexpr auto kMaxHeldBack = 60s;
 constexpr auto kErrorMemory = kMaxHeldBack;  // a task's failure on a machine keeps its job away from it
 constexpr auto kMinCountedStart = 30s;       // a start that is stopped sooner is none to its users
-constexpr std::size_t kFaultyAfterJobs = 2;
-constexpr auto kPlainMachinesOnly = 12s;  // how long a replica waits for a machine without accelerators
-constexpr auto kSurveyInterval = 500ms;   // between walks over the fleet for pacing and accelerators
-constexpr auto kLookupInterval = 250ms;   // how long a look at the other machines serves a job
+constexpr auto kPlainMachinesOnly = 12s;     // how long a replica waits for a machine without accelerators
+constexpr auto kSurveyInterval = 500ms;      // between walks over the fleet for pacing and accelerators
+constexpr auto kLookupInterval = 250ms;      // how long a look at the other machines serves a job
 constexpr double kReservedBonus = 1e6, kSpotLoss = 100,
                  kFetchLoss = 150;  // processor seconds, when a gang's machines are chosen
 
@@ -36,74 +31,6 @@
     return found == types_.end() ? nullptr : &found->second;
 }
 
-bool Leader::usable(const Machine& m) const {
-    // A machine without a stored roster entry would be unknown to the next leader, tasks and all.
-    return m.acknowledged && m.reports && m.roster == RosterState::stored && !m.draining && !m.releasing &&
-           !m.failed && !m.recallAt && !m.unreachableSince && m.quietUntil <= now_ &&
-           m.errorJobs.size() < kFaultyAfterJobs && m.kind;
-}
-
-bool Leader::allows(const Job& job, const std::string& type, const std::string& zone, bool spot) const {
-    const auto& s = job.spec;
-    if (spot && !s.spot) return false;
-    if (s.zone && *s.zone != zone) return false;
-    return !s.types || std::find(s.types->begin(), s.types->end(), type) != s.types->end();
-}
-
-/// Could an attempt that an earlier leader started be on a machine not heard from yet?
-bool Leader::blockedByUnreconciled(const Job& job) const {
-    if (!job.run->inherited) return false;
-    const auto& offerings = fleet_.unreconciled();
-    return std::any_of(offerings.begin(), offerings.end(), [&](const auto& entry) {
-        return allows(job, entry.first.type, entry.first.zone, entry.first.spot);
-    });
-}
-
-bool Leader::withinTeamLimit(const Job& job, std::uint32_t tasks) const {
-    const auto* team = job.run->team;
-    if (!team) return false;
-    if (team->cpusMax <= 0 && team->gpusMax <= 0) return true;
-    auto use = fleet_.teamUse(team->name);
-    // Until a machine has been heard, it may be full of this team's tasks.
-    for (const auto& [offering, count] : fleet_.unreconciled())
-        if (const auto* type = typeOf(offering.type))
-            use += {type->cpus * count, type->gpus * count, type->memoryGb * count};
-    constexpr double slack = 1e-6;
-    const auto fits = [&](double used, double need, double most) {
-        return most <= 0 || used + need * tasks <= most + slack;
-    };
-    return fits(use.cpus, job.spec.cpus, team->cpusMax) && fits(use.gpus, job.spec.gpus, team->gpusMax);
-}
-
-bool Leader::zoneAllows(const Job& job, const std::string& zone) const {
-    const auto& zones = job.run->zones;
-    if (job.spec.oneZone && !zones.empty() && (zones.size() > 1 || !zones.contains(zone))) return false;
-    if (job.spec.spread) {
-        const auto found = zones.find(zone);
-        const std::uint32_t here = found == zones.end() ? 0 : found->second;
-        if (here + 1 > (job.spec.tasks + 1) / 2) return false;
-    }
-    return true;
-}
-
-Resources Leader::availableRoom(const Machine& machine, const Job& job) const {
-    if (!machine.kind) return {};
-    auto room = bookkeeping::sizeOf(*machine.kind) - machine.used;
-    if (machine.reservedFor != &job && machine.isReserved(now_)) {
-        const auto* holder = machine.reservedFor;
-        // Room that work was stopped for is not for other work of no higher priority, whatever its rank:
-        // guaranteed tasks would fill it again and again, to be stopped once more.
-        const bool kept =
-            rankOf(*holder) >= rankOf(job) || (!machine.holding && holder->priority() >= job.priority());
-        if (holder->run && holder->run->waiting > 0 && kept) {
-            const auto need = bookkeeping::needOf(holder->spec);
-            room -= {need.cpus * machine.reserved, need.gpus * machine.reserved,
-                     need.memoryGb * machine.reserved};
-        }
-    }
-    return room;
-}
-
 /// Everything but the room: may one more task of the job start on this machine now?
 bool Leader::mayStart(const Job& job, const Machine& machine) const {
     const auto& run = *job.run;
@@ -206,7 +133,7 @@
     sharedWithServices_.clear();
     plainRoom_.clear();
     for (const auto* m : up) {
-        if (m->kind && m->kind->gpus <= 0 && usable(*m)) {
+        if (m->kind && m->kind->gpus <= 0 && usable(*m, now_)) {
             auto& room = plainRoom_[{m->zone, m->spot}];
             room += m->kind->cpus - m->used.cpus;
             for (const auto& stoppable : m->stoppable) room += stoppable.cpus;
@@ -232,8 +159,8 @@
     for (const auto* m : fleet_.withImage(job.spec.image)) {
         ++visited_;
         if (!m->kind || m->kind->cpus - m->used.cpus < need.cpus - 1e-6) continue;
-        if (!usable(*m) || now_ - m->lastReport > soon || !mayStart(job, *m)) continue;
-        run.roomWithImage += availableRoom(*m, job).times(need);
+        if (!usable(*m, now_) || now_ - m->lastReport > soon || !mayStart(job, *m)) continue;
+        run.roomWithImage += availableRoom(*m, job, now_).times(need);
         if (run.roomWithImage >= run.waiting) break;
     }
     return run.roomWithImage;
@@ -277,26 +204,17 @@
     const auto& machines = fleet_.withImage(job.spec.image);
     run.imageWait = std::any_of(machines.begin(), machines.end(), [&](const Machine* m) {
         ++visited_;
-        return usable(*m) && mayStart(job, *m) && maxRoom(*m, job).covers(need);
+        return usable(*m, now_) && mayStart(job, *m) && maxRoom(*m, job, now_).covers(need);
     });
     return run.imageWait;
 }
 
-/// The room that the job could have on a machine if everything that might yield to it did.
-Resources Leader::maxRoom(const Machine& machine, const Job& job) const {
-    auto room = availableRoom(machine, job);
-    // A guarantee may be given back by work of any priority.
-    const auto below =
-        job.run->guaranteed ? machine.stoppable.size() : static_cast<std::size_t>(job.priority());
-    for (std::size_t p = 0; p < below; ++p) room += machine.stoppable[p];
-    return room;
-}
-
 bool Leader::startOne(Machine& machine, Job& job, std::vector<Order>& orders) {
-    if (orders.size() >= kMaxStarts || !mayStart(job, machine) || blockedByUnreconciled(job)) return false;
+    if (orders.size() >= kMaxStarts || !mayStart(job, machine) || blockedByUnreconciled(job, fleet_))
+        return false;
     if (job.spec.kind == Kind::gang && (job.spec.tasks > 1 || job.run->liveTotal > 0)) return false;
-    if (!withinTeamLimit(job, 1)) return false;
-    if (!availableRoom(machine, job).covers(bookkeeping::needOf(job.spec))) return false;
+    if (!withinTeamLimit(job, 1, fleet_, types_)) return false;
+    if (!availableRoom(machine, job, now_).covers(bookkeeping::needOf(job.spec))) return false;
     const auto task = job.firstWaiting();
     if (!task) return false;
     const std::uint64_t attempt = (token_ << 32) + ++attempts_;
@@ -374,9 +292,11 @@
     const auto& run = *job.run;
     if (run.waiting == 0 || machine.isReserved(now_)) return;
     if (job.spec.kind == Kind::gang && job.spec.tasks > 1) return;
-    if (!mayStart(job, machine) || blockedByUnreconciled(job) || !withinTeamLimit(job, 1)) return;
+    if (!mayStart(job, machine) || blockedByUnreconciled(job, fleet_) ||
+        !withinTeamLimit(job, 1, fleet_, types_))
+        return;
     const auto need = bookkeeping::needOf(job.spec);
-    if (!maxRoom(machine, job).covers(need) || availableRoom(machine, job).covers(need)) return;
+    if (!maxRoom(machine, job, now_).covers(need) || availableRoom(machine, job, now_).covers(need)) return;
     if (fleet_.reservations(job, now_) >= run.waiting) return;
     fleet_.reserve(machine, &job, now_ + std::chrono::duration_cast<Clock::duration>(settings_.report * 3),
                    true);
@@ -389,13 +309,14 @@
     nextGangs_ = now_ + 200ms;
     std::vector<Machine*> machines;
     for (const auto& [id, m] : fleet_.machines())
-        if (m->kind && m->kind->cpus - m->used.cpus >= order_.minCpus() - 1e-6 && usable(*m))
+        if (m->kind && m->kind->cpus - m->used.cpus >= order_.minCpus() - 1e-6 && usable(*m, now_))
             machines.push_back(m.get());
     for (auto* job : std::vector<Job*>(order_.waiting())) {
         const auto& run = *job->run;
         if (job->spec.kind != Kind::gang || job->spec.tasks < 2 || job->final != Final::open) continue;
         if (run.waiting == 0 || run.notBefore > now_ || !mayComplete(*job)) continue;
-        if (blockedByUnreconciled(*job) || !withinTeamLimit(*job, run.waiting)) continue;
+        if (blockedByUnreconciled(*job, fleet_) || !withinTeamLimit(*job, run.waiting, fleet_, types_))
+            continue;
         if (!job->spec.oneZone) {
             planGang(*job, machines, nullptr);
             continue;
@@ -435,7 +356,7 @@
             continue;
         if (!mayStart(job, *m)) continue;
         if (job.run->liveTotal > 0 && job.run->machinesLeft.contains(m->id)) continue;
-        const auto room = availableRoom(*m, job).times(need);
+        const auto room = availableRoom(*m, job, now_).times(need);
         if (room == 0) continue;
         total += room;
         // One spot machine that is taken back stops the whole gang.
@@ -520,7 +441,9 @@
         if (job->final != Final::open || run.waiting == 0 || run.notBefore > now_) continue;
         if (Seconds(now_ - run.waitingSince) < preemptionDelay(*job)) continue;
         const bool gang = job->spec.kind == Kind::gang && job->spec.tasks > 1;
-        if (blockedByUnreconciled(*job) || !withinTeamLimit(*job, gang ? run.waiting : 1)) continue;
+        if (blockedByUnreconciled(*job, fleet_) ||
+            !withinTeamLimit(*job, gang ? run.waiting : 1, fleet_, types_))
+            continue;
         made += gang ? makeRoomForGang(*job) : makeRoomFor(*job);
     }
 }
@@ -532,7 +455,7 @@
     auto need = bookkeeping::needOf(job.spec);
     need = {need.cpus * tasks, need.gpus * tasks, need.memoryGb * tasks};
     PreemptionPlan plan{&machine, {}, machine.hasImage(job.spec.image) ? 0.0 : 10.0, tasks};
-    auto room = availableRoom(machine, job);
+    auto room = availableRoom(machine, job, now_);
     std::vector<std::pair<double, Placement*>> victims;
     for (auto& [key, p] : machine.placements) {
         const auto& spec = p.job->spec;
@@ -575,16 +498,16 @@
     std::map<std::string, std::uint32_t> zones = job.run->zones;
     const auto weigh = [&](Machine& m) {
         ++visited_;
-        if (!m.kind || !usable(m)) return;
+        if (!m.kind || !usable(m, now_)) return;
         const bool made = m.isReserved(now_) && !m.holding;
         if (made && m.reservedFor != &job) return;
         if (!mayStart(job, m)) return;
         if (made) {
             ++zones[m.zone];
             ++coming;
-        } else if (const auto room = availableRoom(m, job).times(need); room > 0) {
+        } else if (const auto room = availableRoom(m, job, now_).times(need); room > 0) {
             coming += room;  // it will be placed with that machine's report
-        } else if (maxRoom(m, job).covers(need)) {
+        } else if (maxRoom(m, job, now_).covers(need)) {
             candidates.push_back(&m);
         }
     };
@@ -640,12 +563,13 @@
         for (const auto& [id, m] : fleet_.machines()) {
             if ((!zone.empty() && m->zone != zone) || !m->kind || m->kind->gpus < need.gpus) continue;
             ++visited_;
-            if (!usable(*m)) continue;
+            if (!usable(*m, now_)) continue;
             if (allows(job, m->type, m->zone, m->spot))
                 could += (bookkeeping::sizeOf(*m->kind) - m->plainUse[4]).times(need);
             if (!bookkeeping::sizeOf(*m->kind).covers(need) || !mayStart(job, *m)) continue;
             if (m->isReserved(now_) && !m->holding && m->reservedFor != &job) continue;
-            const auto now = availableRoom(*m, job).times(need), later = maxRoom(*m, job).times(need);
+            const auto now = availableRoom(*m, job, now_).times(need),
+                       later = maxRoom(*m, job, now_).times(need);
             if (later == 0) continue;
             free += now;
             most += later;
--- /dev/null
+++ b/src/coordination/placement_rules.cpp
@@ -0,0 +1,105 @@
+#include "coordination/placement_rules.h"
+
+#include <algorithm>
+
+#include "coordination/job_order.h"
+
+namespace burlpoint::coordination {
+
+using bookkeeping::Fleet;
+using bookkeeping::Job;
+using bookkeeping::Machine;
+using bookkeeping::Resources;
+using bookkeeping::RosterState;
+using transport::Time;
+
+namespace {
+
+// Processors and accelerators that a sum of decimals may be off by.
+constexpr double kSlack = 1e-6;
+
+Resources needOfTasks(const Job& job, std::uint32_t tasks) {
+    const auto need = bookkeeping::needOf(job.spec);
+    return {need.cpus * tasks, need.gpus * tasks, need.memoryGb * tasks};
+}
+
+/// Must the job leave alone what the machine keeps for `holder`?
+bool isKeptFrom(const Job& job, const Machine& machine, const Job& holder) {
+    if (!holder.run || holder.run->waiting == 0) return false;
+    if (rankOf(holder) >= rankOf(job)) return true;
+    // Room that work was stopped for is not for other work of no higher priority, whatever its rank:
+    // guaranteed tasks would fill it again and again, to be stopped once more.
+    return !machine.holding && holder.priority() >= job.priority();
+}
+
+}  // namespace
+
+bool usable(const Machine& machine, Time now) {
+    const bool leaving = machine.draining || machine.releasing || machine.failed || machine.recallAt;
+    if (leaving || machine.unreachableSince || machine.quietUntil > now) return false;
+    // A machine without a stored roster entry would be unknown to the next leader, tasks and all.
+    const bool known = machine.acknowledged && machine.reports && machine.roster == RosterState::stored;
+    return known && machine.errorJobs.size() < kFaultyAfterJobs && machine.kind;
+}
+
+bool allows(const Job& job, const std::string& type, const std::string& zone, bool spot) {
+    const auto& spec = job.spec;
+    if (spot && !spec.spot) return false;
+    if (spec.zone && *spec.zone != zone) return false;
+    return !spec.types || std::find(spec.types->begin(), spec.types->end(), type) != spec.types->end();
+}
+
+bool zoneAllows(const Job& job, const std::string& zone) {
+    const auto& zones = job.run->zones;
+    if (job.spec.oneZone && !zones.empty() && (zones.size() > 1 || !zones.contains(zone))) return false;
+    if (!job.spec.spread) return true;
+    const auto found = zones.find(zone);
+    const std::uint32_t here = found == zones.end() ? 0 : found->second;
+    return here + 1 <= (job.spec.tasks + 1) / 2;
+}
+
+bool blockedByUnreconciled(const Job& job, const Fleet& fleet) {
+    if (!job.run->inherited) return false;
+    const auto& offerings = fleet.unreconciled();
+    return std::any_of(offerings.begin(), offerings.end(), [&](const auto& entry) {
+        return allows(job, entry.first.type, entry.first.zone, entry.first.spot);
+    });
+}
+
+bool withinTeamLimit(const Job& job, std::uint32_t tasks, const Fleet& fleet, const MachineTypes& types) {
+    const auto* team = job.run->team;
+    if (!team) return false;
+    if (team->cpusMax <= 0 && team->gpusMax <= 0) return true;
+    auto use = fleet.teamUse(team->name);
+    // Until a machine has been heard, it may be full of this team's tasks.
+    for (const auto& [offering, count] : fleet.unreconciled()) {
+        const auto found = types.find(offering.type);
+        if (found == types.end()) continue;
+        const auto& type = found->second;
+        use += {type.cpus * count, type.gpus * count, type.memoryGb * count};
+    }
+    const auto fits = [&](double used, double need, double most) {
+        return most <= 0 || used + need * tasks <= most + kSlack;
+    };
+    return fits(use.cpus, job.spec.cpus, team->cpusMax) && fits(use.gpus, job.spec.gpus, team->gpusMax);
+}
+
+Resources availableRoom(const Machine& machine, const Job& job, Time now) {
+    if (!machine.kind) return {};
+    auto room = bookkeeping::sizeOf(*machine.kind) - machine.used;
+    const auto* holder = machine.reservedFor;
+    if (holder != &job && machine.isReserved(now) && isKeptFrom(job, machine, *holder))
+        room -= needOfTasks(*holder, machine.reserved);
+    return room;
+}
+
+Resources maxRoom(const Machine& machine, const Job& job, Time now) {
+    auto room = availableRoom(machine, job, now);
+    // A guarantee may be given back by work of any priority.
+    const auto below =
+        job.run->guaranteed ? machine.stoppable.size() : static_cast<std::size_t>(job.priority());
+    for (std::size_t priority = 0; priority < below; ++priority) room += machine.stoppable[priority];
+    return room;
+}
+
+}  // namespace burlpoint::coordination
--- /dev/null
+++ b/src/coordination/placement_rules.h
@@ -0,0 +1,51 @@
+// Where a job's tasks may run, as far as that follows from the job, the machine and what is on the machines:
+// owners' constraints, zones, teams' limits and room. These are functions of their arguments and own nothing.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "bookkeeping/fleet.h"
+
+namespace burlpoint::coordination {
+
+/// So many jobs that failed on a machine, with no task working there since, take it out of use.
+constexpr std::size_t kFaultyAfterJobs = 2;
+
+/// Nothing may wait for 90 s beside room that it fits in, whatever speaks for keeping it from there.
+constexpr std::chrono::seconds kMaxHeldBack{60};
+
+/// Machine types by name.
+using MachineTypes = std::map<std::string, protocol::MachineType>;
+
+/// May the machine be given any task now? It has to show this leader's token, be in the stored roster and of
+/// a known type, and be neither leaving, faulty, out of reach nor pausing after a refusal.
+bool usable(const bookkeeping::Machine& machine, transport::Time now);
+
+/// Does the job's owner allow it on machines of this type, zone and kind?
+bool allows(const bookkeeping::Job& job, const std::string& type, const std::string& zone, bool spot);
+
+/// May one more of the job's tasks run in the zone, with the others where they possibly are? True unless the
+/// job has to stay in one zone and is in another, or has to be spread and half of it, rounded up, is here.
+bool zoneAllows(const bookkeeping::Job& job, const std::string& zone);
+
+/// Could an attempt that an earlier leader started be on a machine not heard from yet?
+bool blockedByUnreconciled(const bookkeeping::Job& job, const bookkeeping::Fleet& fleet);
+
+/// Would the job's team stay within its limits with so many more tasks of the job? Machines that have not
+/// been heard count as full of the team's tasks. False for a team that the settings do not know.
+bool withinTeamLimit(const bookkeeping::Job& job, std::uint32_t tasks, const bookkeeping::Fleet& fleet,
+                     const MachineTypes& types);
+
+/// The machine's unused room, less what is kept there for another job that the job has to leave it to. May be
+/// negative; nothing for a machine of an unknown type.
+bookkeeping::Resources availableRoom(const bookkeeping::Machine& machine, const bookkeeping::Job& job,
+                                     transport::Time now);
+
+/// The room that the job could have on the machine if everything that might yield to it did.
+bookkeeping::Resources maxRoom(const bookkeeping::Machine& machine, const bookkeeping::Job& job,
+                               transport::Time now);
+
+}  // namespace burlpoint::coordination
--- /dev/null
+++ b/tests/placement_rules_test.cpp
@@ -0,0 +1,219 @@
+#include "coordination/placement_rules.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+
+#include "coordination/job_order.h"
+
+using namespace burlpoint;
+using namespace burlpoint::coordination;
+using namespace std::chrono_literals;
+using bookkeeping::Fleet;
+using bookkeeping::Job;
+using bookkeeping::Machine;
+using bookkeeping::PlacementState;
+using bookkeeping::RosterState;
+using protocol::Priority;
+using protocol::Seconds;
+using transport::Time;
+
+namespace {
+
+/// Machines of eight processors and jobs of four tasks of two.
+struct Rules : testing::Test {
+    MachineTypes types{{"plain", {"plain", 8, 0, 32, 50, 1, 1, 0.3, Seconds(10), {"a", "b"}}}};
+    protocol::Team team{"t", 0, 0, 0, 0};
+    Fleet fleet;
+    std::vector<std::unique_ptr<Job>> jobs;
+    Time now{1000s};
+
+    Machine& machine(const std::string& id, const std::string& zone = "a") {
+        auto& machine = fleet.add(id, now);
+        machine.type = "plain";
+        machine.kind = &types.at("plain");
+        machine.zone = zone;
+        machine.acknowledged = true;
+        machine.reports = true;
+        fleet.setReconciled(machine, true);
+        fleet.setRoster(machine, RosterState::stored);
+        return machine;
+    }
+    Job& job(Priority priority = Priority::normal) {
+        auto& job = *jobs.emplace_back(std::make_unique<Job>());
+        job.spec.id = "job-" + std::to_string(jobs.size());
+        job.spec.team = team.name;
+        job.spec.tasks = 4;
+        job.spec.cpus = 2;
+        job.beginRun(false, now);
+        job.run->team = &team;
+        job.run->priority = priority;
+        job.run->rank = static_cast<int>(priority);
+        return job;
+    }
+    void place(Machine& machine, Job& job, std::uint32_t task) {
+        fleet.place(machine, job, task, task + 1, PlacementState::running, now);
+    }
+    double room(const Machine& machine, const Job& job) { return availableRoom(machine, job, now).cpus; }
+};
+
+}  // namespace
+
+TEST_F(Rules, AMachineThatIsUpAndKnownIsUsable) { EXPECT_TRUE(usable(machine("m"), now)); }
+
+// Its tasks would be unknown to the next leader.
+TEST_F(Rules, AMachineOutsideTheStoredRosterIsNotUsable) {
+    auto& unstored = machine("m");
+    fleet.setRoster(unstored, RosterState::writing);
+    EXPECT_FALSE(usable(unstored, now));
+}
+
+TEST_F(Rules, AMachineThatLeavesFailsOrIsOutOfReachIsNotUsable) {
+    const auto without = [&](const std::string& id, const std::function<void(Machine&)>& change) {
+        auto& changed = machine(id);
+        change(changed);
+        return usable(changed, now);
+    };
+    EXPECT_FALSE(without("acknowledged", [](Machine& m) { m.acknowledged = false; }));
+    EXPECT_FALSE(without("reports", [](Machine& m) { m.reports = false; }));
+    EXPECT_FALSE(without("draining", [](Machine& m) { m.draining = true; }));
+    EXPECT_FALSE(without("releasing", [](Machine& m) { m.releasing = true; }));
+    EXPECT_FALSE(without("failed", [](Machine& m) { m.failed = true; }));
+    EXPECT_FALSE(without("recall", [&](Machine& m) { m.recallAt = now + 1min; }));
+    EXPECT_FALSE(without("unreachable", [&](Machine& m) { m.unreachableSince = now; }));
+    EXPECT_FALSE(without("unknown type", [](Machine& m) { m.kind = nullptr; }));
+    EXPECT_TRUE(without("one error", [](Machine& m) { m.errorJobs = {"a"}; }));
+    EXPECT_FALSE(without("two errors", [](Machine& m) { m.errorJobs = {"a", "b"}; }));
+}
+
+TEST_F(Rules, AMachineThatRefusedIsUsableAgainAfterItsPause) {
+    auto& quiet = machine("m");
+    quiet.quietUntil = now + 2s;
+    EXPECT_FALSE(usable(quiet, now));
+    EXPECT_TRUE(usable(quiet, now + 2s));
+}
+
+TEST_F(Rules, OwnersLimitTypeZoneAndKind) {
+    auto& any = job();
+    EXPECT_TRUE(allows(any, "plain", "a", false));
+    EXPECT_FALSE(allows(any, "plain", "a", true));
+    any.spec.spot = true;
+    EXPECT_TRUE(allows(any, "plain", "a", true));
+    auto& bound = job();
+    bound.spec.zone = "a";
+    bound.spec.types = std::vector<std::string>{"plain", "large"};
+    EXPECT_TRUE(allows(bound, "large", "a", false));
+    EXPECT_FALSE(allows(bound, "large", "b", false));
+    EXPECT_FALSE(allows(bound, "gpu", "a", false));
+}
+
+TEST_F(Rules, AJobOfOneZoneStaysWhereItIs) {
+    auto& together = job();
+    together.spec.oneZone = true;
+    EXPECT_TRUE(zoneAllows(together, "a"));
+    place(machine("m"), together, 0);
+    EXPECT_TRUE(zoneAllows(together, "a"));
+    EXPECT_FALSE(zoneAllows(together, "b"));
+    place(machine("n", "b"), together, 1);  // as an earlier leader may have left it
+    EXPECT_FALSE(zoneAllows(together, "a"));
+}
+
+TEST_F(Rules, ASpreadJobHasHalfOfItsTasksInAZoneAtMost) {
+    auto& apart = job();
+    apart.spec.spread = true;
+    apart.spec.tasks = 3;
+    auto& here = machine("m");
+    place(here, apart, 0);
+    EXPECT_TRUE(zoneAllows(apart, "a"));  // half of three, rounded up
+    place(here, apart, 1);
+    EXPECT_FALSE(zoneAllows(apart, "a"));
+    EXPECT_TRUE(zoneAllows(apart, "b"));
+}
+
+TEST_F(Rules, AnInheritedJobWaitsForMachinesThatItMayBeOn) {
+    auto& inherited = job();
+    inherited.run->inherited = true;
+    auto& unheard = machine("m");
+    EXPECT_FALSE(blockedByUnreconciled(inherited, fleet));
+    fleet.setReconciled(unheard, false);
+    EXPECT_TRUE(blockedByUnreconciled(inherited, fleet));
+    EXPECT_FALSE(blockedByUnreconciled(job(), fleet));  // accepted under this leader
+    inherited.spec.zone = "b";
+    EXPECT_FALSE(blockedByUnreconciled(inherited, fleet));
+}
+
+TEST_F(Rules, ATeamStaysWithinItsLimits) {
+    team.cpusMax = 6;
+    auto& limited = job();
+    EXPECT_TRUE(withinTeamLimit(limited, 3, fleet, types));
+    EXPECT_FALSE(withinTeamLimit(limited, 4, fleet, types));
+    place(machine("m"), limited, 0);
+    EXPECT_TRUE(withinTeamLimit(limited, 2, fleet, types));
+    EXPECT_FALSE(withinTeamLimit(limited, 3, fleet, types));
+    limited.spec.gpus = 1;
+    team.gpusMax = 1;
+    EXPECT_FALSE(withinTeamLimit(limited, 2, fleet, types));
+}
+
+TEST_F(Rules, AMachineNotHeardCountsAsFullOfTheTeamsTasks) {
+    team.cpusMax = 9;
+    auto& limited = job();
+    EXPECT_TRUE(withinTeamLimit(limited, 1, fleet, types));
+    fleet.setReconciled(machine("m"), false);  // eight processors
+    EXPECT_FALSE(withinTeamLimit(limited, 1, fleet, types));
+    team.cpusMax = 0;  // no limit
+    EXPECT_TRUE(withinTeamLimit(limited, 1, fleet, types));
+}
+
+TEST_F(Rules, AnUnknownTeamMayStartNothing) {
+    auto& strange = job();
+    strange.run->team = nullptr;
+    EXPECT_FALSE(withinTeamLimit(strange, 1, fleet, types));
+}
+
+TEST_F(Rules, RoomIsWhatIsNotUsed) {
+    auto& here = machine("m");
+    auto& asking = job();
+    EXPECT_DOUBLE_EQ(room(here, asking), 8);
+    place(here, asking, 0);
+    EXPECT_DOUBLE_EQ(room(here, asking), 6);
+    here.kind = nullptr;
+    EXPECT_DOUBLE_EQ(room(here, asking), 0);
+}
+
+TEST_F(Rules, RoomKeptForAJobIsNotForOthersOfNoHigherRank) {
+    auto& here = machine("m");
+    auto& holder = job(Priority::high);
+    fleet.reserve(here, &holder, now + 5s, true, 2);
+    EXPECT_DOUBLE_EQ(room(here, holder), 8);
+    EXPECT_DOUBLE_EQ(room(here, job(Priority::high)), 4);
+    EXPECT_DOUBLE_EQ(room(here, job(Priority::low)), 4);
+    EXPECT_DOUBLE_EQ(room(here, job(Priority::production)), 8);
+    EXPECT_DOUBLE_EQ(availableRoom(here, job(Priority::low), now + 5s).cpus, 8);  // lapsed
+    holder.run->waiting = 0;
+    EXPECT_DOUBLE_EQ(room(here, job(Priority::low)), 8);  // nothing of it waits
+}
+
+// Guaranteed tasks would fill the room again and again, to be stopped once more.
+TEST_F(Rules, RoomThatWorkWasStoppedForIsNotForGuaranteedWorkOfNoHigherPriority) {
+    auto& here = machine("m");
+    auto& holder = job(Priority::high);
+    auto& guaranteed = job(Priority::normal);
+    guaranteed.run->rank = kGuaranteedRank;
+    fleet.reserve(here, &holder, now + 5s, false, 1);
+    EXPECT_DOUBLE_EQ(room(here, guaranteed), 6);
+    fleet.reserve(here, &holder, now + 5s, true, 1);  // only what came free by itself
+    EXPECT_DOUBLE_EQ(room(here, guaranteed), 8);
+}
+
+TEST_F(Rules, LowerWorkYieldsAndAnyWorkToAGuarantee) {
+    auto& here = machine("m");
+    place(here, job(Priority::low), 0);
+    place(here, job(Priority::normal), 0);
+    place(here, job(Priority::high), 0);
+    auto& asking = job(Priority::normal);
+    EXPECT_DOUBLE_EQ(maxRoom(here, asking, now).cpus, 4);  // 2 free, 2 of low work
+    asking.run->guaranteed = true;
+    EXPECT_DOUBLE_EQ(maxRoom(here, asking, now).cpus, 8);
+}
