--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -58,7 +58,11 @@
       roster_(replica, fleet_),
       writer_(settings, replica, fleet_, roster_, types_, dayClock_, now),
       silence_(settings, fleet_, token, now, leaseBound(settings)),
-      provisioner_(settings, policy, replica, token, now) {
+      pacing_(settings, policy),
+      order_(policy),
+      zoneReservations_(policy),
+      provisioner_(settings, policy, replica, token, now),
+      accelerators_(types_, provisioner_.refusals()) {
     for (const auto& type : replica.types) types_[type.name] = type;
     for (const auto& [id, job] : replica.jobs()) {
         job->run.reset();
@@ -81,7 +85,7 @@
 
 std::vector<std::pair<std::string, std::uint32_t>> Leader::runningCounts() const {
     std::vector<std::pair<std::string, std::uint32_t>> out;
-    for (const auto* job : open_)
+    for (const auto* job : order_.open())
         if (job->run && job->run->running > 0) out.emplace_back(job->spec.id, job->run->running);
     return out;
 }
@@ -105,8 +109,7 @@
                   Seconds(now_ - job.run->readyAt).count());
     // An earlier leader may have stored the last bits and not the end of the job.
     if (job.doneCount == job.spec.tasks) writer_.noteUnstored(job);
-    open_.push_back(&job);
-    orderStale_ = true;
+    order_.add(job);
 }
 
 /// The machine's record; a new one is not in the roster, so no earlier leader gave the machine a task.
@@ -285,7 +288,7 @@
     if (report.token == token_ && !machine.acknowledged) {
         machine.acknowledged = true;
         fleet_.setReconciled(machine, true);
-        orderStale_ = true;
+        order_.markStale();
     }
 }
 
@@ -340,7 +343,7 @@
     if (!job.run) beginJob(job, true);
     auto& placement = fleet_.place(machine, job, key.task, key.attempt, state, now_);
     if (job.spec.kind == Kind::gang) job.run->gangAttempt = std::max(job.run->gangAttempt, key.attempt);
-    orderStale_ = true;
+    order_.markStale();
     return placement;
 }
 
@@ -350,11 +353,8 @@
         machine.undelivered = 0;
         machine.unreachableSince.reset();
     }
-    if (placement.state == PlacementState::fetching && state != PlacementState::fetching) {
-        const double took = Seconds(now_ - placement.since).count();
-        meanFetch_ = fetchesSeen_ == 0 ? took : meanFetch_ + (took - meanFetch_) * 0.1;
-        ++fetchesSeen_;
-    }
+    if (placement.state == PlacementState::fetching && state != PlacementState::fetching)
+        pacing_.recordFetchTime(now_ - placement.since);
     if (placement.state != state)
         spdlog::debug("{}/{} on {} turns from {} to {}", placement.job->spec.id, placement.task, machine.id,
                       static_cast<int>(placement.state), static_cast<int>(state));
@@ -381,7 +381,7 @@
 /// The attempt is no longer on the machine and has been taken off it.
 void Leader::endPlacement(Machine& machine, const Placement& placement, ExitReason why) {
     Job& job = *placement.job;
-    orderStale_ = true;
+    order_.markStale();
     spdlog::debug("gone {}/{} attempt {} from {}, state {}, reason {}", job.spec.id, placement.task,
                   placement.attempt, machine.id, static_cast<int>(placement.state), static_cast<int>(why));
     if (machine.placements.empty()) machine.busyUntil = now_;
@@ -446,7 +446,7 @@
     for (auto [machine, placement] : fleet_.placementsOf(job)) {
         if (placement->state == PlacementState::planned) {
             fleet_.remove(*machine, machine->placements.find({&job, placement->task, placement->attempt}));
-            orderStale_ = true;
+            order_.markStale();
         } else {
             stop(*machine, *placement, grace);
             // A gang that goes on later does so at once if the machines it has are kept for it meanwhile.
@@ -475,7 +475,7 @@
     for (auto& order : stopOrders(machine)) orders.push_back(std::move(order));
     // A leader cut off from the store is entitled for some seconds yet, in which others may tell users that
     // jobs are cancelled: what runs goes on, and nothing new starts.
-    if (cancellationsCurrent && usable(machine)) schedule(machine, orders);
+    if (cancellationsCurrent && usable(machine, now_)) schedule(machine, orders);
     return orders;
 }
 
@@ -505,7 +505,7 @@
 /// Proof that nothing sent so far is on the machine.
 void Leader::clearAfterLease(Machine& machine) {
     fleet_.setReconciled(machine, true);
-    orderStale_ = true;
+    order_.markStale();
     fleet_.removeAll(machine,
                      [&](const Placement& placement) { endPlacement(machine, placement, ExitReason::none); });
 }
@@ -517,7 +517,7 @@
     clearAfterLease(machine);
     roster_.forget(machine);
     fleet_.erase(id);
-    orderStale_ = true;
+    order_.markStale();
 }
 
 void Leader::checkSilentMachines() {
@@ -550,14 +550,14 @@
     for (const auto& id : command.ids) {
         auto* job = replica_.find(id);
         if (!job) continue;
-        orderStale_ = true;
+        order_.markStale();
         if (job->final == Final::open) {
             // One that waited for others cannot be on a machine: an earlier leader would have seen them
             // stored as done, and so would this one as it began.
             if (!job->run && job->ready()) beginJob(*job, false);
             continue;
         }
-        std::erase(open_, job);
+        order_.remove(*job);
         writer_.forget(*job);
         if (job->run) stopJob(*job, Seconds(0));
     }
@@ -565,10 +565,7 @@
 
 void Leader::on(StateWritten& command) {
     const auto outcome = writer_.handle(command, now_);
-    for (auto* job : outcome.ended) {
-        std::erase(open_, job);
-        orderStale_ = true;
-    }
+    for (auto* job : outcome.ended) order_.remove(*job);
     // Only now may what needs these jobs start: until its end was stored a cancellation could still win.
     jobsChanged(outcome.changes);
     switch (outcome.followUp) {
@@ -601,7 +598,7 @@
             m->used.cpus, m->used.gpus, m->used.memoryGb, m->images.size(),
             m->draining || m->releasing || m->failed || m->recallAt ? ", leaving" : "",
             m->reservedFor && m->reservedUntil > now_ ? ", reserved" : "");
-    for (const auto* job : order_)
+    for (const auto* job : order_.waiting())
         spdlog::debug("job {} {} rank {} waits: {} of {} tasks, {} possible, for {:.1f} s", job->spec.id,
                       job->spec.jobClass, rankOf(*job), job->run->waiting, job->spec.tasks,
                       job->run->liveTotal, Seconds(now_ - job->run->waitingSince).count());
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -9,11 +9,16 @@
 #include <vector>
 
 #include "bookkeeping/fleet.h"
+#include "coordination/accelerator_policy.h"
 #include "coordination/day_clock.h"
+#include "coordination/fetch_pacing.h"
+#include "coordination/job_order.h"
+#include "coordination/placement_rules.h"
 #include "coordination/provisioner.h"
 #include "coordination/roster.h"
 #include "coordination/silence_monitor.h"
 #include "coordination/state_writer.h"
+#include "coordination/zone_reservations.h"
 #include "protocol/settings.h"
 #include "storage/store.h"
 
@@ -131,10 +136,6 @@
   private:
     friend class LeaderProbe;  // tests look inside
 
-    struct ZoneReservation {  // a zone for a gang
-        const Job* job = nullptr;
-        Time until{}, since{};
-    };
     struct PreemptionPlan {  // what would stop on a machine to make room
         Machine* machine = nullptr;
         std::vector<Placement*> victims;
@@ -190,34 +191,17 @@
     void dump() const;
 
     // placement.cpp
-    bool usable(const Machine& machine) const;
     const MachineType* typeOf(const std::string& name) const;
-    Resources availableRoom(const Machine& machine, const Job& job) const;
-    bool allows(const Job& job, const std::string& type, const std::string& zone, bool spot) const;
     bool mayStart(const Job& job, const Machine& machine) const;
-    bool hasWaitedUnstarted(const Job& job, Clock::duration time) const;
-    bool acceleratorRoomAllows(const Job& job, const Machine& machine) const;
-    bool plainMachineRentable(const Job& job) const;
-    bool allOfferingsRefused(const std::string& type) const;
-    void recordAcceleratorNeed(const Job& job);
-    bool withinTeamLimit(const Job& job, std::uint32_t tasks) const;
-    bool zoneAllows(const Job& job, const std::string& zone) const;
-    bool blockedByUnreconciled(const Job& job) const;
-    int rankOf(const Job& job) const;
     void refreshOrder();
-    void admit(Job& job);
     void schedule(Machine& machine, std::vector<Order>& orders);
     bool startOne(Machine& machine, Job& job, std::vector<Order>& orders);
-    bool paceAllows(const Job& job, const Machine& machine);
     std::uint32_t roomWithImage(Job& job);
     bool mayPreempt(const Placement& placement, const Job& job) const;
     bool startedRecently(const Placement& placement) const;
     bool isProtectedStart(const Placement& placement) const;
     bool waitsForImage(Job& job);
-    Resources maxRoom(const Machine& machine, const Job& job) const;
     void refreshPacing();
-    double cachedSeconds(const Machine& machine) const;
-    void recordFetch(Machine& machine, Job& job);
     void reserveFreedRoom(Machine& machine, const Job& job);
     void planGangs();
     bool mayComplete(const Job& job);
@@ -228,12 +212,9 @@
     void execute(const PreemptionPlan& plan, Job& job, Clock::duration until);
     int makeRoomFor(Job& job);
     int makeRoomForGang(Job& job);
-    void reserveZone(const Job& job, const std::string& zone);
-    bool reservedForOther(const Job& job, const Machine& machine) const;
 
     // provisioning.cpp
     void provision();
-    bool needsAcceleratorMachine(const Job& job) const;
     void noteListed(const protocol::Rented& rented);
 
     const Settings& settings_;
@@ -257,30 +238,17 @@
     SilenceMonitor silence_;
 
     // placement
-    std::vector<Job*> order_;  // waiting jobs in the order they are walked
-    double minCpus_ = 0;       // that any of them needs
-    std::vector<Job*> open_;
-    bool orderStale_ = true;
-    Time nextOrder_{}, nextPacing_{}, nextGangs_{};
-    std::map<std::string, std::pair<Resources, Priority>> acceleratorNeeds_;
-    // Machines per type whose replicas leave no room for the jobs that need accelerators, and all.
-    std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> sharedWithServices_;
-    // Processors, per zone and kind, that replicas could have on machines without accelerators.
-    std::map<std::pair<std::string, bool>, double> plainRoom_;
-    std::map<std::string, Time> zoneFetch_;    // the last fetch started per zone
-    std::map<std::string, double> imageWork_;  // processor seconds waiting per image and cached processor
-    double meanCachedSeconds_ = 0;
-    std::size_t machinesUp_ = 0;
-    std::set<std::string> liveZones_;
-    std::map<std::string, ZoneReservation> zoneReservations_;  // per zone
+    FetchPacing pacing_;
+    JobOrder order_;
+    Time nextPacing_{}, nextGangs_{};
+    ZoneReservations zoneReservations_;
     std::size_t preemptFrom_ = 0, turn_ = 0;
     std::uint64_t visited_ = 0;  // machines looked at on behalf of jobs; tests count them
-    double meanFetch_ = 0;
-    std::uint32_t fetchesSeen_ = 0;
 
     // machines
     Time nextPreempt_{}, nextPlan_{}, nextDump_{};
     Provisioner provisioner_;
+    AcceleratorPolicy accelerators_;  // asks the provisioner for refusals, so it comes after it
 };
 
 }  // namespace burlpoint::coordination
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -2,14 +2,12 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
 
 #include "coordination/leader.h"
 
 namespace burlpoint::coordination {
 
-using bookkeeping::RosterState;
 using protocol::Kind;
 using protocol::Op;
 using storage::Final;
@@ -18,97 +16,25 @@
 namespace {
 
 constexpr std::size_t kMaxStarts = 250;
-// Nothing may wait for 90 s beside room that it fits in, whatever speaks for keeping it from there.
-constexpr auto kMaxHeldBack = 60s;
 constexpr auto kErrorMemory = kMaxHeldBack;  // a task's failure on a machine keeps its job away from it
-constexpr auto kReservationTurn = 60s;       // a zone is kept for a gang for so long,
-constexpr auto kReservationGap = 30s;        // then what has waited has its turn there, and so on
-constexpr auto kReservationGapMinWait = 20s;
-constexpr auto kMinCountedStart = 30s;  // a start that is stopped sooner is none to its users
-constexpr std::size_t kFaultyAfterJobs = 2;
-constexpr auto kPlainMachinesOnly = 12s;  // how long a replica waits for a machine without accelerators
-constexpr auto kLookupInterval = 250ms;   // how long a look at the other machines serves a job
+constexpr auto kMinCountedStart = 30s;       // a start that is stopped sooner is none to its users
+constexpr auto kSurveyInterval = 500ms;      // between walks over the fleet for pacing and accelerators
+constexpr auto kLookupInterval = 250ms;      // how long a look at the other machines serves a job
 constexpr double kReservedBonus = 1e6, kSpotLoss = 100,
-                 kFetchLoss = 150;      // processor seconds, when a gang's machines are chosen
-constexpr auto kZoneReservation = 10s;  // renewed while the gang waits
-constexpr int kProductionRank = 10, kOverdueRank = 6, kGuaranteedRank = 5;
+                 kFetchLoss = 150;  // processor seconds, when a gang's machines are chosen
 
 }  // namespace
 
 const MachineType* Leader::typeOf(const std::string& name) const { return findType(types_, name); }
 
-bool Leader::usable(const Machine& m) const {
-    // A machine without a stored roster entry would be unknown to the next leader, tasks and all.
-    return m.acknowledged && m.reports && m.roster == RosterState::stored && !m.draining && !m.releasing &&
-           !m.failed && !m.recallAt && !m.unreachableSince && m.quietUntil <= now_ &&
-           m.errorJobs.size() < kFaultyAfterJobs && m.kind;
-}
-
-bool Leader::allows(const Job& job, const std::string& type, const std::string& zone, bool spot) const {
-    return coordination::allows(job.spec, type, zone, spot);
-}
-
-/// Could an attempt that an earlier leader started be on a machine not heard from yet?
-bool Leader::blockedByUnreconciled(const Job& job) const {
-    if (!job.run->inherited) return false;
-    const auto& offerings = fleet_.unreconciled();
-    return std::any_of(offerings.begin(), offerings.end(), [&](const auto& entry) {
-        return allows(job, entry.first.type, entry.first.zone, entry.first.spot);
-    });
-}
-
-bool Leader::withinTeamLimit(const Job& job, std::uint32_t tasks) const {
-    const auto* team = job.run->team;
-    if (!team) return false;
-    if (team->cpusMax <= 0 && team->gpusMax <= 0) return true;
-    auto use = fleet_.teamUse(team->name);
-    // Until a machine has been heard, it may be full of this team's tasks.
-    for (const auto& [offering, count] : fleet_.unreconciled())
-        if (const auto* type = typeOf(offering.type))
-            use += {type->cpus * count, type->gpus * count, type->memoryGb * count};
-    constexpr double slack = 1e-6;
-    const auto fits = [&](double used, double need, double most) {
-        return most <= 0 || used + need * tasks <= most + slack;
-    };
-    return fits(use.cpus, job.spec.cpus, team->cpusMax) && fits(use.gpus, job.spec.gpus, team->gpusMax);
-}
-
-bool Leader::zoneAllows(const Job& job, const std::string& zone) const {
-    const auto& zones = job.run->zones;
-    if (job.spec.oneZone && !zones.empty() && (zones.size() > 1 || !zones.contains(zone))) return false;
-    if (job.spec.spread) {
-        const auto found = zones.find(zone);
-        const std::uint32_t here = found == zones.end() ? 0 : found->second;
-        if (here + 1 > (job.spec.tasks + 1) / 2) return false;
-    }
-    return true;
-}
-
-Resources Leader::availableRoom(const Machine& machine, const Job& job) const {
-    if (!machine.kind) return {};
-    auto room = bookkeeping::sizeOf(*machine.kind) - machine.used;
-    if (machine.reservedFor != &job && machine.isReserved(now_)) {
-        const auto* holder = machine.reservedFor;
-        // Room that work was stopped for is not for other work of no higher priority, whatever its rank:
-        // guaranteed tasks would fill it again and again, to be stopped once more.
-        const bool kept =
-            rankOf(*holder) >= rankOf(job) || (!machine.holding && holder->priority() >= job.priority());
-        if (holder->run && holder->run->waiting > 0 && kept) {
-            const auto need = bookkeeping::needOf(holder->spec);
-            room -= {need.cpus * machine.reserved, need.gpus * machine.reserved,
-                     need.memoryGb * machine.reserved};
-        }
-    }
-    return room;
-}
-
 /// Everything but the room: may one more task of the job start on this machine now?
 bool Leader::mayStart(const Job& job, const Machine& machine) const {
     const auto& run = *job.run;
     if (job.final != Final::open || !job.ready() || run.waiting == 0 || run.notBefore > now_) return false;
-    if (!allows(job, machine.type, machine.zone, machine.spot) || !zoneAllows(job, machine.zone))
+    if (!allows(job.spec, machine.type, machine.zone, machine.spot) || !zoneAllows(job, machine.zone))
+        return false;
+    if (!accelerators_.allows(job, machine, now_) || zoneReservations_.keepsOut(job, machine, now_))
         return false;
-    if (!acceleratorRoomAllows(job, machine) || reservedForOther(job, machine)) return false;
     const auto failed = run.errorMachines.find(machine.id);
     if (failed != run.errorMachines.end() && now_ - failed->second < kErrorMemory &&
         run.errorMachines.size() < 3)
@@ -116,206 +42,23 @@
     return true;
 }
 
-/// None of the job's tasks has been on a machine for that time.
-bool Leader::hasWaitedUnstarted(const Job& job, Clock::duration time) const {
-    return job.run->liveTotal == 0 && now_ - job.run->waitingSince >= time;
-}
-
-/// Machines with accelerators are few and slow to come by. Work that needs none may use them, but only so far
-/// that a job that does need them can still have the room: at once, or by stopping lower work.
-bool Leader::acceleratorRoomAllows(const Job& job, const Machine& machine) const {
-    const auto* type = machine.kind;
-    if (!type || type->gpus <= 0 || job.spec.gpus > 0 || hasWaitedUnstarted(job, kMaxHeldBack)) return true;
-    const bool service = job.spec.kind == Kind::service;
-    // A replica stays for as long as its service does, and would hold the dear machine for all that time.
-    if (service && now_ - job.run->waitingSince < kPlainMachinesOnly && plainMachineRentable(job))
-        return false;
-    const auto found = acceleratorNeeds_.find(machine.type);
-    if (found == acceleratorNeeds_.end())
-        return job.priority() < Priority::high || service || needsAcceleratorMachine(job);
-    const auto& [need, priority] = found->second;
-    if (job.priority() < priority && !service) return true;
-    auto room = bookkeeping::sizeOf(*type) - bookkeeping::needOf(job.spec) - machine.plainUse[4];
-    for (auto p = static_cast<std::size_t>(priority); p < 4; ++p) room -= machine.plainUse[p];
-    if (room.covers(need)) return true;
-    if (!service || plainMachineRentable(job)) return false;
-    const auto plain = plainRoom_.find({machine.zone, machine.spot});
-    if (plain != plainRoom_.end() && plain->second > 4 * job.spec.cpus) return false;
-    // Replicas have nowhere else to go. They share machines that others have given over to them, and take
-    // more as long as the cloud has more, or up to an eighth of them all.
-    if (!(room + bookkeeping::needOf(job.spec)).covers(need)) return true;
-    const auto given = sharedWithServices_.find(machine.type);
-    const bool few = given == sharedWithServices_.end() || given->second.first * 8 < given->second.second;
-    return machine.used.gpus <= 0 && (few || !allOfferingsRefused(machine.type));
-}
-
-/// The cloud has lately refused machines of this type, in every zone.
-bool Leader::allOfferingsRefused(const std::string& type) const {
-    const auto* known = typeOf(type);
-    return known && provisioner_.refusals().refusedEverywhere(*known, now_);
-}
-
-/// Some machine without accelerators that the job may use can still be rented.
-bool Leader::plainMachineRentable(const Job& job) const {
-    return coordination::plainMachineRentable(job.spec, types_, provisioner_.refusals(), now_);
-}
-
-/// The most that jobs with accelerators have asked of each machine type, and the lowest of their priorities.
-void Leader::recordAcceleratorNeed(const Job& job) {
-    if (job.spec.gpus <= 0) return;
-    const auto need = bookkeeping::needOf(job.spec);
-    for (const auto& [name, type] : types_) {
-        if (!bookkeeping::sizeOf(type).covers(need)) continue;
-        if (job.spec.types &&
-            std::find(job.spec.types->begin(), job.spec.types->end(), name) == job.spec.types->end())
-            continue;
-        auto [at, fresh] = acceleratorNeeds_.try_emplace(name, need, job.priority());
-        auto& [most, priority] = at->second;
-        most = {std::max(most.cpus, need.cpus), std::max(most.gpus, need.gpus),
-                std::max(most.memoryGb, need.memoryGb)};
-        priority = std::min(priority, job.priority());
-    }
-}
-
-/// Production first, then what teams are guaranteed, then by priority.
-int Leader::rankOf(const Job& job) const { return job.run ? job.run->rank : 0; }
-
 void Leader::refreshOrder() {
-    if (!orderStale_ || now_ < nextOrder_) return;
-    orderStale_ = false;
-    replica_.updateUrgency();
-    nextOrder_ = now_ + 100ms;
-    std::sort(open_.begin(), open_.end(),
-              [](const Job* a, const Job* b) { return a->accepted < b->accepted; });
-    order_.clear();
-    minCpus_ = std::numeric_limits<double>::max();
-    std::unordered_map<std::string_view, Resources> teams;
-    constexpr double last = 1e18;
-    for (auto* job : open_) {
-        auto& run = *job->run;
-        const auto& spec = job->spec;
-        fleet_.setPriority(*job, job->urgency);
-        auto& demand = teams[spec.team];
-        const auto unfinished = spec.tasks - job->doneCount;
-        demand += {spec.cpus * unfinished, spec.gpus * unfinished, 0};
-        const auto* team = run.team;
-        // "A value of 0 means none": with no guarantee of accelerators, work that needs them has none.
-        run.guaranteed = team && (team->cpus > 0 || team->gpus > 0) && demand.cpus <= team->cpus + 1e-6 &&
-                         demand.gpus <= team->gpus + 1e-6;
-        const bool production = run.priority == Priority::production;
-        run.rank = production       ? kProductionRank
-                   : run.guaranteed ? kGuaranteedRank
-                                    : static_cast<int>(run.priority);
-        if (!run.admitted) admit(*job);
-        recordAcceleratorNeed(*job);
-        if (run.waiting == 0) continue;
-        order_.push_back(job);
-        minCpus_ = std::min(minCpus_, spec.cpus);
-        // Within a rank by arrival. Where deadlines count, what is soonest through goes first, so that as
-        // many jobs as possible meet theirs, and what can no longer meet its own goes last.
-        run.place = last / 2;
-        // A deadline handed down by a job that needs this one is never past saving: more than this job hangs
-        // on it.
-        const Seconds age = now_ - run.readyAt;
-        if (job->dueMs)
-            run.place = spec.deadline && Seconds(dueAt(*job) - now_) < spec.estimate * 0.8
-                            ? last
-                            : run.waiting * spec.cpus * spec.estimate.count();
-        // But nothing is passed over for ever: what has waited for long goes first, by arrival.
-        run.overdue = age > policy_.longestPassedOver;
-        if (run.overdue) {
-            run.place = -1;
-            if (!run.began() && job->doneCount == 0) run.rank = std::max(run.rank, kOverdueRank);
-        }
+    if (!order_.refresh(replica_, fleet_, dayClock_, now_)) return;
+    for (auto* job : order_.open()) {
+        pacing_.admit(*job, fleet_);
+        accelerators_.recordNeed(*job);
     }
-    std::stable_sort(order_.begin(), order_.end(), [](const Job* a, const Job* b) {
-        return std::pair(-a->run->rank, a->run->place) < std::pair(-b->run->rank, b->run->place);
-    });
-}
-
-/// Md: the job's tasks times the share of up machines that lack its image as it is admitted.
-void Leader::admit(Job& job) {
-    if (machinesUp_ == 0) return;
-    const auto& having = fleet_.withImage(job.spec.image);
-    const auto has = std::count_if(having.begin(), having.end(),
-                                   [](const auto* m) { return m->reports && m->acknowledged; });
-    const double lacking = 1 - std::min(1.0, static_cast<double>(has) / static_cast<double>(machinesUp_));
-    job.run->admitted = true;
-    job.run->pacedTotal = job.spec.tasks * lacking;
 }
 
-// ts and E[ts]: the cached-task time of a machine is the work waiting for images that it has, each image's
-// work shared by the processors of all machines that have it.
+/// What is counted over all machines that are up, now and then and not for each report.
 void Leader::refreshPacing() {
     if (now_ < nextPacing_) return;
-    nextPacing_ = now_ + 500ms;
-    imageWork_.clear();
-    for (const auto* job : order_) {
-        const double estimate = std::max(job->spec.estimate.count(), 0.0);
-        imageWork_[job->spec.image] += job->run->waiting * job->spec.cpus * estimate;
-    }
-    for (auto& [image, work] : imageWork_) {
-        double processors = 0;
-        for (const auto* m : fleet_.withImage(image))
-            if (m->reports && m->kind) processors += m->kind->cpus;
-        work = processors > 0 ? work / processors : 0;
-    }
-    machinesUp_ = 0;
-    sharedWithServices_.clear();
-    plainRoom_.clear();
-    liveZones_.clear();
-    double sum = 0;
-    for (const auto& [id, m] : fleet_.machines()) {
-        if (!m->reports || !m->acknowledged) continue;
-        ++machinesUp_;
-        if (m->kind && m->kind->gpus <= 0 && usable(*m)) {
-            auto& room = plainRoom_[{m->zone, m->spot}];
-            room += m->kind->cpus - m->used.cpus;
-            for (const auto& stoppable : m->stoppable) room += stoppable.cpus;
-            room -= m->stoppable.back().cpus;  // production is not stopped
-        }
-        if (const auto need = acceleratorNeeds_.find(m->type); need != acceleratorNeeds_.end() && m->kind) {
-            auto& [given, all] = sharedWithServices_[m->type];
-            ++all;
-            const auto left = bookkeeping::sizeOf(*m->kind) - m->plainUse[4];
-            given += !left.covers(need->second.first);
-        }
-        sum += cachedSeconds(*m);
-        // Only zones that report count: one that is cut off would raise the mean for all others.
-        if (now_ - m->lastReport < std::chrono::duration_cast<Clock::duration>(settings_.report * 3))
-            liveZones_.insert(m->zone);
-    }
-    meanCachedSeconds_ = machinesUp_ ? sum / static_cast<double>(machinesUp_) : 0;
-}
-
-double Leader::cachedSeconds(const Machine& machine) const {
-    double seconds = 0;
-    for (const auto& [image, gb] : machine.images) {
-        const auto found = imageWork_.find(image);
-        if (found != imageWork_.end()) seconds += found->second;
-    }
-    return seconds;
-}
-
-/// m/M >= md/Md, a machine with time to spare, and a zone that did not just start a fetch.
-bool Leader::paceAllows(const Job& job, const Machine& machine) {
-    const auto& run = *job.run;
-    if (run.pacedTotal > 0 && run.launched * run.pacedTotal < run.paced * static_cast<double>(job.spec.tasks))
-        return false;
-    if (cachedSeconds(machine) > meanCachedSeconds_ + 1e-9) return false;
-    const auto own = zoneFetch_.find(machine.zone);
-    if (own == zoneFetch_.end()) return true;
-    double sum = 0;
-    std::size_t count = 0;
-    for (const auto& zone : liveZones_) {
-        const auto last = zoneFetch_.find(zone);
-        if (last == zoneFetch_.end()) continue;
-        sum += Seconds(now_ - last->second).count();
-        ++count;
-    }
-    const double mean = count ? sum / static_cast<double>(count) : 0;
-    const double threshold = fetchesSeen_ ? meanFetch_ : policy_.fetchStart.count();
-    return Seconds(now_ - own->second).count() >= std::min(mean, threshold);
+    nextPacing_ = now_ + kSurveyInterval;
+    std::vector<const Machine*> up;
+    for (const auto& [id, machine] : fleet_.machines())
+        if (machine->reports && machine->acknowledged) up.push_back(machine.get());
+    pacing_.refresh(order_.waiting(), up, fleet_, now_);
+    accelerators_.refresh(up, now_);
 }
 
 /// How many of the job's waiting tasks fit on machines that have its image and report soon.
@@ -329,8 +72,8 @@
     for (const auto* m : fleet_.withImage(job.spec.image)) {
         ++visited_;
         if (!m->kind || m->kind->cpus - m->used.cpus < need.cpus - 1e-6) continue;
-        if (!usable(*m) || now_ - m->lastReport > soon || !mayStart(job, *m)) continue;
-        run.roomWithImage += availableRoom(*m, job).times(need);
+        if (!usable(*m, now_) || now_ - m->lastReport > soon || !mayStart(job, *m)) continue;
+        run.roomWithImage += availableRoom(*m, job, now_).times(need);
         if (run.roomWithImage >= run.waiting) break;
     }
     return run.roomWithImage;
@@ -365,7 +108,7 @@
 bool Leader::waitsForImage(Job& job) {
     auto& run = *job.run;
     if (!run.tightWait || !policy_.preempt) return false;
-    const Seconds fetch(fetchesSeen_ ? meanFetch_ : policy_.fetchStart.count());
+    const Seconds fetch = pacing_.expectedFetchTime();
     const Seconds waited = now_ - run.waitingSince;
     if (*run.tightWait >= fetch + settings_.report || waited >= *run.tightWait) return false;
     if (now_ < run.imageWaitUntil) return run.imageWait;
@@ -374,31 +117,17 @@
     const auto& machines = fleet_.withImage(job.spec.image);
     run.imageWait = std::any_of(machines.begin(), machines.end(), [&](const Machine* m) {
         ++visited_;
-        return usable(*m) && mayStart(job, *m) && maxRoom(*m, job).covers(need);
+        return usable(*m, now_) && mayStart(job, *m) && maxRoom(*m, job, now_).covers(need);
     });
     return run.imageWait;
 }
 
-/// The room that the job could have on a machine if everything that might yield to it did.
-Resources Leader::maxRoom(const Machine& machine, const Job& job) const {
-    auto room = availableRoom(machine, job);
-    // A guarantee may be given back by work of any priority.
-    const auto below =
-        job.run->guaranteed ? machine.stoppable.size() : static_cast<std::size_t>(job.priority());
-    for (std::size_t p = 0; p < below; ++p) room += machine.stoppable[p];
-    return room;
-}
-
-void Leader::recordFetch(Machine& machine, Job& job) {
-    ++job.run->paced;
-    zoneFetch_[machine.zone] = now_;
-}
-
 bool Leader::startOne(Machine& machine, Job& job, std::vector<Order>& orders) {
-    if (orders.size() >= kMaxStarts || !mayStart(job, machine) || blockedByUnreconciled(job)) return false;
+    if (orders.size() >= kMaxStarts || !mayStart(job, machine) || blockedByUnreconciled(job, fleet_))
+        return false;
     if (job.spec.kind == Kind::gang && (job.spec.tasks > 1 || job.run->liveTotal > 0)) return false;
-    if (!withinTeamLimit(job, 1)) return false;
-    if (!availableRoom(machine, job).covers(bookkeeping::needOf(job.spec))) return false;
+    if (!withinTeamLimit(job, 1, fleet_, types_)) return false;
+    if (!availableRoom(machine, job, now_).covers(bookkeeping::needOf(job.spec))) return false;
     const auto task = job.firstWaiting();
     if (!task) return false;
     const std::uint64_t attempt = (token_ << 32) + ++attempts_;
@@ -412,7 +141,7 @@
     spdlog::debug("start {}/{} attempt {} on {} after report {}.{}", job.spec.id, *task, attempt, machine.id,
                   machine.session, machine.sequence);
     orders.push_back({Op::start, {job.spec.id, *task, attempt}, Seconds(0)});
-    orderStale_ |= job.run->waiting == 0;
+    if (job.run->waiting == 0) order_.markStale();
     return true;
 }
 
@@ -427,13 +156,14 @@
         ++p.job->run->launched;
         orders.push_back({Op::start, {p.job->spec.id, p.task, p.attempt}, Seconds(0)});
     }
-    const bool full = !machine.kind || machine.kind->cpus - machine.used.cpus < minCpus_ - 1e-6;
+    const bool full = !machine.kind || machine.kind->cpus - machine.used.cpus < order_.minCpus() - 1e-6;
     bool fetchPlaced = false;
     // One rank after the other, so that a low job's cached tasks do not take the room of a high one's fetch.
-    for (auto first = order_.begin(); first != order_.end();) {
+    const auto& jobs = order_.waiting();
+    for (auto first = jobs.begin(); first != jobs.end();) {
         const int rank = rankOf(**first);
         const auto last =
-            std::find_if(first, order_.end(), [&](const Job* job) { return rankOf(*job) != rank; });
+            std::find_if(first, jobs.end(), [&](const Job* job) { return rankOf(*job) != rank; });
         for (auto at = first; at != last && !full; ++at) {
             Job& job = **at;
             if (job.run->waiting == 0 || !mayStart(job, machine)) continue;
@@ -442,10 +172,11 @@
                 }
             } else if (waitsForImage(job)) {
                 continue;
-            } else if (!fetchPlaced && !machine.isFetching(job.spec.image) && paceAllows(job, machine) &&
-                       roomWithImage(job) < job.run->waiting && startOne(machine, job, orders)) {
+            } else if (!fetchPlaced && !machine.isFetching(job.spec.image) &&
+                       pacing_.allows(job, machine, now_) && roomWithImage(job) < job.run->waiting &&
+                       startOne(machine, job, orders)) {
                 fetchPlaced = true;
-                recordFetch(machine, job);
+                pacing_.recordFetch(job, machine.zone, now_);
             }
         }
         if (rank >= static_cast<int>(Priority::high))
@@ -460,7 +191,7 @@
             const auto elsewhere = roomWithImage(job);
             bool fetching = machine.isFetching(job.spec.image);
             for (std::uint32_t n = elsewhere; n < waiting && startOne(machine, job, orders); ++n) {
-                if (!fetching) recordFetch(machine, job);
+                if (!fetching) pacing_.recordFetch(job, machine.zone, now_);
                 fetching = true;
             }
         }
@@ -474,9 +205,11 @@
     const auto& run = *job.run;
     if (run.waiting == 0 || machine.isReserved(now_)) return;
     if (job.spec.kind == Kind::gang && job.spec.tasks > 1) return;
-    if (!mayStart(job, machine) || blockedByUnreconciled(job) || !withinTeamLimit(job, 1)) return;
+    if (!mayStart(job, machine) || blockedByUnreconciled(job, fleet_) ||
+        !withinTeamLimit(job, 1, fleet_, types_))
+        return;
     const auto need = bookkeeping::needOf(job.spec);
-    if (!maxRoom(machine, job).covers(need) || availableRoom(machine, job).covers(need)) return;
+    if (!maxRoom(machine, job, now_).covers(need) || availableRoom(machine, job, now_).covers(need)) return;
     if (fleet_.reservations(job, now_) >= run.waiting) return;
     fleet_.reserve(machine, &job, now_ + std::chrono::duration_cast<Clock::duration>(settings_.report * 3),
                    true);
@@ -489,13 +222,14 @@
     nextGangs_ = now_ + 200ms;
     std::vector<Machine*> machines;
     for (const auto& [id, m] : fleet_.machines())
-        if (m->kind && m->kind->cpus - m->used.cpus >= minCpus_ - 1e-6 && usable(*m))
+        if (m->kind && m->kind->cpus - m->used.cpus >= order_.minCpus() - 1e-6 && usable(*m, now_))
             machines.push_back(m.get());
-    for (auto* job : std::vector<Job*>(order_)) {
+    for (auto* job : std::vector<Job*>(order_.waiting())) {
         const auto& run = *job->run;
         if (job->spec.kind != Kind::gang || job->spec.tasks < 2 || job->final != Final::open) continue;
         if (run.waiting == 0 || run.notBefore > now_ || !mayComplete(*job)) continue;
-        if (blockedByUnreconciled(*job) || !withinTeamLimit(*job, run.waiting)) continue;
+        if (blockedByUnreconciled(*job, fleet_) || !withinTeamLimit(*job, run.waiting, fleet_, types_))
+            continue;
         if (!job->spec.oneZone) {
             planGang(*job, machines, nullptr);
             continue;
@@ -535,7 +269,7 @@
             continue;
         if (!mayStart(job, *m)) continue;
         if (job.run->liveTotal > 0 && job.run->machinesLeft.contains(m->id)) continue;
-        const auto room = availableRoom(*m, job).times(need);
+        const auto room = availableRoom(*m, job, now_).times(need);
         if (room == 0) continue;
         total += room;
         // One spot machine that is taken back stops the whole gang.
@@ -574,8 +308,8 @@
         fleet_.place(*machine, job, task, job.run->gangAttempt, PlacementState::planned, now_);
         if (machine->reservedFor == &job) fleet_.reserve(*machine, nullptr);
     }
-    std::erase_if(zoneReservations_, [&](const auto& entry) { return entry.second.job == &job; });
-    orderStale_ = true;
+    zoneReservations_.release(job);
+    order_.markStale();
     return true;
 }
 
@@ -600,7 +334,7 @@
     const auto mostVisits = std::max<std::uint64_t>(6000, fleet_.machines().size() * 12);
     const auto visitedBefore = visited_;
     int made = 0;
-    const auto jobs = order_;
+    const auto jobs = order_.waiting();
     // Production has its turn each time.
     const auto production = static_cast<std::size_t>(
         std::find_if(jobs.begin(), jobs.end(),
@@ -620,7 +354,9 @@
         if (job->final != Final::open || run.waiting == 0 || run.notBefore > now_) continue;
         if (Seconds(now_ - run.waitingSince) < preemptionDelay(*job)) continue;
         const bool gang = job->spec.kind == Kind::gang && job->spec.tasks > 1;
-        if (blockedByUnreconciled(*job) || !withinTeamLimit(*job, gang ? run.waiting : 1)) continue;
+        if (blockedByUnreconciled(*job, fleet_) ||
+            !withinTeamLimit(*job, gang ? run.waiting : 1, fleet_, types_))
+            continue;
         made += gang ? makeRoomForGang(*job) : makeRoomFor(*job);
     }
 }
@@ -632,7 +368,7 @@
     auto need = bookkeeping::needOf(job.spec);
     need = {need.cpus * tasks, need.gpus * tasks, need.memoryGb * tasks};
     PreemptionPlan plan{&machine, {}, machine.hasImage(job.spec.image) ? 0.0 : 10.0, tasks};
-    auto room = availableRoom(machine, job);
+    auto room = availableRoom(machine, job, now_);
     std::vector<std::pair<double, Placement*>> victims;
     for (auto& [key, p] : machine.placements) {
         const auto& spec = p.job->spec;
@@ -675,16 +411,16 @@
     std::map<std::string, std::uint32_t> zones = job.run->zones;
     const auto weigh = [&](Machine& m) {
         ++visited_;
-        if (!m.kind || !usable(m)) return;
+        if (!m.kind || !usable(m, now_)) return;
         const bool made = m.isReserved(now_) && !m.holding;
         if (made && m.reservedFor != &job) return;
         if (!mayStart(job, m)) return;
         if (made) {
             ++zones[m.zone];
             ++coming;
-        } else if (const auto room = availableRoom(m, job).times(need); room > 0) {
+        } else if (const auto room = availableRoom(m, job, now_).times(need); room > 0) {
             coming += room;  // it will be placed with that machine's report
-        } else if (maxRoom(m, job).covers(need)) {
+        } else if (maxRoom(m, job, now_).covers(need)) {
             candidates.push_back(&m);
         }
     };
@@ -740,12 +476,13 @@
         for (const auto& [id, m] : fleet_.machines()) {
             if ((!zone.empty() && m->zone != zone) || !m->kind || m->kind->gpus < need.gpus) continue;
             ++visited_;
-            if (!usable(*m)) continue;
-            if (allows(job, m->type, m->zone, m->spot))
+            if (!usable(*m, now_)) continue;
+            if (allows(job.spec, m->type, m->zone, m->spot))
                 could += (bookkeeping::sizeOf(*m->kind) - m->plainUse[4]).times(need);
             if (!bookkeeping::sizeOf(*m->kind).covers(need) || !mayStart(job, *m)) continue;
             if (m->isReserved(now_) && !m->holding && m->reservedFor != &job) continue;
-            const auto now = availableRoom(*m, job).times(need), later = maxRoom(*m, job).times(need);
+            const auto now = availableRoom(*m, job, now_).times(need),
+                       later = maxRoom(*m, job, now_).times(need);
             if (later == 0) continue;
             free += now;
             most += later;
@@ -759,7 +496,7 @@
     }
     if (std::get<0>(bestMerit) < job.spec.tasks) {
         // Unless more machines have to come first.
-        if (std::get<1>(bestMerit) >= job.spec.tasks) reserveZone(job, bestZone);
+        if (std::get<1>(bestMerit) >= job.spec.tasks) zoneReservations_.reserve(job, bestZone, now_);
         return 0;
     }
     std::vector<PreemptionPlan> plans;
@@ -789,37 +526,4 @@
     return 1;
 }
 
-/// One zone at a time, so that smaller work has another to go to; a gang that is overdue may take a further
-/// one.
-void Leader::reserveZone(const Job& job, const std::string& zone) {
-    std::erase_if(zoneReservations_, [&](const auto& entry) { return entry.second.until <= now_; });
-    const auto own = std::find_if(zoneReservations_.begin(), zoneReservations_.end(),
-                                  [&](const auto& entry) { return entry.second.job == &job; });
-    if (own != zoneReservations_.end()) {  // it stays where it began
-        own->second.until = now_ + kZoneReservation;
-        return;
-    }
-    if (now_ - job.run->readyAt <= policy_.longestPassedOver / 3) return;
-    const auto there = zoneReservations_.find(zone);
-    // The oldest goes first, or one after the other might be younger.
-    const bool older = there != zoneReservations_.end() && job.run->readyAt < there->second.job->run->readyAt;
-    if (older || zoneReservations_.empty() || (job.run->overdue && there == zoneReservations_.end()))
-        zoneReservations_[zone] = {&job, now_ + kZoneReservation, now_};
-}
-
-/// A gang that waits for machines like this one has bespoken the zone.
-bool Leader::reservedForOther(const Job& job, const Machine& machine) const {
-    if (zoneReservations_.empty() || !machine.kind || job.priority() == Priority::production) return false;
-    return std::any_of(zoneReservations_.begin(), zoneReservations_.end(), [&](const auto& entry) {
-        const auto& [zone, by] = entry;
-        if (by.until <= now_ || by.job == &job || (!zone.empty() && machine.zone != zone)) return false;
-        const bool othersTurn = (now_ - by.since) % (kReservationTurn + kReservationGap) >= kReservationTurn;
-        if (othersTurn && hasWaitedUnstarted(job, kReservationGapMinWait)) return false;
-        const auto& spec = by.job->spec;
-        if (job.priority() < by.job->priority()) return false;
-        if (spec.gpus > 0 ? job.spec.gpus <= 0 : job.spec.kind != Kind::gang) return false;
-        return bookkeeping::sizeOf(*machine.kind).covers(bookkeeping::needOf(spec));
-    });
-}
-
 }  // namespace burlpoint::coordination
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/provisioning.cpp
@@ -25,13 +25,9 @@
 
 }  // namespace
 
-bool Leader::needsAcceleratorMachine(const Job& job) const {
-    return coordination::needsAcceleratorMachine(job.spec, types_);
-}
-
 void Leader::provision() {
     const auto due = [this](const Job& job) { return dueAt(job); };
-    auto requests = provisioner_.decide(fleet_, types_, {order_, due}, now_);
+    auto requests = provisioner_.decide(fleet_, types_, {order_.waiting(), due}, now_);
     for (auto& rental : requests.rentals) actions_.push_back(Rent{std::move(rental)});
     if (!requests.releases.empty()) actions_.push_back(Release{std::move(requests.releases)});
     if (requests.listMachines) actions_.push_back(ListMachines{});
@@ -99,7 +95,7 @@
     for (const auto& [id, machine] : fleet_.machines())
         if (!machine->kind) machine->kind = typeOf(machine->type);
     if (changed) writer_.noteTypesChanged();
-    orderStale_ = true;
+    order_.markStale();
 }
 
 }  // namespace burlpoint::coordination
