--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -66,9 +66,9 @@
     for (const auto& [offering, count] : fleet_.unreconciled())
         if (const auto* type = typeOf(offering.type))
             use += {type->cpus * count, type->gpus * count, type->memoryGb * count};
-    constexpr double slack = 1e-6;
+    constexpr double kSlack = 1e-6;
     const auto fits = [&](double used, double need, double most) {
-        return most <= 0 || used + need * tasks <= most + slack;
+        return most <= 0 || used + need * tasks <= most + kSlack;
     };
     return fits(use.cpus, job.spec.cpus, team->cpusMax) && fits(use.gpus, job.spec.gpus, team->gpusMax);
 }
@@ -190,7 +190,7 @@
     order_.clear();
     minCpus_ = std::numeric_limits<double>::max();
     std::unordered_map<std::string_view, Resources> teams;
-    constexpr double last = 1e18;
+    constexpr double kLast = 1e18;
     for (auto* job : open_) {
         auto& run = *job->run;
         const auto& spec = job->spec;
@@ -213,13 +213,13 @@
         minCpus_ = std::min(minCpus_, spec.cpus);
         // Within a rank by arrival. Where deadlines count, what is soonest through goes first, so that as
         // many jobs as possible meet theirs, and what can no longer meet its own goes last.
-        run.place = last / 2;
+        run.place = kLast / 2;
         // A deadline handed down by a job that needs this one is never past saving: more than this job hangs
         // on it.
         const Seconds age = now_ - run.readyAt;
         if (job->dueMs)
             run.place = spec.deadline && Seconds(dueAt(*job) - now_) < spec.estimate * 0.8
-                            ? last
+                            ? kLast
                             : run.waiting * spec.cpus * spec.estimate.count();
         // But nothing is passed over for ever: what has waited for long goes first, by arrival.
         run.overdue = age > policy_.longestPassedOver;
