--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -4,7 +4,9 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -143,6 +145,26 @@
         std::uint32_t tasks = 1;
     };
 
+    struct RoomSurvey {          // what a job finds on the machines that it may use
+        std::size_t coming = 0;  // of its tasks have room without stopping more
+        std::map<std::string, std::uint32_t>
+            zones;                         // its tasks per zone, those that room was made for included
+        std::vector<Machine*> candidates;  // where stopping something would make room
+    };
+    struct GangMachine {
+        Machine* machine = nullptr;
+        std::uint32_t tasks = 0;  // that fit if all that may yield did
+    };
+    struct GangRoom {  // what a zone offers a gang, in tasks of it
+        std::string zone;
+        std::uint32_t yielding = 0;  // fit if all that may yield did; at most the gang's size
+        std::uint32_t possible =
+            0;                   // would fit on machines with nothing but replicas; at most the gang's size
+        std::uint32_t free = 0;  // fit at once
+        std::vector<GangMachine> machines;
+        auto merit() const { return std::tuple(yielding, possible, free); }
+    };
+
     // leader.cpp
     void on(ReportArrived& command);
     void on(WorkerAnswered& command);
@@ -194,7 +216,11 @@
     const MachineType* typeOf(const std::string& name) const;
     bool mayStart(const Job& job, const Machine& machine) const;
     void refreshOrder();
+    using JobSpan = std::span<Job* const>;  // some of the waiting jobs, in order
     void schedule(Machine& machine, std::vector<Order>& orders);
+    void startPlanned(Machine& machine, std::vector<Order>& orders);
+    void startCachedAndPaced(Machine& machine, JobSpan jobs, bool& fetchPlaced, std::vector<Order>& orders);
+    void fillLeftoverRoom(Machine& machine, JobSpan jobs, std::vector<Order>& orders);
     bool startOne(Machine& machine, Job& job, std::vector<Order>& orders);
     std::uint32_t roomWithImage(Job& job);
     bool mayPreempt(const Placement& placement, const Job& job) const;
@@ -210,7 +236,12 @@
     Seconds preemptionDelay(const Job& job) const;
     std::optional<PreemptionPlan> planPreemption(Machine& machine, const Job& job, std::uint32_t tasks);
     void execute(const PreemptionPlan& plan, Job& job, Clock::duration until);
+    void surveyMachine(Machine& machine, const Job& job, RoomSurvey& survey);
+    RoomSurvey surveyRoom(Job& job);
     int makeRoomFor(Job& job);
+    GangRoom gangRoomIn(const std::string& zone, const Job& job);
+    GangRoom bestGangRoom(const Job& job);
+    std::vector<PreemptionPlan> plansForGang(const Job& job, const GangRoom& room);
     int makeRoomForGang(Job& job);
 
     // provisioning.cpp
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -145,17 +145,56 @@
     return true;
 }
 
+/// Gang tasks planned for this machine start: their room is kept already.
+void Leader::startPlanned(Machine& machine, std::vector<Order>& orders) {
+    for (auto& [key, placement] : machine.placements) {
+        if (placement.state != PlacementState::planned || orders.size() >= kMaxStarts) continue;
+        placement.sentSequence = machine.sequence;
+        fleet_.setState(placement, PlacementState::sent, now_);
+        ++placement.job->run->launched;
+        orders.push_back(
+            {Op::start, {placement.job->spec.id, placement.task, placement.attempt}, Seconds(0)});
+    }
+}
+
+/// The design's walk over jobs of one rank: all cached tasks that fit, and one paced fetch for the whole
+/// report. `fetchPlaced`: it has been started already.
+void Leader::startCachedAndPaced(Machine& machine, JobSpan jobs, bool& fetchPlaced,
+                                 std::vector<Order>& orders) {
+    for (auto* job : jobs) {
+        if (job->run->waiting == 0 || !mayStart(*job, machine)) continue;
+        if (machine.hasImage(job->spec.image)) {
+            while (startOne(machine, *job, orders)) {
+            }
+            continue;
+        }
+        if (waitsForImage(*job) || fetchPlaced || machine.isFetching(job->spec.image)) continue;
+        if (!pacing_.allows(*job, machine, now_) || roomWithImage(*job) >= job->run->waiting) continue;
+        if (!startOne(machine, *job, orders)) continue;
+        fetchPlaced = true;
+        pacing_.recordFetch(*job, machine.zone, now_);
+    }
+}
+
+/// What room is left takes any waiting task, unless machines that have its image report soon.
+void Leader::fillLeftoverRoom(Machine& machine, JobSpan jobs, std::vector<Order>& orders) {
+    for (auto* job : jobs) {
+        if (job->run->waiting == 0 || machine.hasImage(job->spec.image) || !mayStart(*job, machine)) continue;
+        if (waitsForImage(*job)) continue;
+        const auto waiting = job->run->waiting;
+        const auto elsewhere = roomWithImage(*job);
+        bool fetching = machine.isFetching(job->spec.image);
+        for (std::uint32_t n = elsewhere; n < waiting && startOne(machine, *job, orders); ++n) {
+            if (!fetching) pacing_.recordFetch(*job, machine.zone, now_);
+            fetching = true;
+        }
+    }
+}
+
 void Leader::schedule(Machine& machine, std::vector<Order>& orders) {
     refreshOrder();
     refreshPacing();
-    // Gang tasks planned for this machine go first: their room is kept already.
-    for (auto& [key, p] : machine.placements) {
-        if (p.state != PlacementState::planned || orders.size() >= kMaxStarts) continue;
-        p.sentSequence = machine.sequence;
-        fleet_.setState(p, PlacementState::sent, now_);
-        ++p.job->run->launched;
-        orders.push_back({Op::start, {p.job->spec.id, p.task, p.attempt}, Seconds(0)});
-    }
+    startPlanned(machine, orders);
     const bool full = !machine.kind || machine.kind->cpus - machine.used.cpus < order_.minCpus() - 1e-6;
     bool fetchPlaced = false;
     // One rank after the other, so that a low job's cached tasks do not take the room of a high one's fetch.
@@ -164,37 +203,11 @@
         const int rank = rankOf(**first);
         const auto last =
             std::find_if(first, jobs.end(), [&](const Job* job) { return rankOf(*job) != rank; });
-        for (auto at = first; at != last && !full; ++at) {
-            Job& job = **at;
-            if (job.run->waiting == 0 || !mayStart(job, machine)) continue;
-            if (machine.hasImage(job.spec.image)) {
-                while (startOne(machine, job, orders)) {
-                }
-            } else if (waitsForImage(job)) {
-                continue;
-            } else if (!fetchPlaced && !machine.isFetching(job.spec.image) &&
-                       pacing_.allows(job, machine, now_) && roomWithImage(job) < job.run->waiting &&
-                       startOne(machine, job, orders)) {
-                fetchPlaced = true;
-                pacing_.recordFetch(job, machine.zone, now_);
-            }
-        }
+        const JobSpan ofRank(first, last);
+        if (!full) startCachedAndPaced(machine, ofRank, fetchPlaced, orders);
         if (rank >= static_cast<int>(Priority::high))
-            for (auto at = first; at != last; ++at) reserveFreedRoom(machine, **at);
-        // What room is left takes any waiting task, unless machines that have its image report soon.
-        for (auto at = first; at != last && !full; ++at) {
-            Job& job = **at;
-            if (job.run->waiting == 0 || machine.hasImage(job.spec.image) || !mayStart(job, machine))
-                continue;
-            if (waitsForImage(job)) continue;
-            const auto waiting = job.run->waiting;
-            const auto elsewhere = roomWithImage(job);
-            bool fetching = machine.isFetching(job.spec.image);
-            for (std::uint32_t n = elsewhere; n < waiting && startOne(machine, job, orders); ++n) {
-                if (!fetching) pacing_.recordFetch(job, machine.zone, now_);
-                fetching = true;
-            }
-        }
+            for (const auto* job : ofRank) reserveFreedRoom(machine, *job);
+        if (!full) fillLeftoverRoom(machine, ofRank, orders);
         first = last;
     }
 }
@@ -401,39 +414,47 @@
     fleet_.reserve(machine, &job, now_ + until, false, plan.tasks);
 }
 
-/// Frees room for tasks of the job by stopping lower work where that loses least.
-int Leader::makeRoomFor(Job& job) {
-    constexpr std::size_t kMaxWeighed = 40, kMaxAtOnce = 6;
+/// Counts the machine towards the room that the job will have without stopping more, or keeps it as one where
+/// something could be stopped.
+void Leader::surveyMachine(Machine& machine, const Job& job, RoomSurvey& survey) {
+    ++visited_;
+    if (!machine.kind || !usable(machine, now_)) return;
+    const bool made = machine.isReserved(now_) && !machine.holding;
+    if (made && machine.reservedFor != &job) return;
+    if (!mayStart(job, machine)) return;
     const auto need = bookkeeping::needOf(job.spec);
-    const bool onlyCached = waitsForImage(job);
-    std::size_t wanted = job.run->waiting, coming = 0;
-    std::vector<Machine*> candidates;
-    std::map<std::string, std::uint32_t> zones = job.run->zones;
-    const auto weigh = [&](Machine& m) {
-        ++visited_;
-        if (!m.kind || !usable(m, now_)) return;
-        const bool made = m.isReserved(now_) && !m.holding;
-        if (made && m.reservedFor != &job) return;
-        if (!mayStart(job, m)) return;
-        if (made) {
-            ++zones[m.zone];
-            ++coming;
-        } else if (const auto room = availableRoom(m, job, now_).times(need); room > 0) {
-            coming += room;  // it will be placed with that machine's report
-        } else if (maxRoom(m, job, now_).covers(need)) {
-            candidates.push_back(&m);
-        }
-    };
-    if (onlyCached) {
-        for (auto* m : fleet_.withImage(job.spec.image)) weigh(*m);
-    } else {
-        for (const auto& [id, m] : fleet_.machines()) {
-            weigh(*m);
-            if (coming >= wanted) break;
-        }
+    if (made) {
+        ++survey.zones[machine.zone];
+        ++survey.coming;
+    } else if (const auto room = availableRoom(machine, job, now_).times(need); room > 0) {
+        survey.coming += room;  // it will be placed with that machine's report
+    } else if (maxRoom(machine, job, now_).covers(need)) {
+        survey.candidates.push_back(&machine);
+    }
+}
+
+/// Looks for room on the machines that the job may wait for: those with its image if it should wait for one
+/// of them, else all, until enough is found.
+Leader::RoomSurvey Leader::surveyRoom(Job& job) {
+    RoomSurvey survey{0, job.run->zones, {}};
+    if (waitsForImage(job)) {
+        for (auto* machine : fleet_.withImage(job.spec.image)) surveyMachine(*machine, job, survey);
+        return survey;
     }
-    if (coming >= wanted) return 0;
-    wanted = std::min(wanted - coming, kMaxAtOnce);
+    for (const auto& [id, machine] : fleet_.machines()) {
+        surveyMachine(*machine, job, survey);
+        if (survey.coming >= job.run->waiting) break;
+    }
+    return survey;
+}
+
+/// Frees room for tasks of the job by stopping lower work where that loses least.
+int Leader::makeRoomFor(Job& job) {
+    constexpr std::size_t kMaxWeighed = 40;
+    constexpr std::size_t kMaxAtOnce = 6;
+    auto [coming, zones, candidates] = surveyRoom(job);
+    if (coming >= job.run->waiting) return 0;
+    auto wanted = std::min(job.run->waiting - coming, kMaxAtOnce);
     std::vector<PreemptionPlan> plans;
     const auto offset = candidates.empty() ? 0 : turn_++ % candidates.size();
     for (std::size_t i = 0; i < std::min(candidates.size(), kMaxWeighed); ++i)
@@ -455,62 +476,76 @@
     return made;
 }
 
+/// What machines in the zone, all zones if it is empty, offer a gang.
+Leader::GangRoom Leader::gangRoomIn(const std::string& zone, const Job& job) {
+    const auto need = bookkeeping::needOf(job.spec);
+    GangRoom room;
+    room.zone = zone;
+    std::uint32_t yielding = 0;
+    std::uint32_t possible = 0;
+    for (const auto& [id, machine] : fleet_.machines()) {
+        if (!zone.empty() && machine->zone != zone) continue;
+        if (!machine->kind || machine->kind->gpus < need.gpus) continue;
+        ++visited_;
+        if (!usable(*machine, now_)) continue;
+        const auto size = bookkeeping::sizeOf(*machine->kind);
+        if (allows(job.spec, machine->type, machine->zone, machine->spot))
+            possible += (size - machine->plainUse[4]).times(need);
+        if (!size.covers(need) || !mayStart(job, *machine)) continue;
+        if (machine->isReserved(now_) && !machine->holding && machine->reservedFor != &job) continue;
+        const auto tasks = maxRoom(*machine, job, now_).times(need);
+        if (tasks == 0) continue;
+        room.free += availableRoom(*machine, job, now_).times(need);
+        yielding += tasks;
+        room.machines.push_back({machine.get(), tasks});
+    }
+    room.yielding = std::min(yielding, job.spec.tasks);
+    room.possible = std::min(possible, job.spec.tasks);
+    return room;
+}
+
+/// The zone that offers a gang most, or what all zones offer together if it need not be in one.
+Leader::GangRoom Leader::bestGangRoom(const Job& job) {
+    const auto zones = job.spec.oneZone ? settings_.zones : std::vector<std::string>{""};
+    GangRoom best;
+    for (const auto& zone : zones) {
+        auto room = gangRoomIn(zone, job);
+        if (room.merit() > best.merit()) best = std::move(room);
+    }
+    return best;
+}
+
+/// What would stop on each machine for the gang, those first that lose least for a task.
+std::vector<Leader::PreemptionPlan> Leader::plansForGang(const Job& job, const GangRoom& room) {
+    std::vector<PreemptionPlan> plans;
+    for (const auto& [machine, tasks] : room.machines) {
+        auto plan = planPreemption(*machine, job, std::min(tasks, job.spec.tasks));
+        if (!plan) continue;
+        // Machines kept for it come first; a spot machine that is taken back would stop the whole gang.
+        if (machine->reservedFor == &job) plan->loss -= kReservedBonus;
+        if (machine->spot) plan->loss += kSpotLoss * plan->tasks;
+        if (!machine->hasImage(job.spec.image)) plan->loss += kFetchLoss * plan->tasks;
+        plans.push_back(std::move(*plan));
+    }
+    std::sort(plans.begin(), plans.end(),
+              [](const auto& a, const auto& b) { return a.loss / a.tasks < b.loss / b.tasks; });
+    return plans;
+}
+
 /// Makes room for a gang, whole or not at all: only where free room and what yields make up all of it. A gang
 /// that is passed over for long, as smaller ones take each machine that comes free, bespeaks a zone: until it
 /// has enough there, other work that needs what it needs goes elsewhere. Lower work goes on meanwhile. There
 /// is one such gang at a time, so that no two wait for each other's halves.
 int Leader::makeRoomForGang(Job& job) {
     if (job.run->liveTotal > 0) return 0;
-    const auto need = bookkeeping::needOf(job.spec);
-    const auto until = std::chrono::duration_cast<Clock::duration>(settings_.report * 3 + job.spec.save);
-    struct Option {
-        Machine* machine;
-        std::uint32_t free, most;
-    };
-    std::vector<Option> best;
-    std::tuple<std::uint32_t, std::uint32_t, std::uint32_t> bestMerit;
-    std::string bestZone;
-    for (const auto& zone : job.spec.oneZone ? settings_.zones : std::vector<std::string>{""}) {
-        std::vector<Option> options;
-        std::uint32_t free = 0, most = 0, could = 0;
-        for (const auto& [id, m] : fleet_.machines()) {
-            if ((!zone.empty() && m->zone != zone) || !m->kind || m->kind->gpus < need.gpus) continue;
-            ++visited_;
-            if (!usable(*m, now_)) continue;
-            if (allows(job.spec, m->type, m->zone, m->spot))
-                could += (bookkeeping::sizeOf(*m->kind) - m->plainUse[4]).times(need);
-            if (!bookkeeping::sizeOf(*m->kind).covers(need) || !mayStart(job, *m)) continue;
-            if (m->isReserved(now_) && !m->holding && m->reservedFor != &job) continue;
-            const auto now = availableRoom(*m, job, now_).times(need),
-                       later = maxRoom(*m, job, now_).times(need);
-            if (later == 0) continue;
-            free += now;
-            most += later;
-            options.push_back({m.get(), now, later});
-        }
-        const auto merit = std::tuple(std::min(most, job.spec.tasks), std::min(could, job.spec.tasks), free);
-        if (merit <= bestMerit) continue;
-        best = std::move(options);
-        bestMerit = merit;
-        bestZone = zone;
-    }
-    if (std::get<0>(bestMerit) < job.spec.tasks) {
+    const auto room = bestGangRoom(job);
+    if (room.yielding < job.spec.tasks) {
         // Unless more machines have to come first.
-        if (std::get<1>(bestMerit) >= job.spec.tasks) zoneReservations_.reserve(job, bestZone, now_);
+        if (room.possible >= job.spec.tasks) zoneReservations_.reserve(job, room.zone, now_);
         return 0;
     }
-    std::vector<PreemptionPlan> plans;
-    for (const auto& option : best) {
-        auto found = planPreemption(*option.machine, job, std::min(option.most, job.spec.tasks));
-        if (!found) continue;
-        // Machines kept for it come first; a spot machine that is taken back would stop the whole gang.
-        if (option.machine->reservedFor == &job) found->loss -= kReservedBonus;
-        if (option.machine->spot) found->loss += kSpotLoss * found->tasks;
-        if (!option.machine->hasImage(job.spec.image)) found->loss += kFetchLoss * found->tasks;
-        plans.push_back(std::move(*found));
-    }
-    std::sort(plans.begin(), plans.end(),
-              [](const auto& a, const auto& b) { return a.loss / a.tasks < b.loss / b.tasks; });
+    const auto plans = plansForGang(job, room);
+    const auto until = std::chrono::duration_cast<Clock::duration>(settings_.report * 3 + job.spec.save);
     std::uint32_t got = 0;
     for (const auto& plan : plans) {
         if (got >= job.spec.tasks) break;
