--- a/src/coordination/action_executor.cpp
+++ b/src/coordination/action_executor.cpp
@@ -141,14 +141,14 @@
 }
 
 void ActionExecutor::carryOut(ListMachines&) {
-    auto listed = std::make_shared<MachinesListed>();
+    const auto listed = std::make_shared<MachinesListed>();
     listed->asked = transport::Clock::now();
-    listPage("", std::move(listed));
+    listPage("", listed);
 }
 
 /// Adds the page after that machine to the list, and the pages after it. A page that fails ends the list,
 /// which is told as incomplete.
-void ActionExecutor::listPage(const std::string& after, std::shared_ptr<MachinesListed> listed) {
+void ActionExecutor::listPage(const std::string& after, const std::shared_ptr<MachinesListed>& listed) {
     services_.http.request(settings_.cloud, "GET", paths::rentedPage(after, kPageMachines), "", kCloudTimeout,
                            [this, round = round_, listed](const Outcome& outcome) {
                                if (round != round_) return;
--- a/src/coordination/action_executor.h
+++ b/src/coordination/action_executor.h
@@ -70,7 +70,7 @@
     void carryOut(ListMachines& action);
     void carryOut(ListTypes& action);
     void carryOut(Resign& action);
-    void listPage(const std::string& after, std::shared_ptr<MachinesListed> listed);
+    void listPage(const std::string& after, const std::shared_ptr<MachinesListed>& listed);
     bool entitled() const;
 
     const protocol::Settings& settings_;
--- a/src/coordination/worker_relay.cpp
+++ b/src/coordination/worker_relay.cpp
@@ -69,7 +69,7 @@
                                    [&](const auto& p) { return p.name == leader; });
     if (peer == settings_.peers.end()) return report.reply(elsewhere(""));
     ++relaying_;
-    http_.request(peer->address, "POST", protocol::paths::kRelay, std::move(report.body), kRelayTimeout,
+    http_.request(peer->address, "POST", protocol::paths::kRelay, report.body, kRelayTimeout,
                   [this, reply = std::move(report.reply)](Outcome outcome) {
                       --relaying_;
                       if (outcome.status == 200) return reply(respond(200, std::move(outcome.body)));
