--- a/src/coordination/state_writer.cpp
+++ b/src/coordination/state_writer.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-constexpr auto kBitmapInterval = 1s;          // a job's finished tasks gather for this long
-constexpr std::size_t kMaxBytes = 48 * 1024;  // of the 64 KiB that a transaction may have
+constexpr auto kBitmapInterval = 1s;                       // a job's finished tasks gather for this long
+constexpr std::size_t kMaxBytes = std::size_t{48} * 1024;  // of the 64 KiB that a transaction may have
 // Below these the service would refuse nearly everything, whatever its limits.
 constexpr std::size_t kMinBytes = 512;
 constexpr std::size_t kMinBitmapBytes = 16;
--- a/tests/action_executor_test.cpp
+++ b/tests/action_executor_test.cpp
@@ -59,7 +59,7 @@
     transport::Server others{io,
                              transport::parseEndpoint("127.0.0.1:0"),
                              {},
-                             [this](transport::Request&& request, transport::Reply reply) {
+                             [this](transport::Request&& request, const transport::Reply& reply) {
                                  asked.push_back(request.path);
                                  transport::Response response;
                                  const auto found = answers.find(request.path);
--- a/tests/rentals_test.cpp
+++ b/tests/rentals_test.cpp
@@ -20,6 +20,7 @@
 /// The requests' names and counts, as "name*count".
 std::vector<std::string> described(const std::vector<RentalRequest>& requests) {
     std::vector<std::string> out;
+    out.reserve(requests.size());
     for (const auto& request : requests) out.push_back(request.name + "*" + std::to_string(request.count));
     return out;
 }
--- a/tests/worker_relay_test.cpp
+++ b/tests/worker_relay_test.cpp
@@ -47,7 +47,7 @@
     transport::Server leader{io,
                              transport::parseEndpoint("127.0.0.1:0"),
                              {},
-                             [this](transport::Request&& request, transport::Reply reply) {
+                             [this](transport::Request&& request, const transport::Reply& reply) {
                                  EXPECT_EQ(request.path, protocol::paths::kRelay);
                                  relayed.push_back(request.body);
                                  transport::Response response;
