Leader in parts: scheduling, gang planning, preemption, reconciling reports and stops as own types

Leader now hands each command to them and collects actions; the tests' probe into it is gone. RentalAnswered tells a typed outcome.

--- a/src/bookkeeping/fleet.cpp
+++ b/src/bookkeeping/fleet.cpp
@@ -130,7 +130,7 @@
     const auto priority = static_cast<std::size_t>(job.priority());
     change(machine.used);
     change(teamUse_[spec.team]);
-    if (spec.gpus <= 0) change(machine.plainUse[service ? 4 : priority]);
+    if (spec.gpus <= 0) change(machine.plainUse[service ? kReplicaUse : priority]);
     if (!service && (spec.kind != protocol::Kind::gang || spec.tasks == 1))
         change(machine.stoppable[priority]);
     if (!added && machine.placements.empty()) {  // no residue of rounding
--- a/src/bookkeeping/fleet.h
+++ b/src/bookkeeping/fleet.h
@@ -39,9 +39,18 @@
     std::uint32_t times(const Resources& o) const;
 };
 
+/// What one task of the job uses.
 inline Resources needOf(const JobSpec& spec) { return {spec.cpus, spec.gpus, spec.memoryGb}; }
+/// What so many of its tasks use.
+inline Resources needOf(const JobSpec& spec, std::uint32_t tasks) {
+    return {spec.cpus * tasks, spec.gpus * tasks, spec.memoryGb * tasks};
+}
 inline Resources sizeOf(const MachineType& type) { return {type.cpus, type.gpus, type.memoryGb}; }
 
+inline constexpr std::size_t kPriorities = 4;
+/// In Machine::plainUse the priorities are followed by replicas, whatever theirs.
+inline constexpr std::size_t kReplicaUse = kPriorities;
+
 enum class PlacementState {
     planned,  // room kept, nothing sent yet
     sent,     // the start left in a report response, not seen yet
@@ -105,10 +114,10 @@
     RosterState roster = RosterState::absent;  // changed by Fleet::setRoster
     std::map<AttemptKey, Placement> placements;
     Resources used;
-    /// What tasks without accelerators use, by priority; the last is replicas of any priority.
-    std::array<Resources, 5> plainUse;
+    /// What tasks without accelerators use, by priority; at kReplicaUse what replicas use.
+    std::array<Resources, kPriorities + 1> plainUse;
     /// What could be stopped for higher work, by priority: neither replicas nor tasks of larger gangs.
-    std::array<Resources, 4> stoppable;
+    std::array<Resources, kPriorities> stoppable;
 
     std::vector<std::pair<std::string, double>> images;  // inferred cache, most recently used first
     bool draining = false;                               // takes no more tasks
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/jobs.h
@@ -21,6 +21,9 @@
 using transport::Clock;
 using transport::Time;
 
+/// Is the job a gang of several tasks, which begin and end together?
+inline bool isLargeGang(const JobSpec& spec) { return spec.kind == protocol::Kind::gang && spec.tasks > 1; }
+
 /// What a leader knows of a job beyond the stored facts.
 struct JobRun {
     /// Some task of the job is or was on a machine.
--- a/src/coordination/accelerator_policy.cpp
+++ b/src/coordination/accelerator_policy.cpp
@@ -23,9 +23,6 @@
 // Where the cloud has no more machines, replicas may have one of so many of those with accelerators.
 constexpr std::uint32_t kSharedOneOf = 8;
 
-// In Machine::plainUse the priorities are followed by replicas, whatever theirs.
-constexpr std::size_t kPriorities = 4, kReplicas = 4;
-
 }  // namespace
 
 AcceleratorPolicy::AcceleratorPolicy(const MachineTypes& types, const RentalRefusals& refusals)
@@ -60,7 +57,7 @@
         if (const auto need = needs_.find(machine->type); need != needs_.end()) {
             auto& shared = shared_[machine->type];
             ++shared.all;
-            const auto left = bookkeeping::sizeOf(*type) - machine->plainUse[kReplicas];
+            const auto left = bookkeeping::sizeOf(*type) - machine->plainUse[bookkeeping::kReplicaUse];
             if (!left.covers(need->second.most)) ++shared.withoutRoom;
         }
     }
@@ -80,8 +77,10 @@
     const auto& need = found->second;
     // It yields to those that need the machine.
     if (job.priority() < need.lowest && !service) return true;
-    auto room = bookkeeping::sizeOf(*type) - bookkeeping::needOf(job.spec) - machine.plainUse[kReplicas];
-    for (auto priority = static_cast<std::size_t>(need.lowest); priority < kPriorities; ++priority)
+    auto room = bookkeeping::sizeOf(*type) - bookkeeping::needOf(job.spec) -
+                machine.plainUse[bookkeeping::kReplicaUse];
+    for (auto priority = static_cast<std::size_t>(need.lowest); priority < bookkeeping::kPriorities;
+         ++priority)
         room -= machine.plainUse[priority];
     if (room.covers(need.most)) return true;
     if (!service || plainMachineRentable(job.spec, types_, refusals_, now)) return false;
--- a/src/coordination/action_executor.cpp
+++ b/src/coordination/action_executor.cpp
@@ -43,16 +43,15 @@
 RentalAnswered readRentalAnswer(const Outcome& outcome, const std::string& name) {
     RentalAnswered answered;
     answered.name = name;
-    answered.malformed = outcome.status == 400;
+    const bool noCapacity = outcome.status == 503 && protocol::saysNoCapacity(outcome.body);
+    if (outcome.status == 400 || noCapacity) answered.outcome = RentalOutcome::turnedDown;
+    if (!outcome.ok()) return answered;
     try {
-        if (outcome.ok()) {
-            answered.machines = protocol::decodeRentalReply(outcome.body);
-            answered.rented = true;
-        }
+        answered.machines = protocol::decodeRentalReply(outcome.body);
+        answered.outcome = RentalOutcome::carriedOut;
     } catch (const Malformed& error) {
         spdlog::error("malformed answer of the cloud: {}", error.what());
     }
-    answered.noCapacity = outcome.status == 503 && protocol::saysNoCapacity(outcome.body);
     return answered;
 }
 
--- /dev/null
+++ b/src/coordination/gang_room.cpp
@@ -0,0 +1,69 @@
+#include "coordination/gang_room.h"
+
+#include <algorithm>
+
+#include "coordination/placement_rules.h"
+
+namespace burlpoint::coordination {
+
+using bookkeeping::Fleet;
+using bookkeeping::Job;
+using bookkeeping::Machine;
+using bookkeeping::Resources;
+using transport::Time;
+
+namespace {
+
+/// Room that was made for another job is not to be had.
+bool isKeptForAnother(const Machine& machine, const Job& job, Time now) {
+    return machine.isReserved(now) && !machine.holding && machine.reservedFor != &job;
+}
+
+/// Tasks that would fit on the machine beside nothing but its replicas.
+std::uint32_t roomBesideReplicas(const Machine& machine, const Resources& need) {
+    return (bookkeeping::sizeOf(*machine.kind) - machine.plainUse[bookkeeping::kReplicaUse]).times(need);
+}
+
+void addMachine(Machine& machine, const Job& job, const StartRules& rules, Time now, GangRoom& room) {
+    const auto need = bookkeeping::needOf(job.spec);
+    if (allows(job.spec, machine.type, machine.zone, machine.spot))
+        room.possible += roomBesideReplicas(machine, need);
+    if (!bookkeeping::sizeOf(*machine.kind).covers(need) || !rules.mayStart(job, machine, now)) return;
+    if (isKeptForAnother(machine, job, now)) return;
+    const auto tasks = maxRoom(machine, job, now).times(need);
+    if (tasks == 0) return;
+    room.free += availableRoom(machine, job, now).times(need);
+    room.yielding += tasks;
+    room.machines.push_back({&machine, tasks});
+}
+
+/// What machines in the zone, in all zones if it is empty, offer the gang.
+GangRoom gangRoomIn(const std::string& zone, const Job& job, const Fleet& fleet, const StartRules& rules,
+                    LookupMeter& meter, Time now) {
+    GangRoom room;
+    room.zone = zone;
+    for (const auto& [id, machine] : fleet.machines()) {
+        if (!zone.empty() && machine->zone != zone) continue;
+        if (!machine->kind || machine->kind->gpus < job.spec.gpus) continue;
+        meter.add();
+        if (usable(*machine, now)) addMachine(*machine, job, rules, now, room);
+    }
+    room.yielding = std::min(room.yielding, job.spec.tasks);
+    room.possible = std::min(room.possible, job.spec.tasks);
+    return room;
+}
+
+}  // namespace
+
+GangRoom bestGangRoom(const Job& job, const Fleet& fleet, const std::vector<std::string>& zones,
+                      const StartRules& rules, LookupMeter& meter, Time now) {
+    if (!job.spec.oneZone) return gangRoomIn("", job, fleet, rules, meter, now);
+    GangRoom best;
+    for (const auto& zone : zones) {
+        auto room = gangRoomIn(zone, job, fleet, rules, meter, now);
+        if (room.merit() > best.merit()) best = std::move(room);
+    }
+    return best;
+}
+
+}  // namespace burlpoint::coordination
--- /dev/null
+++ b/src/coordination/job_runs.cpp
@@ -0,0 +1,44 @@
+#include "coordination/job_runs.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <optional>
+
+namespace burlpoint::coordination {
+
+using bookkeeping::Job;
+using protocol::Seconds;
+using protocol::Settings;
+using transport::Time;
+
+namespace {
+
+/// The shortest time within which users want tasks of the class to start, if they said so.
+std::optional<Seconds> shortestWaitAim(const Settings& settings, const std::string& jobClass) {
+    std::optional<Seconds> shortest;
+    for (const auto& objective : settings.objectives)
+        if (objective.kind == "wait" && objective.jobClass == jobClass)
+            shortest = std::min(shortest.value_or(objective.within), objective.within);
+    return shortest;
+}
+
+}  // namespace
+
+JobRuns::JobRuns(const Settings& settings, const DayClock& dayClock, JobOrder& order, StateWriter& writer)
+    : settings_(settings), dayClock_(dayClock), order_(order), writer_(writer) {}
+
+void JobRuns::begin(Job& job, bool inherited, Time now) {
+    job.beginRun(inherited, now);
+    auto& run = *job.run;
+    run.team = settings_.team(job.spec.team);
+    run.tightWait = shortestWaitAim(settings_, job.spec.jobClass);
+    run.readyAt = std::min(now, dayClock_.steadyAt(job.readyMs));
+    spdlog::debug("job {} {} of {} tasks, ready for {:.3f} s", job.spec.id, job.spec.jobClass, job.spec.tasks,
+                  Seconds(now - run.readyAt).count());
+    // An earlier leader may have stored the last bits and not the end of the job.
+    if (job.doneCount == job.spec.tasks) writer_.noteUnstored(job);
+    order_.add(job);
+}
+
+}  // namespace burlpoint::coordination
--- a/src/coordination/provisioning.cpp
+++ b/src/coordination/leader_cloud.cpp
@@ -1,6 +1,5 @@
 // What the cloud's answers mean for the fleet, and the requests to it as actions.
 #include <algorithm>
-#include <limits>
 
 #include "coordination/leader.h"
 #include "coordination/machine_status.h"
@@ -12,21 +11,14 @@
 
 namespace {
 
-/// Newer than any message: whatever still comes of the machine is late.
-constexpr auto kDeleted = std::numeric_limits<std::uint64_t>::max();
 constexpr Seconds kMaxAge{86'400};  // whatever the cloud says, a day is old
 
 Clock::duration ticks(Seconds s) { return std::chrono::duration_cast<Clock::duration>(s); }
 
-RentalOutcome outcomeOf(const RentalAnswered& answer) {
-    if (answer.rented) return RentalOutcome::carriedOut;
-    return answer.noCapacity || answer.malformed ? RentalOutcome::turnedDown : RentalOutcome::unknown;
-}
-
 }  // namespace
 
 void Leader::provision() {
-    const auto due = [this](const Job& job) { return dueAt(job); };
+    const auto due = [this](const Job& job) { return dayClock_.steadyAt(*job.dueMs); };
     auto requests = provisioner_.decide(fleet_, types_, {order_.waiting(), due}, now_);
     for (auto& rental : requests.rentals) actions_.push_back(Rent{std::move(rental)});
     if (!requests.releases.empty()) actions_.push_back(Release{std::move(requests.releases)});
@@ -36,7 +28,7 @@
 
 void Leader::on(RentalAnswered& command) {
     const auto request =
-        provisioner_.rentalAnswered(command.name, outcomeOf(command), command.machines.size(), now_);
+        provisioner_.rentalAnswered(command.name, command.outcome, command.machines.size(), now_);
     if (!request) return;
     for (const auto& id : command.machines) {
         if (removedMachines_.contains(id) || fleet_.find(id)) continue;
@@ -50,7 +42,7 @@
     if (!command.ok) return;
     for (const auto& id : command.machines) {
         if (auto* machine = fleet_.find(id)) removeMachine(*machine);
-        removedMachines_[id] = {kDeleted, kDeleted};  // deleted: whatever still comes of it is late
+        removedMachines_.noteDeleted(id);
     }
 }
 
@@ -68,8 +60,7 @@
 /// The cloud has the machine: rented by this leader or an earlier one, or by a request that was carried out
 /// late.
 void Leader::noteListed(const Rented& rented) {
-    const auto left = removedMachines_.find(rented.id);
-    if (left != removedMachines_.end() && left->second.session == kDeleted) return;
+    if (removedMachines_.isDeleted(rented.id)) return;
     const bool known = fleet_.find(rented.id) != nullptr;
     auto& machine = findOrAddMachine(rented.id, rented.type, rented.zone, rented.spot);
     // One that may have had tasks is silent, not booting, and its age says nothing.
@@ -93,7 +84,7 @@
         known = std::move(type);
     }
     for (const auto& [id, machine] : fleet_.machines())
-        if (!machine->kind) machine->kind = typeOf(machine->type);
+        if (!machine->kind) machine->kind = findType(types_, machine->type);
     if (changed) writer_.noteTypesChanged();
     order_.markStale();
 }
--- a/src/coordination/placement_rules.cpp
+++ b/src/coordination/placement_rules.cpp
@@ -10,6 +10,7 @@
 using bookkeeping::Fleet;
 using bookkeeping::Job;
 using bookkeeping::Machine;
+using bookkeeping::Placement;
 using bookkeeping::Resources;
 using bookkeeping::RosterState;
 using transport::Time;
@@ -18,11 +19,8 @@
 
 // Processors and accelerators that a sum of decimals may be off by.
 constexpr double kSlack = 1e-6;
-
-Resources needOfTasks(const Job& job, std::uint32_t tasks) {
-    const auto need = bookkeeping::needOf(job.spec);
-    return {need.cpus * tasks, need.gpus * tasks, need.memoryGb * tasks};
-}
+// A start that is stopped sooner is none to its users.
+constexpr std::chrono::seconds kMinCountedStart{30};
 
 /// Must the job leave alone what the machine keeps for `holder`?
 bool isKeptFrom(const Job& job, const Machine& machine, const Job& holder) {
@@ -83,7 +81,7 @@
     auto room = bookkeeping::sizeOf(*machine.kind) - machine.used;
     const auto* holder = machine.reservedFor;
     if (holder != &job && machine.isReserved(now) && isKeptFrom(job, machine, *holder))
-        room -= needOfTasks(*holder, machine.reserved);
+        room -= bookkeeping::needOf(holder->spec, machine.reserved);
     return room;
 }
 
@@ -96,4 +94,12 @@
     return room;
 }
 
+bool startedRecently(const Placement& placement, Time now) {
+    return placement.runningSince == Time{} || now - placement.runningSince < kMinCountedStart;
+}
+
+bool isProtectedStart(const Placement& placement, Time now) {
+    return placement.job->run->firstTask == placement.task && startedRecently(placement, now);
+}
+
 }  // namespace burlpoint::coordination
--- a/src/coordination/placement_rules.h
+++ b/src/coordination/placement_rules.h
@@ -39,4 +39,11 @@
 bookkeeping::Resources maxRoom(const bookkeeping::Machine& machine, const bookkeeping::Job& job,
                                transport::Time now);
 
+/// Has the task not run for long enough to count as started for its users?
+bool startedRecently(const bookkeeping::Placement& placement, transport::Time now);
+
+/// Was the task's job passed over for long, so that it begins with this task? As the newest it would lose
+/// least of all, so that it would be stopped each time and the job would never begin.
+bool isProtectedStart(const bookkeeping::Placement& placement, transport::Time now);
+
 }  // namespace burlpoint::coordination
--- a/src/coordination/provisioner.h
+++ b/src/coordination/provisioner.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "coordination/capacity_plan.h"
+#include "coordination/leader_messages.h"
 
 namespace burlpoint::coordination {
 
@@ -25,13 +26,6 @@
     bool listTypes = false;
 };
 
-/// What came of a request for machines.
-enum class RentalOutcome {
-    carriedOut,  // with as many machines as asked for, or fewer
-    turnedDown,  // for lack of capacity, or as malformed: it is not repeated
-    unknown,     // no answer, or one that does not tell: it may have been carried out
-};
-
 /// The waiting work that machines are rented for.
 struct WaitingWork {
     const std::vector<Job*>& order;         // the jobs in the order in which they are served
--- a/tests/action_executor_test.cpp
+++ b/tests/action_executor_test.cpp
@@ -138,7 +138,7 @@
     perform(coordination::Rent{{"r1", "plain", "z", false, 1}});  // the cloud answers 503
     const auto rental = next<coordination::RentalAnswered>();
     EXPECT_EQ(rental.name, "r1");
-    EXPECT_FALSE(rental.rented);
+    EXPECT_EQ(rental.outcome, coordination::RentalOutcome::unknown);
     perform(coordination::ListMachines{});
     EXPECT_FALSE(next<coordination::MachinesListed>().ok);
     perform(coordination::WriteState{{}, {{"bp/x", protocol::Packer().value("x").take(), 0}}});
@@ -153,7 +153,7 @@
     perform(orders());
     EXPECT_FALSE(next<coordination::WorkerAnswered>().report);
     perform(coordination::Rent{{"r1", "plain", "z", false, 1}});
-    EXPECT_FALSE(next<coordination::RentalAnswered>().rented);
+    EXPECT_EQ(next<coordination::RentalAnswered>().outcome, coordination::RentalOutcome::unknown);
 }
 
 TEST_F(ActionExecutorTest, OnlyAnEntitledLeaderReachesWorkersAndTheCloud) {
@@ -166,7 +166,7 @@
     perform(orders());
     EXPECT_FALSE(next<coordination::WorkerAnswered>().report);
     perform(coordination::Rent{{"r1", "plain", "z", false, 1}});
-    EXPECT_FALSE(next<coordination::RentalAnswered>().rented);
+    EXPECT_EQ(next<coordination::RentalAnswered>().outcome, coordination::RentalOutcome::unknown);
     perform(coordination::Release{{"m1"}});
     EXPECT_FALSE(next<coordination::ReleaseAnswered>().ok);
     runFor(100ms);
--- /dev/null
+++ b/tests/fleet_recount.h
@@ -0,0 +1,75 @@
+#pragma once
+
+// Compares what the fleet keeps as indexes and running totals with a recount of what is on its machines.
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <string>
+
+#include "bookkeeping/fleet.h"
+
+namespace burlpoint::tests {
+
+inline bool differs(const bookkeeping::Resources& a, const bookkeeping::Resources& b) {
+    constexpr double kSlack = 1e-6;
+    return std::abs(a.cpus - b.cpus) + std::abs(a.gpus - b.gpus) + std::abs(a.memoryGb - b.memoryGb) > kSlack;
+}
+
+/// Where a machine's running totals and its entries among the images differ from a recount, in words.
+inline std::string recountMachine(const bookkeeping::Fleet& fleet, const bookkeeping::Machine& machine) {
+    bookkeeping::Machine expected;
+    for (const auto& [key, placement] : machine.placements) {
+        const auto& spec = placement.job->spec;
+        const auto need = bookkeeping::needOf(spec);
+        const auto priority = static_cast<std::size_t>(placement.job->priority());
+        const bool service = spec.kind == protocol::Kind::service;
+        expected.used += need;
+        if (spec.gpus <= 0) expected.plainUse[service ? bookkeeping::kReplicaUse : priority] += need;
+        if (!service && !bookkeeping::isLargeGang(spec)) expected.stoppable[priority] += need;
+    }
+    std::string wrong;
+    if (differs(expected.used, machine.used)) wrong += "use of " + machine.id + "; ";
+    for (std::size_t i = 0; i < machine.plainUse.size(); ++i)
+        if (differs(expected.plainUse[i], machine.plainUse[i])) wrong += "plain use of " + machine.id + "; ";
+    for (std::size_t i = 0; i < machine.stoppable.size(); ++i)
+        if (differs(expected.stoppable[i], machine.stoppable[i]))
+            wrong += "stoppable on " + machine.id + "; ";
+    for (const auto& [image, gb] : machine.images) {
+        const auto& with = fleet.withImage(image);
+        if (std::count(with.begin(), with.end(), &machine) != 1) wrong += "image on " + machine.id + "; ";
+    }
+    return wrong;
+}
+
+/// Where the fleet's indexes and running totals, and those of the jobs' runs, differ from a recount, in
+/// words.
+inline std::string recount(const bookkeeping::Fleet& fleet, const bookkeeping::StateReplica& replica) {
+    using bookkeeping::Job;
+    std::string wrong;
+    std::map<std::string, bookkeeping::Resources> teams;
+    std::map<const Job*, std::map<std::string, std::uint32_t>> machines;
+    std::map<const Job*, std::map<std::string, std::uint32_t>> zones;
+    std::map<bookkeeping::Offering, std::uint32_t> unreconciled;
+    for (const auto& [id, machine] : fleet.machines()) {
+        for (const auto& [key, placement] : machine->placements) {
+            teams[placement.job->spec.team] += bookkeeping::needOf(placement.job->spec);
+            ++machines[placement.job][id];
+            ++zones[placement.job][machine->zone];
+        }
+        wrong += recountMachine(fleet, *machine);
+        if (machine->roster == bookkeeping::RosterState::stored && !machine->reconciled)
+            ++unreconciled[{machine->type, machine->zone, machine->spot}];
+    }
+    for (const auto& [team, use] : teams)
+        if (differs(use, fleet.teamUse(team))) wrong += "use of team " + team + "; ";
+    if (unreconciled != fleet.unreconciled()) wrong += "unreconciled machines; ";
+    for (const auto& [id, job] : replica.jobs()) {
+        const bool agrees =
+            !job->run || (job->run->machines == machines[job.get()] && job->run->zones == zones[job.get()]);
+        if (!agrees) wrong += "machines of " + id + "; ";
+    }
+    return wrong;
+}
+
+}  // namespace burlpoint::tests
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -619,7 +619,7 @@
         }
         std::uint64_t before = 0, reports = 0;
         for (int round = 0; round < 4; ++round) {  // every machine reports once in two seconds
-            if (round == 1) before = LeaderProbe::visited(*b.leader);
+            if (round == 1) before = b.leader->machineLookups();
             for (const auto& id : machines) {
                 std::vector<TaskReport> tasks;
                 for (const auto& [key, place] : b.leader->fleet().machines().at(id)->placements)
@@ -632,7 +632,7 @@
                 reports += round > 0;
             }
         }
-        return static_cast<double>(LeaderProbe::visited(*b.leader) - before) / static_cast<double>(reports);
+        return static_cast<double>(b.leader->machineLookups() - before) / static_cast<double>(reports);
     };
     const auto few = visitsPerReport(40), many = visitsPerReport(400);
     EXPECT_LT(many, few * 1.5 + 20);
@@ -726,7 +726,7 @@
                     count[rent->request.spot] += rent->request.count;
                     RentalAnswered answer;
                     answer.name = rent->request.name;
-                    answer.noCapacity = true;
+                    answer.outcome = RentalOutcome::turnedDown;
                     b.tell(answer);
                 }
         return count;
@@ -1161,14 +1161,14 @@
         b.report("m1", {b.task("wk-1/0", TaskState::running), b.task("wk-1/1", TaskState::running)});
     }
     EXPECT_TRUE(stops);
-    EXPECT_EQ(LeaderProbe::recount(*b.leader), "");
+    EXPECT_EQ(tests::recount(b.leader->fleet(), b.replica), "");
     std::vector<bookkeeping::Change> changes;
     b.replica.noteCancelled("wk-3", ++b.revision, changes);
     b.tell(JobsChanged{{"wk-3"}});
     for (int i = 0; i < 3; ++i) b.tick();
     EXPECT_EQ(b.replica.find("wk-2")->run->priority, protocol::Priority::low);
     EXPECT_EQ(b.replica.find("wk-2")->dueMs, std::nullopt);
-    EXPECT_EQ(LeaderProbe::recount(*b.leader), "");
+    EXPECT_EQ(tests::recount(b.leader->fleet(), b.replica), "");
 }
 
 // Seen on days with a leader cut off from the state service and its peers: jobs cancelled through another
--- a/tests/world.h
+++ b/tests/world.h
@@ -10,73 +10,9 @@
 #include <vector>
 
 #include "coordination/leader.h"
+#include "fleet_recount.h"
 #include "state_stub.h"
 
-namespace burlpoint::coordination {
-
-class LeaderProbe {
-  public:
-    static std::uint64_t visited(const Leader& l) { return l.visited_; }
-    static bool differs(const Resources& a, const Resources& b) {
-        return std::abs(a.cpus - b.cpus) + std::abs(a.gpus - b.gpus) + std::abs(a.memoryGb - b.memoryGb) >
-               1e-6;
-    }
-    /// Where a machine's running totals and its entries among the images differ from a recount, in words.
-    static std::string recountMachine(const Leader& l, const bookkeeping::Machine& m) {
-        std::string out;
-        Resources used;
-        std::array<Resources, 5> plain;
-        std::array<Resources, 4> stoppable;
-        for (const auto& [key, place] : m.placements) {
-            const auto& spec = place.job->spec;
-            const auto need = bookkeeping::needOf(spec);
-            const auto priority = static_cast<std::size_t>(place.job->priority());
-            const bool service = spec.kind == protocol::Kind::service;
-            used += need;
-            if (spec.gpus <= 0) plain[service ? 4 : priority] += need;
-            if (!service && (spec.kind == protocol::Kind::array || spec.tasks == 1))
-                stoppable[priority] += need;
-        }
-        if (differs(used, m.used)) out += "use of " + m.id + "; ";
-        for (std::size_t i = 0; i < 5; ++i)
-            if (differs(plain[i], m.plainUse[i])) out += "plain use of " + m.id + "; ";
-        for (std::size_t i = 0; i < 4; ++i)
-            if (differs(stoppable[i], m.stoppable[i])) out += "stoppable on " + m.id + "; ";
-        for (const auto& [image, gb] : m.images) {
-            const auto& with = l.fleet_.withImage(image);
-            if (std::count(with.begin(), with.end(), &m) != 1) out += "image on " + m.id + "; ";
-        }
-        return out;
-    }
-    /// Where the fleet's indexes and running totals differ from a recount, in words.
-    static std::string recount(const Leader& l) {
-        std::string out;
-        std::map<std::string, Resources> teams;
-        std::map<const Job*, std::map<std::string, std::uint32_t>> machines, zones;
-        std::map<Offering, std::uint32_t> unreconciled;
-        for (const auto& [id, m] : l.fleet_.machines()) {
-            for (const auto& [key, place] : m->placements) {
-                teams[place.job->spec.team] += bookkeeping::needOf(place.job->spec);
-                ++machines[place.job][id];
-                ++zones[place.job][m->zone];
-            }
-            out += recountMachine(l, *m);
-            if (m->roster == bookkeeping::RosterState::stored && !m->reconciled)
-                ++unreconciled[{m->type, m->zone, m->spot}];
-        }
-        for (const auto& [team, use] : teams)
-            if (differs(use, l.fleet_.teamUse(team))) out += "use of team " + team + "; ";
-        if (unreconciled != l.fleet_.unreconciled()) out += "unsettled machines; ";
-        for (const auto& [id, job] : l.replica_.jobs())
-            if (job->run &&
-                (job->run->machines != machines[job.get()] || job->run->zones != zones[job.get()]))
-                out += "machines of " + id + "; ";
-        return out;
-    }
-};
-
-}  // namespace burlpoint::coordination
-
 namespace burlpoint::tests {
 
 using namespace std::chrono_literals;
@@ -478,7 +414,7 @@
         const auto tenant = tenant_;
         auto actions = tenant->leader->handle(std::move(command), now_);
         if (++told_ % 16 == 0)
-            if (const auto wrong = coordination::LeaderProbe::recount(*tenant->leader); !wrong.empty())
+            if (const auto wrong = recount(tenant->leader->fleet(), tenant->replica); !wrong.empty())
                 broken.push_back("recount: " + wrong);
         for (auto& action : actions) {
             if (tenant_ != tenant) return;
@@ -641,8 +577,8 @@
         coordination::RentalAnswered answer;
         answer.name = a.request.name;
         answer.machines = rent();
-        answer.rented = !answer.machines.empty();
-        answer.noCapacity = !answer.rented;
+        answer.outcome = answer.machines.empty() ? coordination::RentalOutcome::turnedDown
+                                                 : coordination::RentalOutcome::carriedOut;
         deliverLater(span(0.1, 0.4), token, answer);
     }
     void perform(coordination::Release& a) {
