--- /dev/null
+++ b/tests/gang_planner_test.cpp
@@ -0,0 +1,132 @@
+#include "coordination/gang_planner.h"
+
+#include <gtest/gtest.h>
+
+#include "placement_fixture.h"
+
+using namespace burlpoint;
+using namespace burlpoint::tests;
+using namespace std::chrono_literals;
+using bookkeeping::PlacementState;
+
+namespace {
+
+class GangPlannerTest : public PlacementFixture {
+  protected:
+    /// A gang of four tasks of four processors, two for each plain machine.
+    protocol::JobSpec gang(const std::string& id = "wk-103") const {
+        auto made = spec(id, Kind::gang);
+        made.cpus = 4;
+        return made;
+    }
+    void plan() {
+        now += 200ms;
+        refresh();
+        gangs.plan(now);
+    }
+    /// Machines that hold tasks of the gang, as "machine:tasks".
+    std::vector<std::string> placed(const Job& job) const {
+        std::vector<std::string> found;
+        for (const auto& [id, tasks] : job.run->machines) found.push_back(id + ":" + std::to_string(tasks));
+        return found;
+    }
+};
+
+using Names = std::vector<std::string>;
+
+}  // namespace
+
+TEST_F(GangPlannerTest, AGangIsPlannedWholeOrNotAtAll) {
+    auto& job = accept(gang());
+    machine("m1");
+    plan();
+    EXPECT_EQ(placed(job), Names{});
+    machine("m2");
+    plan();
+    EXPECT_EQ(placed(job), (Names{"m1:2", "m2:2"}));
+    for (const auto& [at, placement] : fleet.placementsOf(job)) {
+        EXPECT_EQ(placement->state, PlacementState::planned);
+        EXPECT_EQ(placement->attempt, job.run->gangAttempt);
+    }
+}
+
+TEST_F(GangPlannerTest, AGangOfOneZoneIsNotSplit) {
+    auto bound = gang();
+    bound.oneZone = true;
+    auto& job = accept(bound);
+    machine("m1", "a");
+    machine("m2", "b");
+    plan();
+    EXPECT_EQ(placed(job), Names{});
+    machine("m3", "b");
+    plan();
+    EXPECT_EQ(placed(job), (Names{"m2:2", "m3:2"}));
+}
+
+TEST_F(GangPlannerTest, ASpreadGangHasHalfOfItInAZone) {
+    auto spread = gang();
+    spread.spread = true;
+    auto& job = accept(spread);
+    machine("m1", "a");
+    machine("m2", "a");
+    plan();
+    EXPECT_EQ(placed(job), Names{});
+    machine("m3", "b");
+    plan();
+    EXPECT_EQ(job.run->zones, (std::map<std::string, std::uint32_t>{{"a", 2}, {"b", 2}}));
+}
+
+TEST_F(GangPlannerTest, MachinesWithTheImageArePreferredIfTheyTakeAllOfIt) {
+    auto& job = accept(gang());
+    for (const char* id : {"m1", "m2", "m3", "m4"}) machine(id);
+    for (const char* id : {"m2", "m4"}) giveImage(*fleet.find(id), job);
+    plan();
+    EXPECT_EQ(placed(job), (Names{"m2:2", "m4:2"}));
+}
+
+TEST_F(GangPlannerTest, ASpotMachineIsTheLastChoice) {
+    auto onSpot = gang();
+    onSpot.spot = true;
+    auto& job = accept(onSpot);
+    machine("m1").spot = true;
+    machine("m2");
+    machine("m3");
+    plan();
+    EXPECT_EQ(placed(job), (Names{"m2:2", "m3:2"}));
+}
+
+TEST_F(GangPlannerTest, AMachineKeptForTheGangIsTheFirstChoice) {
+    auto& job = accept(gang());
+    for (const char* id : {"m1", "m2", "m3"}) machine(id);
+    fleet.reserve(*fleet.find("m3"), &job, now + 10s);
+    plan();
+    EXPECT_EQ(placed(job), (Names{"m1:2", "m3:2"}));
+    EXPECT_EQ(fleet.find("m3")->reservedFor, nullptr);
+}
+
+TEST_F(GangPlannerTest, ALostTaskIsReplacedUnderTheSameAttemptBeforeTheGangBegins) {
+    auto& job = accept(gang());
+    for (const char* id : {"m1", "m2"}) machine(id);
+    plan();
+    const auto attempt = job.run->gangAttempt;
+    auto& lost = *fleet.find("m1");
+    fleet.remove(lost, lost.placements.begin());
+    job.run->machinesLeft.insert("m1");
+    machine("m3");
+    plan();
+    EXPECT_EQ(job.run->waiting, 0u);
+    EXPECT_EQ(job.run->gangAttempt, attempt);
+    EXPECT_EQ(placed(job), (Names{"m1:1", "m2:2", "m3:1"}));
+}
+
+TEST_F(GangPlannerTest, AGangThatHasBegunTakesNoReplacement) {
+    auto& job = accept(gang());
+    auto& on = machine("m1");
+    job.run->gangAttempt = 1;
+    fleet.place(on, job, 0, 1, PlacementState::waiting, now);
+    fleet.place(on, job, 1, 1, PlacementState::waiting, now);
+    EXPECT_TRUE(gangs.mayComplete(job, now));
+    EXPECT_FALSE(gangs.mayComplete(job, now + 13s));  // the others have waited for too long
+    fleet.place(on, job, 2, 1, PlacementState::running, now);
+    EXPECT_FALSE(gangs.mayComplete(job, now));
+}
--- /dev/null
+++ b/tests/preemption_test.cpp
@@ -0,0 +1,166 @@
+#include "coordination/preemption.h"
+
+#include <gtest/gtest.h>
+
+#include "placement_fixture.h"
+
+using namespace burlpoint;
+using namespace burlpoint::tests;
+using namespace std::chrono_literals;
+using bookkeeping::Placement;
+using coordination::bestGangRoom;
+using coordination::mayPreempt;
+using coordination::planPreemption;
+
+namespace {
+
+class PreemptionTest : public PlacementFixture {
+  protected:
+    Job& acceptWith(const std::string& id, Priority priority, Kind kind = Kind::array, double cpus = 2) {
+        auto made = spec(id, kind);
+        made.priority = priority;
+        made.cpus = cpus;
+        made.image = id;
+        auto& job = accept(made);
+        job.run->priority = priority;
+        return job;
+    }
+    /// Fills a machine with tasks of a low job.
+    Job& fill(Machine& on, const std::string& id) {
+        auto& job = acceptWith(id, Priority::low);
+        for (std::uint32_t task = 0; task < job.spec.tasks; ++task) place(on, job, task);
+        return job;
+    }
+    bool yields(const Placement& placement, const Job& job) const {
+        return mayPreempt(placement, job, fleet, settings, now);
+    }
+    void makeRoom() {
+        now += 10s;  // longer than any job's patience
+        refresh();
+        preemption.makeRoom(now);
+    }
+};
+
+}  // namespace
+
+TEST_F(PreemptionTest, LowerPrioritiesYieldAndEqualOnesDoNot) {
+    auto& on = machine("m1");
+    auto& normal = acceptWith("wk-1", Priority::normal);
+    const auto& placement = place(on, normal, 0);
+    EXPECT_TRUE(yields(placement, acceptWith("wk-2", Priority::high)));
+    EXPECT_FALSE(yields(placement, acceptWith("wk-3", Priority::normal)));
+    EXPECT_FALSE(yields(placement, normal));
+}
+
+TEST_F(PreemptionTest, ReplicasAndLargerGangsNeverYield) {
+    auto& on = machine("m1");
+    auto& high = acceptWith("wk-1", Priority::high);
+    EXPECT_FALSE(yields(place(on, acceptWith("wk-2", Priority::low, Kind::service), 0), high));
+    EXPECT_FALSE(yields(place(on, acceptWith("wk-3", Priority::low, Kind::gang), 0), high));
+}
+
+TEST_F(PreemptionTest, BorrowedWorkYieldsToAnotherTeamsGuarantee) {
+    auto borrowing = spec("wk-1");
+    borrowing.team = "t";
+    const auto& borrowed = place(machine("m1"), accept(borrowing), 0);
+    auto wanting = spec("wk-2");
+    wanting.team = "guaranteed";
+    auto& job = accept(wanting);
+    EXPECT_FALSE(yields(borrowed, job));
+    job.run->guaranteed = true;
+    EXPECT_TRUE(yields(borrowed, job));
+}
+
+TEST_F(PreemptionTest, AProtectedStartYieldsToProductionAlone) {
+    auto& low = acceptWith("wk-1", Priority::low);
+    const auto& placement = place(machine("m1"), low, 0);
+    low.run->firstTask = 0;
+    EXPECT_FALSE(yields(placement, acceptWith("wk-2", Priority::high)));
+    EXPECT_TRUE(yields(placement, acceptWith("wk-3", Priority::production)));
+    now += 30s;
+    EXPECT_TRUE(yields(placement, *replica.find("wk-2")));
+}
+
+TEST_F(PreemptionTest, WhatHasRunLeastIsStoppedAndNoMoreThanNeeded) {
+    auto& on = machine("m1");
+    auto& low = acceptWith("wk-1", Priority::low);
+    for (std::uint32_t task = 0; task < 4; ++task) {
+        place(on, low, task);
+        now += 40s;
+    }
+    const auto plan =
+        planPreemption(on, acceptWith("wk-2", Priority::high, Kind::array, 4), 1, fleet, settings, now);
+    ASSERT_TRUE(plan);
+    ASSERT_EQ(plan->victims.size(), 2u);
+    EXPECT_EQ(plan->victims[0]->task, 3u);
+    EXPECT_EQ(plan->victims[1]->task, 2u);
+}
+
+TEST_F(PreemptionTest, RoomThatCannotBeMadeHasNoPlan) {
+    auto& on = machine("m1");
+    fill(on, "wk-1");
+    const auto& job = acceptWith("wk-2", Priority::high, Kind::array, 4);
+    EXPECT_TRUE(planPreemption(on, job, 2, fleet, settings, now));
+    EXPECT_FALSE(planPreemption(on, job, 3, fleet, settings, now));
+}
+
+TEST_F(PreemptionTest, RoomIsMadeAndKeptForAHighJob) {
+    auto& on = machine("m1");
+    fill(on, "wk-1");
+    auto& job = acceptWith("wk-2", Priority::high, Kind::array, 4);
+    makeRoom();
+    EXPECT_EQ(countStopping(on), 2u);
+    EXPECT_EQ(on.reservedFor, &job);
+    EXPECT_EQ(stopper.takeUrgent(), std::set<std::string>{"m1"});
+}
+
+TEST_F(PreemptionTest, NothingIsStoppedWhereRoomIsFree) {
+    auto& on = machine("m1");
+    fill(on, "wk-1");
+    machine("m2");
+    machine("m3");
+    acceptWith("wk-2", Priority::high, Kind::array, 4);
+    makeRoom();
+    EXPECT_EQ(countStopping(on), 0u);
+}
+
+TEST_F(PreemptionTest, NothingIsStoppedBeforeTheJobsPatienceIsOver) {
+    auto& on = machine("m1");
+    fill(on, "wk-1");
+    acceptWith("wk-2", Priority::high);
+    now += 2s;  // of three
+    refresh();
+    preemption.makeRoom(now);
+    EXPECT_EQ(countStopping(on), 0u);
+}
+
+TEST_F(PreemptionTest, RoomForAGangIsMadeWholeOrNotAtAll) {
+    auto& one = machine("m1");
+    fill(one, "wk-1");
+    auto& job = acceptWith("wk-2", Priority::high, Kind::gang, 4);
+    makeRoom();
+    EXPECT_EQ(countStopping(one), 0u);
+    auto& two = machine("m2");
+    fill(two, "wk-3");
+    makeRoom();
+    EXPECT_EQ(countStopping(one) + countStopping(two), 8u);
+    EXPECT_EQ(one.reservedFor, &job);
+    EXPECT_EQ(two.reservedFor, &job);
+}
+
+TEST_F(PreemptionTest, AGangIsOfferedTheZoneWithMostRoom) {
+    auto bound = spec("wk-1", Kind::gang);
+    bound.oneZone = true;
+    const auto& job = accept(bound);
+    machine("m1", "a");
+    auto& full = machine("m2", "b");
+    fill(full, "wk-2");
+    const auto offered = [&] { return bestGangRoom(job, fleet, settings.zones, rules, meter, now); };
+    EXPECT_EQ(offered().zone, "a");
+    EXPECT_EQ(offered().free, 4u);
+    EXPECT_EQ(offered().yielding, 4u);
+    fill(*fleet.find("m1"), "wk-3");
+    EXPECT_EQ(offered().yielding, 4u);  // the low work yields
+    EXPECT_EQ(offered().free, 0u);
+    EXPECT_EQ(offered().possible, 4u);
+}
--- /dev/null
+++ b/tests/scheduling_test.cpp
@@ -0,0 +1,213 @@
+// What a report is answered with: the rules for starts, the design's three steps, and what other machines
+// offer.
+#include <gtest/gtest.h>
+
+#include "placement_fixture.h"
+
+using namespace burlpoint;
+using namespace burlpoint::tests;
+using namespace std::chrono_literals;
+using bookkeeping::PlacementState;
+using protocol::Seconds;
+
+namespace {
+
+using Names = std::vector<std::string>;
+
+class SchedulerTest : public PlacementFixture {};
+class StartRulesTest : public PlacementFixture {
+  protected:
+    bool mayStart(const Job& job, const Machine& on) const { return rules.mayStart(job, on, now); }
+};
+class CachedImageLookupTest : public PlacementFixture {};
+
+}  // namespace
+
+// --- the design's steps -----------------------------------------------------------------------------------
+
+TEST_F(SchedulerTest, CachedTasksFillAMachineThatHasTheImage) {
+    auto& job = accept(spec("wk-1"));
+    auto& on = machine("m1");
+    giveImage(on, job);
+    EXPECT_EQ(schedule(on), (Names{"wk-1/0", "wk-1/1", "wk-1/2", "wk-1/3"}));
+    EXPECT_EQ(job.run->launched, 4u);
+    EXPECT_EQ(job.run->paced, 0u);
+}
+
+TEST_F(SchedulerTest, AStartIsMarkedWithTheReportThatItAnswers) {
+    accept(spec("wk-1"));
+    auto& on = machine("m1");
+    on.sequence = 7;
+    ASSERT_FALSE(schedule(on).empty());
+    for (const auto& [key, placement] : on.placements) {
+        EXPECT_EQ(placement.state, PlacementState::sent);
+        EXPECT_EQ(placement.sentSequence, 7u);
+    }
+}
+
+// Machines with the images report soon and have room for three tasks of four of each job.
+TEST_F(SchedulerTest, OnlyTasksWithoutRoomElsewhereFetch) {
+    auto other = spec("wk-2");
+    other.image = "other";
+    Job* jobs[] = {&accept(spec("wk-1")), &accept(other)};
+    for (const auto* job : jobs) {
+        auto& cached = machine("cached-" + job->spec.image);
+        giveImage(cached, *job);
+        auto busy = spec("wk-20" + std::to_string(fleet.machines().size()));
+        busy.tasks = 1;
+        place(cached, accept(busy), 0);
+    }
+    EXPECT_EQ(schedule(machine("m1")), (Names{"wk-1/0", "wk-2/0"}));
+    for (const auto* job : jobs) EXPECT_EQ(job->run->paced, 1u);
+}
+
+TEST_F(SchedulerTest, LeftoverRoomTakesFetchingTasks) {
+    auto& job = accept(spec("wk-1"));
+    auto& on = machine("m1");
+    EXPECT_EQ(schedule(on).size(), 4u);
+    EXPECT_EQ(job.run->paced, 1u);  // they share one fetch
+}
+
+TEST_F(SchedulerTest, LeftoverRoomWaitsForMachinesWithTheImage) {
+    auto& job = accept(spec("wk-1"));
+    giveImage(machine("cached"), job);
+    EXPECT_EQ(schedule(machine("m1")), Names{});
+}
+
+TEST_F(SchedulerTest, AHighersRankFetchGoesBeforeALowersCachedTasks) {
+    auto low = spec("wk-101");
+    auto high = spec("wk-102");
+    high.priority = Priority::high;
+    high.image = "high";
+    auto& on = machine("m1");
+    giveImage(on, accept(low));
+    accept(high);
+    EXPECT_EQ(schedule(on), (Names{"wk-102/0", "wk-102/1", "wk-102/2", "wk-102/3"}));
+}
+
+TEST_F(SchedulerTest, PlannedGangTasksStartThoughTheMachineIsFull) {
+    auto gang = spec("wk-103", Kind::gang);
+    gang.tasks = 2;
+    gang.cpus = 4;
+    accept(gang);
+    auto& on = machine("m1");
+    refresh();
+    gangs.plan(now);
+    EXPECT_EQ(schedule(on), (Names{"wk-103/0", "wk-103/1"}));
+    EXPECT_EQ(schedule(on), Names{});  // they have left
+}
+
+TEST_F(SchedulerTest, AGangOfSeveralIsNotStartedTaskByTask) {
+    accept(spec("wk-103", Kind::gang));
+    EXPECT_EQ(schedule(machine("m1")), Names{});
+}
+
+TEST_F(SchedulerTest, FreedRoomIsKeptForAHighJob) {
+    auto high = spec("wk-102");
+    high.priority = Priority::high;
+    high.cpus = 8;
+    auto& job = accept(high);
+    auto& on = machine("m1");
+    place(on, accept(spec("wk-101")), 0);
+    EXPECT_EQ(schedule(on), Names{});
+    EXPECT_EQ(on.reservedFor, &job);
+    EXPECT_TRUE(on.holding);
+}
+
+// --- the rules for starts ---------------------------------------------------------------------------------
+
+TEST_F(StartRulesTest, OwnersConstraintsAreKept) {
+    auto bound = spec("wk-1");
+    bound.types = Names{"gpu"};
+    bound.zone = "b";
+    const auto& job = accept(bound);
+    EXPECT_TRUE(mayStart(job, machine("m1", "b", "gpu")));
+    EXPECT_FALSE(mayStart(job, machine("m2", "a", "gpu")));
+    EXPECT_FALSE(mayStart(job, machine("m3", "b", "plain")));
+    auto& spot = machine("m4", "b", "gpu");
+    spot.spot = true;
+    EXPECT_FALSE(mayStart(job, spot));
+}
+
+TEST_F(StartRulesTest, AJobThatIsOverOrPausedOrHasNothingWaitingStartsNothing) {
+    auto& job = accept(spec("wk-1"));
+    auto& on = machine("m1");
+    ASSERT_TRUE(mayStart(job, on));
+    job.run->notBefore = now + 1s;
+    EXPECT_FALSE(mayStart(job, on));
+    job.run->notBefore = now;
+    for (std::uint32_t task = 0; task < job.spec.tasks; ++task) place(on, job, task);
+    EXPECT_FALSE(mayStart(job, on));
+    job.final = storage::Final::cancelled;
+    EXPECT_FALSE(mayStart(job, machine("m2")));
+}
+
+TEST_F(StartRulesTest, AFailureKeepsAJobFromTheMachineForAMinute) {
+    auto& job = accept(spec("wk-1"));
+    auto& on = machine("m1");
+    job.run->errorMachines["m1"] = now;
+    EXPECT_FALSE(mayStart(job, on));
+    EXPECT_TRUE(mayStart(job, machine("m2")));
+    now += 60s;
+    EXPECT_TRUE(mayStart(job, on));
+}
+
+// It is the job that is at fault then, and it would find no machine any more.
+TEST_F(StartRulesTest, AJobThatFailedOnThreeMachinesAvoidsNone) {
+    auto& job = accept(spec("wk-1"));
+    auto& on = machine("m1");
+    for (const char* id : {"m1", "m2", "m3"}) job.run->errorMachines[id] = now;
+    EXPECT_TRUE(mayStart(job, on));
+}
+
+// --- what machines with the image offer -------------------------------------------------------------------
+
+TEST_F(CachedImageLookupTest, RoomCountsOnMachinesWithTheImageThatReportSoon) {
+    auto wide = spec("wk-1");
+    wide.tasks = 20;
+    auto& job = accept(wide);
+    auto& cached = machine("cached");
+    giveImage(cached, job);
+    machine("without");
+    EXPECT_EQ(images.roomWithImage(job, now), 4u);
+    now += 250ms;  // the answer is kept for so long
+    cached.lastReport = now - 4s;
+    EXPECT_EQ(images.roomWithImage(job, now), 0u);
+}
+
+TEST_F(CachedImageLookupTest, AnAnswerServesForAMoment) {
+    auto& job = accept(spec("wk-1"));
+    giveImage(machine("m1"), job);
+    images.roomWithImage(job, now);
+    const auto looked = meter.total();
+    images.roomWithImage(job, now + 249ms);
+    EXPECT_EQ(meter.total(), looked);
+    images.roomWithImage(job, now + 250ms);
+    EXPECT_GT(meter.total(), looked);
+}
+
+TEST_F(CachedImageLookupTest, AShortAimWaitsForAMachineThatHasTheImage) {
+    settings.objectives = {{"wait", "class", Seconds(3)}};
+    auto& job = accept(spec("wk-1", Kind::service));
+    EXPECT_FALSE(images.waitsForImage(job, now));  // no machine has it
+    now += 250ms;
+    auto& cached = machine("cached");
+    giveImage(cached, job);
+    EXPECT_TRUE(images.waitsForImage(job, now));
+    EXPECT_FALSE(images.waitsForImage(job, now + 3s));  // the aim is missed anyway
+}
+
+TEST_F(CachedImageLookupTest, ALongAimAllowsAFetch) {
+    settings.objectives = {{"wait", "class", Seconds(30)}};
+    auto& job = accept(spec("wk-1"));
+    giveImage(machine("cached"), job);
+    EXPECT_FALSE(images.waitsForImage(job, now));
+}
+
+TEST_F(CachedImageLookupTest, WithoutPreemptionNothingIsWaitedFor) {
+    policy.preempt = false;
+    settings.objectives = {{"wait", "class", Seconds(3)}};
+    auto& job = accept(spec("wk-1", Kind::service));
+    giveImage(machine("cached"), job);
+    EXPECT_FALSE(images.waitsForImage(job, now));
+}
