--- a/src/bookkeeping/fleet.h
+++ b/src/bookkeeping/fleet.h
@@ -1,5 +1,7 @@
 #pragma once
 
+// The machines that a leader knows, what is possibly on them, and what that adds up to.
+
 #include <algorithm>
 #include <array>
 #include <functional>
@@ -11,7 +13,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "bookkeeping/jobs.h"
+#include "bookkeeping/job.h"
+#include "protocol/cloud_messages.h"
+#include "protocol/worker_messages.h"
 
 namespace burlpoint::bookkeeping {
 
--- a/src/bookkeeping/jobs.h
+++ b/src/bookkeeping/job.h
@@ -1,11 +1,14 @@
 #pragma once
 
+// A job as this node knows it: what is stored of it and, while this node leads, its run. Each Job owns both;
+// the jobs themselves are owned by the StateReplica.
+
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "protocol/settings.h"
@@ -26,14 +29,17 @@
 
 /// What a leader knows of a job beyond the stored facts.
 struct JobRun {
+    /// Nothing is on a machine; all of `tasks` count as not waiting until Job::beginRun says how many do.
+    explicit JobRun(std::uint32_t tasks) : live(tasks, 0) {}
+
     /// Some task of the job is or was on a machine.
     bool began() const { return launched > 0 || liveTotal > 0; }
     /// None of the job's tasks has been on a machine for that time.
     bool hasWaitedUnstarted(Clock::duration time, Time now) const {
         return liveTotal == 0 && now - waitingSince >= time;
     }
-    explicit JobRun(std::uint32_t tasks) : live(tasks, 0) {}
 
+    // Its tasks.
     std::vector<std::uint8_t> live;                 // machines that each task is possibly on
     std::uint32_t liveTotal = 0;                    // sum of `live`
     std::uint32_t waiting = 0;                      // tasks neither finished nor possibly on a machine
@@ -42,35 +48,42 @@
     std::uint32_t hint = 0;                         // no task before this one is waiting
     std::map<std::string, std::uint32_t> zones;     // possible tasks per zone
     std::map<std::string, std::uint32_t> machines;  // and per machine
-    bool inherited = false;                         // accepted before this leader began
-    int rank = 0;                                   // of the leader's order, the higher the sooner
-    bool guaranteed = false;                        // within its team's guarantee
-    bool overdue = false;                           // has been passed over for too long
 
-    // Pacing by the design: launched (m), paced fetches (md) and their expected number (Md).
-    std::uint32_t launched = 0, paced = 0;
+    // Its place among the jobs.
+    bool inherited = false;                // accepted before this leader began
+    int rank = 0;                          // of the leader's order, the higher the sooner
+    double place = 0;                      // within its rank, the lower the sooner
+    Priority priority = Priority::normal;  // its own, or that of a job that needs it
+    bool guaranteed = false;               // within its team's guarantee
+    bool overdue = false;                  // has been passed over for too long
+    const protocol::Team* team = nullptr;
+    std::optional<Seconds> tightWait;  // the shortest wait aim of its class
+    Time readyAt{};                    // accepted and free to start, as far as clocks agree
+    Time waitingSince{};
+
+    // Pacing by the design.
+    std::uint32_t launched = 0;  // m: its tasks that were started
+    std::uint32_t paced = 0;     // md: its paced fetches
+    double pacedTotal = 0;       // Md: those expected at admission
+    bool admitted = false;       // Md is known
     // The first task that was started since the job was overdue and had not begun.
     std::optional<std::uint32_t> firstTask;
-    double pacedTotal = 0;
-    bool admitted = false;
 
+    // Gangs.
     std::uint64_t gangAttempt = 0;       // the attempt under way, 0: none
     std::set<std::string> machinesLeft;  // that a task of this attempt has gone from
-    const protocol::Team* team = nullptr;
-    std::optional<Seconds> tightWait;      // the shortest wait aim of its class
-    double place = 0;                      // within its rank, the lower the sooner
-    Time notBefore{};                      // back-off after failures
-    Priority priority = Priority::normal;  // its own, or that of a job that needs it
-    Time readyAt{};                        // accepted and free to start, as far as clocks agree
-    Time waitingSince{};
-    Time nextBits{};                            // when its finished tasks are stored next
+
+    // Failures, and what is to be stored.
+    Time notBefore{};                           // back-off after failures
     std::map<std::string, Time> errorMachines;  // where a task of it failed since its last success
     bool succeeded = false;                     // a task of it has worked somewhere
+    Time nextBits{};                            // when its finished tasks are stored next
 
     // What the other machines offer, looked up now and then and not for each report.
     std::uint32_t roomWithImage = 0;  // waiting tasks that machines with the image have room for
+    Time cachedRoomUntil{};           // until when that counts
     bool imageWait = false;           // it should wait for such a machine
-    Time cachedRoomUntil{}, imageWaitUntil{};
+    Time imageWaitUntil{};            // until when that counts
 };
 
 /// What one value of a job's bitmap covers: tasks [first, end), a whole chunk or a part of one.
@@ -136,70 +149,4 @@
     protocol::JobState state(std::uint32_t runningTasks) const;
 };
 
-enum class ChangeKind { job, leader, roster, types };
-struct Change {
-    ChangeKind kind;
-    std::string id;
-};
-
-struct StoredMachine {
-    storage::MachineRecord record;
-    std::uint64_t version = 0;
-};
-
-/// This node's copy of everything stored, in order of revisions.
-class StateReplica {
-  public:
-    /// Takes a key's change unless it is older than what is known. False: a malformed value, skipped.
-    bool apply(const protocol::KeyChange& change, std::vector<Change>& changes);
-    /// After all keys were read anew: what was not among them is gone.
-    void dropUnread(const std::set<std::string>& read, std::vector<Change>& changes);
-    /// The job's end was stored at `version`.
-    void noteDone(Job& job, std::uint64_t version, std::uint64_t endedMs, std::vector<Change>& changes);
-    /// Brings priorities and times due up to date after jobs have come or gone that need others.
-    void updateUrgency();
-    /// A confirmed cancellation that no read has shown yet: `version` is that of the record which tells it.
-    void noteCancelled(const std::string& id, std::uint64_t version, std::vector<Change>& changes);
-    /// Jobs cancelled by their users, in the order in which this node learned of them; it only grows. Those
-    /// that need one of them are cancelled with it, which each node sees for itself.
-    const std::vector<const Job*>& cancelled() const { return cancelled_; }
-
-    Job* find(const std::string& id);
-    const std::unordered_map<std::string, std::unique_ptr<Job>>& jobs() const { return jobs_; }
-    /// The open jobs in order of arrival.
-    std::vector<Job*> openJobs() const;
-
-    std::optional<storage::LeaderRecord> leader;
-    std::uint64_t leaderVersion = 0;
-    std::uint64_t token = 0, tokenVersion = 0;
-    std::map<std::string, StoredMachine> roster;
-    std::vector<protocol::MachineType> types;
-    std::uint64_t typesVersion = 0;
-    std::uint64_t revision = 0;
-
-  private:
-    struct NewestFirst {
-        bool operator()(const Job* a, const Job* b) const;
-    };
-    void applyJob(const std::string& id, const msgpack::object& value, std::uint64_t version,
-                  std::vector<Change>& changes);
-    void enter(Job& job, std::vector<Change>& changes);
-    void close(Job& job, Final final, std::uint32_t done, std::uint64_t version,
-               std::vector<Change>& changes);
-    void end(Job& job, Final final, std::uint32_t done);
-    void cancelDependents(Job& job, std::vector<Change>& changes);
-    void freeDependents(const Job& job, std::vector<Change>& changes);
-    void staleDependencies(const Job& job);
-    static bool applyBits(Job& job, std::string_view key, const msgpack::object& value,
-                          std::uint64_t version);
-
-    std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
-    std::set<Job*> open_;
-    std::vector<const Job*> cancelled_;
-    std::unordered_map<std::string, std::vector<Job*>> dependents_;  // of jobs that are not done
-    // A job is accepted after all that it needs, so that in this order each is looked at once.
-    std::set<Job*, NewestFirst> staleUrgency_;
-    std::map<std::string, std::uint64_t> cancelledAhead_;  // of jobs that are not known yet
-};
-
 }  // namespace burlpoint::bookkeeping
--- a/src/coordination/action_executor.cpp
+++ b/src/coordination/action_executor.cpp
@@ -7,7 +7,8 @@
 #include <utility>
 
 #include "coordination/responses.h"
-#include "protocol/messages.h"
+#include "protocol/cloud_messages.h"
+#include "protocol/worker_messages.h"
 
 namespace burlpoint::coordination {
 
--- a/src/coordination/capacity_plan.h
+++ b/src/coordination/capacity_plan.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "bookkeeping/fleet.h"
+#include "bookkeeping/state_replica.h"
 #include "coordination/rental_refusals.h"
 #include "coordination/rental_requests.h"
 #include "coordination/rental_rules.h"
--- a/src/coordination/election.h
+++ b/src/coordination/election.h
@@ -5,7 +5,7 @@
 #include <random>
 #include <string>
 
-#include "bookkeeping/jobs.h"
+#include "bookkeeping/state_replica.h"
 #include "coordination/leadership_grants.h"
 #include "coordination/state_watcher.h"
 #include "coordination/tenure.h"
--- a/src/coordination/job_order.h
+++ b/src/coordination/job_order.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "bookkeeping/fleet.h"
+#include "bookkeeping/state_replica.h"
 #include "coordination/day_clock.h"
 #include "protocol/settings.h"
 
--- a/src/coordination/job_runs.h
+++ b/src/coordination/job_runs.h
@@ -3,7 +3,7 @@
 // Begins the run of a job: from then on this leader places its tasks. The runs themselves are owned by the
 // jobs.
 
-#include "bookkeeping/jobs.h"
+#include "bookkeeping/job.h"
 #include "coordination/day_clock.h"
 #include "coordination/job_order.h"
 #include "coordination/state_writer.h"
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "bookkeeping/fleet.h"
+#include "bookkeeping/state_replica.h"
 #include "coordination/accelerator_policy.h"
 #include "coordination/attempt_numbers.h"
 #include "coordination/cached_image_lookup.h"
--- a/src/coordination/leader_messages.h
+++ b/src/coordination/leader_messages.h
@@ -11,7 +11,8 @@
 
 #include "bookkeeping/fleet.h"
 #include "coordination/state_writer.h"
-#include "protocol/messages.h"
+#include "protocol/cloud_messages.h"
+#include "protocol/worker_messages.h"
 
 namespace burlpoint::coordination {
 
--- a/src/coordination/machine_status.h
+++ b/src/coordination/machine_status.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "bookkeeping/fleet.h"
+#include "bookkeeping/state_replica.h"
 
 namespace burlpoint::coordination {
 
--- a/src/coordination/peer_exchange.h
+++ b/src/coordination/peer_exchange.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <unordered_map>
 
-#include "bookkeeping/jobs.h"
-#include "protocol/messages.h"
+#include "bookkeeping/state_replica.h"
+#include "protocol/peer_messages.h"
 #include "protocol/settings.h"
 #include "transport/http.h"
 
--- a/src/coordination/provisioner.h
+++ b/src/coordination/provisioner.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "bookkeeping/state_replica.h"
 #include "coordination/capacity_plan.h"
 #include "coordination/leader_messages.h"
 
--- a/src/coordination/report_reconciler.h
+++ b/src/coordination/report_reconciler.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 
 #include "bookkeeping/fleet.h"
+#include "bookkeeping/state_replica.h"
 #include "coordination/fetch_pacing.h"
 #include "coordination/job_order.h"
 #include "coordination/job_runs.h"
--- a/src/coordination/responses.cpp
+++ b/src/coordination/responses.cpp
@@ -1,6 +1,6 @@
 #include "coordination/responses.h"
 
-#include "protocol/messages.h"
+#include "protocol/job_messages.h"
 
 namespace burlpoint::coordination {
 
--- a/src/coordination/roster.h
+++ b/src/coordination/roster.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "bookkeeping/fleet.h"
+#include "bookkeeping/state_replica.h"
 #include "storage/records.h"
 
 namespace burlpoint::coordination {
--- a/src/coordination/state_watcher.h
+++ b/src/coordination/state_watcher.h
@@ -4,7 +4,7 @@
 #include <set>
 #include <vector>
 
-#include "bookkeeping/jobs.h"
+#include "bookkeeping/state_replica.h"
 #include "storage/store.h"
 
 /// How this node's copy of what is stored is kept up to date. `StateWatcher` owns the reads under way and
--- a/src/coordination/state_writer.h
+++ b/src/coordination/state_writer.h
@@ -15,7 +15,7 @@
 #include <vector>
 
 #include "bookkeeping/fleet.h"
-#include "bookkeeping/jobs.h"
+#include "bookkeeping/state_replica.h"
 #include "coordination/day_clock.h"
 #include "coordination/roster.h"
 #include "protocol/settings.h"
--- a/src/coordination/submission_queue.h
+++ b/src/coordination/submission_queue.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "protocol/messages.h"
+#include "protocol/job_messages.h"
 #include "protocol/settings.h"
 #include "storage/store.h"
 #include "transport/http.h"
--- a/src/coordination/user_api.h
+++ b/src/coordination/user_api.h
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-#include "bookkeeping/jobs.h"
+#include "bookkeeping/state_replica.h"
 #include "coordination/state_watcher.h"
 #include "coordination/submission_queue.h"
 #include "protocol/settings.h"
--- a/src/coordination/worker_orders.h
+++ b/src/coordination/worker_orders.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "bookkeeping/fleet.h"
-#include "bookkeeping/jobs.h"
-#include "protocol/messages.h"
+#include "bookkeeping/state_replica.h"
+#include "protocol/worker_messages.h"
 
 namespace burlpoint::coordination {
 
--- a/src/coordination/worker_relay.cpp
+++ b/src/coordination/worker_relay.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 
 #include "coordination/responses.h"
-#include "protocol/messages.h"
+#include "protocol/job_messages.h"
+#include "protocol/peer_messages.h"
+#include "protocol/worker_messages.h"
 
 namespace burlpoint::coordination {
 
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "protocol/messages.h"
+#include "protocol/job_messages.h"
 
 namespace burlpoint::protocol {
 
--- a/src/storage/records.h
+++ b/src/storage/records.h
@@ -6,7 +6,8 @@
 #include <string_view>
 #include <vector>
 
-#include "protocol/messages.h"
+#include "protocol/cloud_messages.h"
+#include "protocol/job_messages.h"
 
 namespace burlpoint::storage {
 
--- a/src/storage/store.h
+++ b/src/storage/store.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "protocol/messages.h"
+#include "protocol/state_messages.h"
 #include "transport/http.h"
 
 namespace burlpoint::storage {
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -1,7 +1,11 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "protocol/messages.h"
+#include "protocol/cloud_messages.h"
+#include "protocol/job_messages.h"
+#include "protocol/peer_messages.h"
+#include "protocol/state_messages.h"
+#include "protocol/worker_messages.h"
 #include "storage/records.h"
 
 using namespace burlpoint;
--- a/tests/jobs_test.cpp
+++ b/tests/jobs_test.cpp
@@ -1,9 +1,8 @@
-#include "bookkeeping/jobs.h"
-
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include "bookkeeping/fleet.h"
+#include "bookkeeping/state_replica.h"
 #include "coordination/election.h"
 
 using namespace burlpoint;
--- a/tests/pipeline_test.cpp
+++ b/tests/pipeline_test.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <map>
 
-#include "bookkeeping/jobs.h"
+#include "bookkeeping/state_replica.h"
 
 using namespace burlpoint;
 using namespace burlpoint::bookkeeping;
--- a/tests/state_stub.h
+++ b/tests/state_stub.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "protocol/messages.h"
+#include "protocol/state_messages.h"
 #include "storage/store.h"
 #include "transport/http.h"
 
--- a/tests/upgrade/cloud.h
+++ b/tests/upgrade/cloud.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "protocol/messages.h"
+#include "protocol/cloud_messages.h"
 #include "transport/http.h"
 #include "upgrade/machines.h"
 #include "upgrade/rules.h"
--- a/tests/upgrade/machines.h
+++ b/tests/upgrade/machines.h
@@ -7,8 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "protocol/messages.h"
+#include "protocol/cloud_messages.h"
 #include "protocol/settings.h"
+#include "protocol/worker_messages.h"
 #include "transport/http.h"
 #include "upgrade/rules.h"
 
--- a/tests/upgrade/users.h
+++ b/tests/upgrade/users.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "protocol/messages.h"
+#include "protocol/job_messages.h"
 #include "transport/http.h"
 #include "upgrade/machines.h"
 #include "upgrade/rules.h"
--- a/tests/worker_relay_test.cpp
+++ b/tests/worker_relay_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "protocol/worker_messages.h"
+
 using namespace burlpoint;
 using namespace std::chrono_literals;
 using coordination::ReportOrigin;
