--- a/src/bookkeeping/fleet.h
+++ b/src/bookkeeping/fleet.h
@@ -21,8 +21,11 @@
 
 using protocol::MachineType;
 
+/// An amount of processors, accelerators and memory.
 struct Resources {
-    double cpus = 0, gpus = 0, memoryGb = 0;
+    double cpus = 0;
+    double gpus = 0;
+    double memoryGb = 0;
 
     Resources& operator+=(const Resources& o) {
         cpus += o.cpus, gpus += o.gpus, memoryGb += o.memoryGb;
@@ -55,6 +58,7 @@
 /// In Machine::plainUse the priorities are followed by replicas, whatever theirs.
 inline constexpr std::size_t kReplicaUse = kPriorities;
 
+/// How far an attempt has come, as far as the leader knows.
 enum class PlacementState {
     planned,  // room kept, nothing sent yet
     sent,     // the start left in a report response, not seen yet
@@ -78,6 +82,7 @@
     bool seen = false;  // scratch for one report's sweep
 };
 
+/// Names an attempt among the placements of a machine.
 struct AttemptKey {
     const Job* job;
     std::uint32_t task;
@@ -94,16 +99,21 @@
 };
 inline MessageOrder orderOf(const protocol::Report& report) { return {report.session, report.sequence}; }
 
+/// Is the machine's entry in the stored roster?
 enum class RosterState { absent, writing, stored };
 
+/// A machine and what this leader knows of it and of its worker.
 struct Machine {
-    std::string id, address, type, zone;
+    std::string id;
+    std::string address;
+    std::string type;
+    std::string zone;
     bool spot = false;
     const MachineType* kind = nullptr;  // its type's description, once that is known
 
-    std::uint64_t session = 0, sequence = 0;  // of the newest message
-    Time newestAt{};                          // when that came
-    std::uint64_t reportSequence = 0;         // of the newest report in that session
+    std::uint64_t session = 0;   // of the newest message
+    std::uint64_t sequence = 0;  // of the newest message
+    Time newestAt{};             // when that came
     MessageOrder newestMessage() const { return {session, sequence}; }
     /// It showed our token: nothing that an earlier leader sent can start any more, and its list is whole.
     bool acknowledged = false;
@@ -150,9 +160,10 @@
     bool isReserved(Time now) const { return reservedFor && reservedUntil > now; }
 };
 
-/// Type, zone and kind of a machine.
+/// What the cloud offers under one price: a type in a zone, spot or ordinary.
 struct Offering {
-    std::string type, zone;
+    std::string type;
+    std::string zone;
     bool spot = false;
     auto operator<=>(const Offering&) const = default;
 };
--- a/src/bookkeeping/job.h
+++ b/src/bookkeeping/job.h
@@ -88,7 +88,8 @@
 
 /// What one value of a job's bitmap covers: tasks [first, end), a whole chunk or a part of one.
 struct BitRange {
-    std::size_t first = 0, end = 0;
+    std::size_t first = 0;
+    std::size_t end = 0;
     std::optional<std::size_t> chunk;
     auto operator<=>(const BitRange&) const = default;
 };
--- a/src/bookkeeping/state_replica.h
+++ b/src/bookkeeping/state_replica.h
@@ -57,7 +57,8 @@
 
     std::optional<storage::LeaderRecord> leader;
     std::uint64_t leaderVersion = 0;
-    std::uint64_t token = 0, tokenVersion = 0;
+    std::uint64_t token = 0;
+    std::uint64_t tokenVersion = 0;
     std::map<std::string, StoredMachine> roster;
     std::vector<protocol::MachineType> types;
     std::uint64_t typesVersion = 0;
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -37,7 +37,7 @@
       started_(Clock::now()) {
     // Half of the workers' lease at most: when a leader stands still, its workers wait for it, find the
     // successor among the others, and all of them must be answered in what is left of their leases. An outage
-    // of the state service is spanned by the peers' promises.
+    // of the state service is spanned by the peers' grants.
     const auto wished = policy.leadership.count() > 0
                             ? policy.leadership
                             : std::clamp(settings.lease * 0.5, protocol::Seconds(2), protocol::Seconds(8));
@@ -63,7 +63,7 @@
         return;
     }
     if (trying_ || !watcher_.synced()) return;
-    if (!seesVacancy(now) || boundByPromise(now)) return;
+    if (!seesVacancy(now) || boundByGrant(now)) return;
     if (now >= notBefore_) attempt(now);
 }
 
@@ -82,9 +82,9 @@
     return true;
 }
 
-bool Election::boundByPromise(Time now) const {
+bool Election::boundByGrant(Time now) const {
     if (grants_.bound(now, resignedTokens_)) return true;
-    // What a former self may have promised is forgotten; if its own name is on the key, that was the holder.
+    // What a former self may have granted is forgotten; if its own name is on the key, that was the holder.
     return !keyIsOwn() && replica_.token > resignedTokens_ &&
            now < started_ + LeadershipGrants::kForgottenLife;
 }
--- a/src/coordination/election.h
+++ b/src/coordination/election.h
@@ -13,7 +13,7 @@
 #include "storage/store.h"
 
 /// Who leads. `Election` owns what this node needs to win, hold and give up the leadership: its lease, its
-/// token, its tenure and the promises of nodes that carry a leader through an outage.
+/// token, its tenure and the grants of nodes that carry a leader through an outage.
 namespace burlpoint::coordination {
 
 /// Leadership by a key under a lease, with a token from a counter that never goes back.
@@ -53,11 +53,11 @@
     static transport::Duration maxTimeWithoutRead(const protocol::Settings& settings);
 
     /// A leader asks in an outage: how long will this node not try to lead? Zero unless its key was there
-    /// when the state service last answered, which was a while ago. The answer that carries the promise must
+    /// when the state service last answered, which was a while ago. The answer that carries the grant must
     /// tell all cancellations that this node knows and the leader may not.
     transport::Duration grantExtension(const std::string& leader, std::uint64_t token, transport::Time now);
 
-    /// A peer's answer to that, once what came with it is taken in. Promises of all peers stand in for the
+    /// A peer's answer to that, once what came with it is taken in. Grants of all peers stand in for the
     /// lease while nobody is served. `sent`: when the question was sent.
     void noteGrant(const std::string& peer, transport::Duration life, transport::Time sent) {
         grants_.noteReceived(peer, life, sent);
@@ -77,13 +77,13 @@
     /// know".
     static constexpr transport::Duration kCancellationFreshness{1500};
 
-    /// Do the promises of all peers stand in for the lease?
+    /// Do the grants of all peers stand in for the lease?
     bool extendedByGrants(transport::Time now) const { return grants_.allInForce(settings_.peers, now); }
     /// Is there no leader whose key this node must respect? Draws the time before which it doesn't try when
     /// it first sees that.
     bool seesVacancy(transport::Time now);
-    /// Is this node bound by a promise, or perhaps by one that a former self gave before it ended?
-    bool boundByPromise(transport::Time now) const;
+    /// Is this node bound by a grant, or perhaps by one that a former self gave before it ended?
+    bool boundByGrant(transport::Time now) const;
     /// Does the leader's key bear this node's name?
     bool keyIsOwn() const { return replica_.leader && replica_.leader->node == settings_.name; }
     /// Has that leader given its token up?
--- a/src/coordination/leadership_grants.cpp
+++ b/src/coordination/leadership_grants.cpp
@@ -19,9 +19,9 @@
 
 void LeadershipGrants::noteReceived(const std::string& peer, Duration life, Time sent) {
     if (life.count() <= 0) return;
-    Tenure promise;
-    promise.begin(sent, std::min(life, kLife));
-    received_[peer] = promise;
+    Tenure grant;
+    grant.begin(sent, std::min(life, kLife));
+    received_[peer] = grant;
 }
 
 bool LeadershipGrants::allInForce(const std::vector<protocol::Peer>& peers, Time now) const {
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -233,7 +233,7 @@
         if (answer.node != question.peer) return;
         notePeerStatus(answer, Clock::now());
         if (peers_.applyCancellations(answer)) nextPeers_ = Clock::now();
-        // A promise of a peer that has more to tell would carry this leader on while tasks go on that users
+        // A grant of a peer that has more to tell would carry this leader on while tasks go on that users
         // were told are cancelled.
         if (!leader_ || question.round != executor_.round() || !answer.complete) return;
         const Duration life(std::min(answer.grantMs, kMaxGrantMs));
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -68,7 +68,7 @@
     void peerAnswered(const PeerQuestion& question, const std::string& body);
     void notePeerStatus(const protocol::PeerStatus& status, transport::Time now);
     protocol::PeerStatus ownStatus(transport::Time now) const;
-    /// The promise to the leader that asks, in milliseconds; 0: none. Only for an answer that tells all
+    /// The grant to the leader that asks, in milliseconds; 0: none. Only for an answer that tells all
     /// cancellations.
     std::uint64_t grantTo(const protocol::PeerStatus& asking, transport::Time now);
 
--- a/src/coordination/peer_exchange.cpp
+++ b/src/coordination/peer_exchange.cpp
@@ -67,7 +67,7 @@
 
 // In an outage that all nodes share, stepping aside would help nobody: nobody could take over, and every task
 // would be lost. So a peer must have been served for a while after this node was last: a refusal that an
-// outage follows at once is no reason, since the leader goes on by its peers' promises.
+// outage follows at once is no reason, since the leader goes on by its peers' grants.
 bool PeerExchange::refusedAlone(Time lastAnswer, Time now) const {
     if (now - lastAnswer < kRefusedAloneAfter) return false;
     return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
--- a/src/coordination/user_api.cpp
+++ b/src/coordination/user_api.cpp
@@ -269,7 +269,7 @@
                     [this, id, reply, tries](const TxnResult& result) {
                         if (result.status == TxnStatus::applied) {
                             // No read may come through for a while: whoever asks this node from now on, its
-                            // own leadership and a leader that wants its promise first of all, is told.
+                            // own leadership and a leader that wants its grant first of all, is told.
                             watcher_.noteCancelled(id, result.revision);
                             return reply(respond(200, protocol::jobReply(id, JobState::cancelled)));
                         }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -40,7 +40,8 @@
 // NOLINTNEXTLINE(bugprone-exception-escape): what fails before the settings are read ends the program
 int main(int argc, char** argv) {
     CLI::App app{"burlpointd, a controller of the burlpoint cluster scheduler"};
-    std::string config, policyFile;
+    std::string config;
+    std::string policyFile;
     bool check = false;
     app.add_option("--config", config, "the platform's settings (TOML)")->required()->type_name("FILE");
     app.add_option("--policy", policyFile, "the operators' settings (XML)")->type_name("FILE");
--- a/src/protocol/peer_messages.h
+++ b/src/protocol/peer_messages.h
@@ -32,7 +32,8 @@
     std::uint64_t revision = 0;  // it knows all that was stored up to here
     // Each process keeps a log of the cancellations it knows, named by a number that it draws as it starts.
     // In a question: whose log, and from where on; in an answer: the own one, and up to where it was told.
-    std::uint64_t log = 0, logAt = 0;
+    std::uint64_t log = 0;
+    std::uint64_t logAt = 0;
     std::vector<Cancellation> cancelled;
     bool complete = false;  // in an answer: nothing is left to tell
     bool operator==(const PeerStatus&) const = default;
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -17,45 +17,64 @@
     using std::runtime_error::runtime_error;
 };
 
+/// Another node of the service.
 struct Peer {
-    std::string name, zone, address;
+    std::string name;
+    std::string zone;
+    std::string address;
 };
 
+/// A team of users; 0 means no guarantee or no limit.
 struct Team {
     std::string name;
-    // 0: no guarantee, no limit
-    double cpus = 0, cpusMax = 0, gpus = 0, gpusMax = 0;
+    double cpus = 0;  // guaranteed
+    double cpusMax = 0;
+    double gpus = 0;  // guaranteed
+    double gpusMax = 0;
 };
 
 /// What the platform's users expect of a class of jobs.
 struct Objective {
-    std::string kind, jobClass;
+    std::string kind;
+    std::string jobClass;
     Seconds within{0};
-    double share = 0;
+    double share = 0;  // of the class's tasks or jobs
 };
 
 /// Limits of the state service.
 struct StateLimits {
-    double writeRps = 0, valueKb = 0;
+    double writeRps = 0;
+    double valueKb = 0;
     unsigned txnOps = 0;
 };
 
 /// The platform's settings, one file per node.
 struct Settings {
-    std::string name, zone, listen, peerListen;
+    std::string name;
+    std::string zone;
+    std::string listen;
+    std::string peerListen;
     std::vector<Peer> peers;
-    std::string cloud, state;
+    std::string cloud;
+    std::string state;
     std::vector<std::string> zones;
     std::chrono::milliseconds clockError{0};
     std::vector<Team> teams;
     std::vector<Objective> objectives;
-    Seconds report{3}, lease{30}, gangWait{40}, gangPeer{8}, cancel{45};
-    double stateRps = 100, stateWriteRps = 20, valueKb = 8;
+    Seconds report{3};     // between a worker's reports
+    Seconds lease{30};     // of a worker, from its last answered report
+    Seconds gangWait{40};  // how long a gang's task waits for the others
+    Seconds gangPeer{8};   // within which a gang ends once one of its tasks has
+    Seconds cancel{45};    // within which nothing of a cancelled job is left
+    double stateRps = 100;
+    double stateWriteRps = 20;
+    double valueKb = 8;
     unsigned txnOps = 16;
     std::optional<StateLimits> nextState;  // in force from some moment on, without notice
     double cloudRps = 2;
     Seconds listLag{10};
-    double coreShare = 1, memoryMb = 100;
+    double coreShare = 1;
+    double memoryMb = 100;
     unsigned maxConnections = 1000;
 
     const Team* team(const std::string& name) const;
--- a/src/storage/records.h
+++ b/src/storage/records.h
@@ -55,7 +55,9 @@
 };
 
 struct MachineRecord {
-    std::string address, type, zone;
+    std::string address;
+    std::string type;
+    std::string zone;
     bool spot = false;
     bool operator==(const MachineRecord&) const = default;
 };
--- a/src/storage/store.h
+++ b/src/storage/store.h
@@ -34,8 +34,11 @@
 
   private:
     void refill(Time now);
-    double maxRate_, next_, minRate_;
-    double rate_, level_;
+    double maxRate_;
+    double next_;
+    double minRate_;
+    double rate_;
+    double level_;
     Time at_;
     std::optional<Time> lowered_;
 };
@@ -90,7 +93,8 @@
     std::string address_;
     RateBudget requests_;
     Time lastAnswer_;
-    bool loggedTooLarge_ = false, loggedTooMany_ = false;
+    bool loggedTooLarge_ = false;
+    bool loggedTooMany_ = false;
 };
 
 }  // namespace burlpoint::storage
--- a/src/transport/client.cpp
+++ b/src/transport/client.cpp
@@ -142,7 +142,10 @@
     std::string out_;
     Outcome outcome_;
     Done done_;
-    bool connected_ = false, complete_ = false, keepAlive_ = true, closed_ = false;
+    bool connected_ = false;
+    bool complete_ = false;
+    bool keepAlive_ = true;
+    bool closed_ = false;
     Time since_ = Clock::now();
 };
 
--- a/src/transport/server.cpp
+++ b/src/transport/server.cpp
@@ -179,12 +179,18 @@
     asio::ip::tcp::socket socket_;
     http_parser parser_{};
     std::array<char, 4096> buffer_;
-    std::size_t begin_ = 0, end_ = 0;
+    std::size_t begin_ = 0;
+    std::size_t end_ = 0;
     Request request_;
-    std::string target_, out_;
+    std::string target_;
+    std::string out_;
     std::size_t headerBytes_ = 0;
-    bool complete_ = false, keepAlive_ = true, receiving_ = false, answering_ = false, lingering_ = false,
-         closed_ = false;
+    bool complete_ = false;
+    bool keepAlive_ = true;
+    bool receiving_ = false;
+    bool answering_ = false;
+    bool lingering_ = false;
+    bool closed_ = false;
     Time since_;
 };
 
