Test names and documents: grants, zone reservations, unreachable machines, combined failures

Renamed tests: ADeafMachineCountsAsSilent -> AnUnreachableMachineCountsAsSilent; AMachineThatHearsNothingGetsNoMoreWorkUntilItAnswers -> AnUnreachableMachineGetsNoMoreWorkUntilItAnswers; APeerPromisesOnlyOnceItHasToldEverything -> APeerGrantsOnlyOnceItHasToldEverything; APromiseIsBoundedAndARefusalTakesNoneBack -> AGrantIsBoundedAndARefusalTakesNoneBack; AReceivedPromiseEndsBeforeTheGivenOne -> AReceivedGrantEndsBeforeTheGivenOne; AZoneBespokenForAGangIsNotKeptFromOthersForEver -> AZoneReservedForAGangIsNotKeptFromOthersForEver; OnlyPromisesOfAllPeersCount -> OnlyGrantsOfAllPeersCount; PromisesOfAllPeersCarryALeaderThroughAnOutage -> GrantsOfAllPeersCarryALeaderThroughAnOutage; PromisesTellALeaderWhatItsPeersHaveConfirmed -> GrantsTellALeaderWhatItsPeersHaveConfirmed; RulesHoldWithDeafMachinesLateCopiesAndInstantReturns -> RulesHoldWithUnreachableMachinesLateCopiesAndInstantReturns. The list is the same otherwise.

--- a/tests/meetings_test.cpp
+++ b/tests/combined_failures_test.cpp
@@ -1,5 +1,5 @@
-// Two troubles at once, as the operators name them. Each test plays one such meeting many times over, from
-// fixed seeds, with little else going wrong; `World` and `verdict` check the rules.
+// Failures that come together. Each test plays one combination many times over, from fixed seeds, with little
+// else going wrong; `World` and `verdict` check the rules.
 #include <gtest/gtest.h>
 
 #include <cstdlib>
@@ -19,19 +19,19 @@
     f.crash = 0;
     f.die = f.hang = f.cut = f.drainForRecall = 0.0005;
     f.error = 0.01;
-    f.deaf = f.back = f.anew = f.sever = 0;
+    f.unreachable = f.back = f.anew = f.sever = 0;
     f.copy = 0.01;
     return f;
 }
 
-struct Meeting {
+struct Scenario {
     World::Faults faults = light();
     Seconds time{100};
     Script script;
     Make make = randomJob;
     std::function<void(World&)> prepare;
     int mostJobs = 40;
-    /// That the meeting took place, counted over all histories.
+    /// That the scenario took place, counted over all histories.
     std::function<std::size_t(const World&)> met = [](const World& world) { return world.takeOvers; };
     std::vector<int> seeds = {};  // beside the first few: those that have shown a fault
 };
@@ -40,19 +40,20 @@
 constexpr std::size_t kMet = 10;
 
 /// Half of the histories have a lease that is long against the time in which a cancelled task must be gone.
-void hold(const Meeting& meeting) {
+void hold(const Scenario& scenario) {
     int most = kSeeds;
-    if (const char* more = std::getenv("BURLPOINT_MEETINGS")) most = std::atoi(more);  // to look further
-    auto seeds = meeting.seeds;
+    if (const char* more = std::getenv("BURLPOINT_SCENARIO_SEEDS"))
+        most = std::atoi(more);  // to look further
+    auto seeds = scenario.seeds;
     for (int seed = 1; seed <= most; ++seed) seeds.push_back(seed);
     std::size_t met = 0;
     for (const int seed : seeds) {
-        World world(static_cast<std::uint64_t>(seed) * 0x9e3779b97f4a7c15u, meeting.faults);
+        World world(static_cast<std::uint64_t>(seed) * 0x9e3779b97f4a7c15u, scenario.faults);
         if (seed % 2 == 0) world.settings.lease = Seconds(30);
-        if (meeting.prepare) meeting.prepare(world);
-        const auto wrong = play(world, meeting.time, meeting.script, meeting.make, meeting.mostJobs);
+        if (scenario.prepare) scenario.prepare(world);
+        const auto wrong = play(world, scenario.time, scenario.script, scenario.make, scenario.mostJobs);
         ASSERT_EQ(wrong, "") << "seed " << seed;
-        met += meeting.met(world);
+        met += scenario.met(world);
     }
     EXPECT_GE(met, kMet) << "the histories miss what they are about";
 }
@@ -90,7 +91,7 @@
 }  // namespace
 
 TEST(History, ALeaderEndsWhileMachinesWithLongTasksCannotBeReached) {
-    Meeting m;
+    Scenario m;
     m.prepare = longTasks;
     m.script = [](World& world, int second) {
         if (second % 25 != 20) return;
@@ -98,7 +99,7 @@
             if (world.below(2) == 0)
                 world.cut(id, between(world, 3, 40));
             else
-                world.deafen(id, between(world, 3, 40));
+                world.makeUnreachable(id, between(world, 3, 40));
         });
         world.endLeader(between(world, 0.2, 6));
     };
@@ -106,7 +107,7 @@
 }
 
 TEST(History, OldReportsOfEarlierSessionsAndAttemptsArriveAfterNewerOnes) {
-    Meeting m;
+    Scenario m;
     m.faults.copy = 0.4;
     m.faults.heldBack = 0.2;
     m.faults.back = 0.02;
@@ -117,7 +118,7 @@
 }
 
 TEST(History, MoreWorkThanRoomUrgentAndNotOverSlowLinks) {
-    Meeting m;
+    Scenario m;
     m.mostJobs = 25;
     m.make = [](World& world, int number) {
         auto spec = randomJob(world, number);
@@ -133,7 +134,7 @@
 }
 
 TEST(History, TransactionsAreCarriedOutAfterNewerOnesOfTheSameController) {
-    Meeting m;
+    Scenario m;
     m.faults.afterwards = 0.35;
     m.faults.die = 0.01;
     m.faults.back = 0.01;
@@ -144,7 +145,7 @@
 }
 
 TEST(History, AllControllersAreAwayForLongerThanALease) {
-    Meeting m;
+    Scenario m;
     m.prepare = longTasks;
     m.faults.heldBack = 0.1;
     m.script = [](World& world, int second) {
@@ -157,7 +158,7 @@
 }
 
 TEST(History, ControllersHandOverAllEndAndOneReturnsWithinASecond) {
-    Meeting m;
+    Scenario m;
     m.prepare = longTasks;
     m.faults.heldBack = 0.1;
     m.script = [](World& world, int second) {
@@ -171,7 +172,7 @@
 }
 
 TEST(History, LeadersChangeTenTimesInTwoMinutesAlsoInsideAnOutage) {
-    Meeting m;
+    Scenario m;
     m.prepare = longTasks;
     m.time = Seconds(125);
     m.script = [](World& world, int second) {
@@ -184,10 +185,10 @@
 }
 
 TEST(History, CancellationsQuestionsAndRepetitionsMeetTheEndOfTheLastTask) {
-    Meeting m;
+    Scenario m;
     m.faults = {};
     m.faults.lose = m.faults.late = m.faults.crash = m.faults.die = m.faults.hang = m.faults.cut = 0;
-    m.faults.error = m.faults.drainForRecall = m.faults.deaf = m.faults.copy = m.faults.back = 0;
+    m.faults.error = m.faults.drainForRecall = m.faults.unreachable = m.faults.copy = m.faults.back = 0;
     m.faults.anew = m.faults.sever = 0;
     m.faults.atEnd = 0.8;
     m.met = [](const World& world) { return world.met.endCancels; };
@@ -195,7 +196,7 @@
 }
 
 TEST(History, CommandsAndAnswersAreHeldUpAndTheMachineGoesOn) {
-    Meeting m;
+    Scenario m;
     m.prepare = longTasks;
     m.faults.heldUp = 0.8;
     m.faults.hang = 0.02;
@@ -215,7 +216,7 @@
 }
 
 TEST(History, ALeaderWithoutTheStoreGoesOnWhileTheNextOneHearsOfCancellations) {
-    Meeting m;
+    Scenario m;
     m.prepare = longTasks;
     m.faults.heldBack = 0.1;
     m.script = [](World& world, int second) {
@@ -229,7 +230,7 @@
 }
 
 TEST(History, TasksOfSmallJobsEndFarApartAcrossAChangeOfLeader) {
-    Meeting m;
+    Scenario m;
     m.prepare = [](World& world) {
         world.shortestRun = Seconds(1);
         world.longestRun = Seconds(45);
@@ -248,7 +249,7 @@
 }
 
 TEST(History, TheStoreIsSlowThenRefusesTheLeaderAndThenEverybodyForLong) {
-    Meeting m;
+    Scenario m;
     m.prepare = longTasks;
     m.time = Seconds(130);
     m.faults.atEnd = 0.3;
@@ -265,7 +266,7 @@
 }
 
 TEST(History, JobsBoundToOneZoneLoseMachines) {
-    Meeting m;
+    Scenario m;
     m.make = [](World& world, int number) {
         auto spec = randomJob(world, number);
         spec.spread = false;
@@ -288,7 +289,7 @@
 }
 
 TEST(History, ATeamAtItsLimitMeetsAChangeOfLeaderSilentMachinesAndACancellation) {
-    Meeting m;
+    Scenario m;
     m.prepare = longTasks;
     m.make = [](World& world, int number) {
         auto spec = randomJob(world, number);
@@ -309,7 +310,7 @@
 }
 
 TEST(History, WorkersThatReachNoControllerTakeDirectCommands) {
-    Meeting m;
+    Scenario m;
     m.prepare = longTasks;
     m.faults.mute = 0.02;
     m.faults.crash = 0.02;
@@ -323,7 +324,7 @@
 }
 
 TEST(History, AZoneWithWorkersAndAControllerIsCutOffForLongerThanALease) {
-    Meeting m;
+    Scenario m;
     m.prepare = longTasks;
     m.time = Seconds(130);
     m.faults.heldBack = 0.1;
@@ -338,7 +339,7 @@
 }
 
 TEST(History, JobsAreCancelledAsTheStoreRefusesTheLeaderAndIsOutASecondLater) {
-    Meeting m;
+    Scenario m;
     m.prepare = longTasks;
     m.time = Seconds(130);
     m.script = [](World& world, int second) {
@@ -352,7 +353,7 @@
 }
 
 TEST(History, AReportIsHeldBackUntilANewLeaderHasActed) {
-    Meeting m;
+    Scenario m;
     m.faults.heldBack = 0.6;
     m.faults.back = 0.01;
     m.faults.crash = 0.05;
@@ -365,8 +366,8 @@
 
 namespace {
 
-Meeting pipelines(const std::function<std::size_t(const World&)>& met) {
-    Meeting m;
+Scenario pipelines(const std::function<std::size_t(const World&)>& met) {
+    Scenario m;
     m.make = partOfAGraph;
     m.met = met;
     m.prepare = [](World& world) { world.longestRun = Seconds(6); };
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -41,9 +41,9 @@
 
 // Machines that report and hear nothing, copies of reports that come long after, workers back at once, some
 // counting from the beginning, and leaders that lose the store while workers still reach them.
-RC_GTEST_PROP(History, RulesHoldWithDeafMachinesLateCopiesAndInstantReturns, ()) {
+RC_GTEST_PROP(History, RulesHoldWithUnreachableMachinesLateCopiesAndInstantReturns, ()) {
     World::Faults faults;
-    faults.deaf = 0.02;
+    faults.unreachable = 0.02;
     faults.copy = 0.4;
     faults.back = 0.01;
     faults.anew = 0.004;
--- a/tests/leader_dependencies_test.cpp
+++ b/tests/leader_dependencies_test.cpp
@@ -9,8 +9,8 @@
 using namespace burlpoint;
 using namespace burlpoint::tests;
 
-// Two troubles at once; the histories in meetings_test.cpp play them at length. Here are the cases that a
-// history meets too seldom.
+// Two troubles at once; the histories in combined_failures_test.cpp play them at length. Here are the cases
+// that a history meets too seldom.
 
 // A new leader's first answer renews the lease of a machine that has not taken the token. If it brought no
 // stops, a cancelled task could go on for one lease more with each change of leader.
--- a/tests/leader_messages_test.cpp
+++ b/tests/leader_messages_test.cpp
@@ -160,7 +160,7 @@
 }
 
 // Its reports arrive, and neither answers nor commands reach it: seen from starts that never show.
-TEST(Leader, AMachineThatHearsNothingGetsNoMoreWorkUntilItAnswers) {
+TEST(Leader, AnUnreachableMachineGetsNoMoreWorkUntilItAnswers) {
     LeaderHarness harness;
     harness.roster("m1");
     harness.lead();
--- a/tests/leader_waiting_test.cpp
+++ b/tests/leader_waiting_test.cpp
@@ -305,7 +305,7 @@
     EXPECT_LT(waits(harness, "wk-1", {{"m1", {}}}), 80);
 }
 
-TEST(Leader, AZoneBespokenForAGangIsNotKeptFromOthersForEver) {
+TEST(Leader, AZoneReservedForAGangIsNotKeptFromOthersForEver) {
     LeaderHarness harness;
     harness.settings.zones = {"z"};
     std::map<std::string, std::vector<TaskReport>> machines;
--- a/tests/leadership_grants_test.cpp
+++ b/tests/leadership_grants_test.cpp
@@ -13,10 +13,10 @@
 
 }  // namespace
 
-TEST(LeadershipGrants, OnlyPromisesOfAllPeersCount) {
+TEST(LeadershipGrants, OnlyGrantsOfAllPeersCount) {
     LeadershipGrants grants;
     EXPECT_FALSE(grants.allInForce(kPeers, kStart));
-    EXPECT_FALSE(grants.allInForce({}, kStart));  // a node alone has nobody to promise
+    EXPECT_FALSE(grants.allInForce({}, kStart));  // a node alone has nobody to grant it anything
     grants.noteReceived("two", LeadershipGrants::kLife, kStart);
     EXPECT_FALSE(grants.allInForce(kPeers, kStart));
     grants.noteReceived("four", LeadershipGrants::kLife, kStart);
@@ -28,7 +28,7 @@
 }
 
 // The leader's count ends before that of the peer, whose count begins later.
-TEST(LeadershipGrants, AReceivedPromiseEndsBeforeTheGivenOne) {
+TEST(LeadershipGrants, AReceivedGrantEndsBeforeTheGivenOne) {
     LeadershipGrants leader, peer;
     const auto life = peer.give(7, kStart);
     leader.noteReceived("two", life, kStart);
@@ -40,7 +40,7 @@
     EXPECT_GE(LeadershipGrants::kForgottenLife, life + life / 1000);
 }
 
-TEST(LeadershipGrants, APromiseIsBoundedAndARefusalTakesNoneBack) {
+TEST(LeadershipGrants, AGrantIsBoundedAndARefusalTakesNoneBack) {
     LeadershipGrants grants;
     const std::vector<protocol::Peer> two{{"two", "z", ""}};
     grants.noteReceived("two", 60s, kStart);
@@ -57,5 +57,5 @@
     EXPECT_TRUE(grants.bound(kStart, 6));
     EXPECT_FALSE(grants.bound(kStart, 7));
     grants.dropReceived();
-    EXPECT_TRUE(grants.bound(kStart, 6));  // its own promise is another matter
+    EXPECT_TRUE(grants.bound(kStart, 6));  // its own grant is another matter
 }
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -132,9 +132,9 @@
 }
 
 // The gap: the store refuses the leader alone, another node confirms a cancellation, and then nobody is
-// served for longer than a cancelled task may go on. The promises that carry the leader through tell it what
+// served for longer than a cancelled task may go on. The grants that carry the leader through tell it what
 // to stop, and its other tasks go on.
-TEST_F(Nodes, PromisesTellALeaderWhatItsPeersHaveConfirmed) {
+TEST_F(Nodes, GrantsTellALeaderWhatItsPeersHaveConfirmed) {
     std::vector<std::string> failed;
     protocol::MachineType type{"plain", 8, 0, 32, 10, 1, 1, 1, protocol::Seconds(5), {"z"}};
     stub.store.transact({}, {{storage::keys::kTypes, protocol::encodeMachineTypes({type}), 0}}, failed);
@@ -249,9 +249,9 @@
     }
 }
 
-// What does not fit one message comes in parts, and no promise before the last. A process that is not the one
+// What does not fit one message comes in parts, and no grant before the last. A process that is not the one
 // that was asked before begins anew.
-TEST_F(Nodes, APeerPromisesOnlyOnceItHasToldEverything) {
+TEST_F(Nodes, APeerGrantsOnlyOnceItHasToldEverything) {
     std::uint64_t middle = 0;
     for (int i = 0; i < 1200; ++i) {
         const auto revision = store(job("wk-" + std::to_string(i)), storage::Final::cancelled);
--- a/tests/silence_monitor_test.cpp
+++ b/tests/silence_monitor_test.cpp
@@ -100,14 +100,14 @@
 }
 
 // A machine may report and not get what it is sent.
-TEST_F(SilenceMonitorTest, ADeafMachineCountsAsSilent) {
-    auto& deaf = reporting("deaf");
-    deaf.unreachableSince = now;
+TEST_F(SilenceMonitorTest, AnUnreachableMachineCountsAsSilent) {
+    auto& unreachable = reporting("unreachable");
+    unreachable.unreachableSince = now;
     now += 13s;
-    deaf.lastReport = now;
+    unreachable.lastReport = now;
     const auto census = monitor().takeCensus(now);
     EXPECT_EQ(census.silent, 1u);
-    EXPECT_EQ(monitor().judge(census, now).toGiveUp, Machines{&deaf});
+    EXPECT_EQ(monitor().judge(census, now).toGiveUp, Machines{&unreachable});
 }
 
 TEST_F(SilenceMonitorTest, ManyMachinesAtOnceAreNotGivenUp) {
--- a/tests/upgrade/upgrade_test.cpp
+++ b/tests/upgrade/upgrade_test.cpp
@@ -185,7 +185,7 @@
         return id;
     }
     /// The state service refuses the leader, another node confirms a cancellation, and then nobody is served.
-    /// The leader goes on by the promises of the others, which tell it the cancellation. False if its term
+    /// The leader goes on by the grants of the others, which tell it the cancellation. False if its term
     /// had ended before: then nobody can lead until the outage is over.
     bool obeyedInAnOutage(std::size_t leading, std::size_t confirming) {
         untilRunning(kService, 3);
--- a/tests/upgrade/users.cpp
+++ b/tests/upgrade/users.cpp
@@ -172,7 +172,7 @@
 void Users::checkState(const std::string& id, const Known& before, JobState state) {
     auto& facts = rules_.job(id);
     rules_.require(!before.final || state == *before.final, "went_back: " + id);
-    // The page allows `cancel_s` for this; the sources promise it at once, as all follows from one record.
+    // The page allows `cancel_s` for this; the sources guarantee it at once, as all follows from one record.
     rules_.require(!before.cancelled || state == JobState::cancelled, "orphaned: " + id);
     if (!isFinal(state)) return;
     rules_.require(state != JobState::done || facts.allCompleted(), "not_done: " + id + " is called done");
--- a/tests/user_api_test.cpp
+++ b/tests/user_api_test.cpp
@@ -281,9 +281,9 @@
     EXPECT_GT(b.token, token);
 }
 
-// In an outage nobody can take the key. Promises of all peers stand in for the lease, so that workers keep
-// their tasks; each peer keeps its promise whatever becomes of the key.
-TEST_F(UserApiTest, PromisesOfAllPeersCarryALeaderThroughAnOutage) {
+// In an outage nobody can take the key. Grants of all peers stand in for the lease, so that workers keep
+// their tasks; each peer keeps its grant whatever becomes of the key.
+TEST_F(UserApiTest, GrantsOfAllPeersCarryALeaderThroughAnOutage) {
     Desk a(io, stub), b(io, stub, "two");
     a.config.peers = {{"two", "z", ""}, {"three", "z", ""}};
     while (!a.token) a.election.tick(Clock::now()), io.run_one_for(5ms);
@@ -305,7 +305,7 @@
     for (int i = 0; i < 100; ++i) b.election.tick(later + i * life / 120), io.run_one_for(2ms);
     EXPECT_EQ(b.token, 0u);
     while (!b.token) b.election.tick(later + 2 * life), io.run_one_for(5ms);
-    // A process that is back at once has forgotten what it promised.
+    // A process that is back at once has forgotten what it granted.
     Desk c(io, stub, "three");
     c.until([&] { return c.replica.leader && c.replica.leader->node == "two"; });
     stub.store.endLease(stub.store.leases.rbegin()->first);
--- a/tests/world.h
+++ b/tests/world.h
@@ -39,7 +39,7 @@
         double cut = 0.005;             // a worker from the controllers, per second
         double error = 0.02;            // a task
         double drainForRecall = 0.002;  // a spot machine, per second
-        double deaf = 0.003;            // a worker whose reports arrive and that nothing reaches, per second
+        double unreachable = 0.003;     // a worker whose reports arrive and that nothing reaches, per second
         double copy = 0.05;             // a report of which a copy comes again, up to several leases later
         double back = 0.001;            // a worker that ends and is back at once, per second
         double anew = 0.0005;           // the same, and it counts its reports from the beginning
@@ -135,7 +135,7 @@
                 ++met.derived;
             }
         for (const auto& machine : holding(id))
-            met.hungCancels += reachable(machine) == nullptr || workers_.at(machine).deafUntil > now_;
+            met.hungCancels += reachable(machine) == nullptr || workers_.at(machine).unreachableUntil > now_;
     }
     /// A user's question. Nobody is told the contrary of a final state that somebody was told.
     void ask(const std::string& id) {
@@ -159,7 +159,7 @@
     }
 
     Time now() const { return now_; }
-    /// The store refuses everybody. A leader that has seen all there is goes on, as its peers promise.
+    /// The store refuses everybody. A leader that has seen all there is goes on by its peers' grants.
     void storeOutage(Seconds time) {
         storeOutUntil_ = now_ + ticks(time);
         if (tenant_ && tenant_->severed()) return;
@@ -197,7 +197,9 @@
     void hang(const std::string& id, Seconds time) { workers_.at(id).hungUntil = now_ + ticks(time); }
     void cut(const std::string& id, Seconds time) { workers_.at(id).cutUntil = now_ + ticks(time); }
     void mute(const std::string& id, Seconds time) { workers_.at(id).muteUntil = now_ + ticks(time); }
-    void deafen(const std::string& id, Seconds time) { workers_.at(id).deafUntil = now_ + ticks(time); }
+    void makeUnreachable(const std::string& id, Seconds time) {
+        workers_.at(id).unreachableUntil = now_ + ticks(time);
+    }
     void lose(const std::string& id) {
         workers_.at(id).dead = true;
         workers_.at(id).tasks.clear();
@@ -296,7 +298,7 @@
     struct Worker {
         std::string id, type, zone;
         bool spot = false, up = false, dead = false;
-        Time bootAt{}, hungUntil{}, cutUntil{}, deafUntil{}, muteUntil{};
+        Time bootAt{}, hungUntil{}, cutUntil{}, unreachableUntil{}, muteUntil{};
         Time troubledAt{};  // when it was last out of order in some way
         std::optional<Time> recallAt;
         double drift = 1;
@@ -628,7 +630,7 @@
     /// And what is sent to it gets there.
     Worker* hearing(const std::string& id, bool inside) {
         auto* w = reachable(id);
-        return w && w->deafUntil <= now_ && linked(*w, inside) ? w : nullptr;
+        return w && w->unreachableUntil <= now_ && linked(*w, inside) ? w : nullptr;
     }
     /// Nothing passes between a zone that is cut off and the rest.
     bool linked(const Worker& w, bool inside) const {
@@ -649,9 +651,9 @@
     void drawTroubles(Worker& w, double perStep) {
         if (chance(faults_.hang * perStep)) w.hungUntil = now_ + span(1, 18);
         if (chance(faults_.cut * perStep)) w.cutUntil = now_ + span(1, 25);
-        if (chance(faults_.deaf * perStep)) w.deafUntil = now_ + span(3, 60);
+        if (chance(faults_.unreachable * perStep)) w.unreachableUntil = now_ + span(3, 60);
         if (rarely(faults_.mute * perStep)) w.muteUntil = now_ + span(3, 40);
-        if (std::max({w.hungUntil, w.cutUntil, w.deafUntil, w.muteUntil}) > now_ || w.recallAt)
+        if (std::max({w.hungUntil, w.cutUntil, w.unreachableUntil, w.muteUntil}) > now_ || w.recallAt)
             w.troubledAt = now_;
         if (const bool anew = chance(faults_.anew * perStep); anew || chance(faults_.back * perStep)) {
             w.tasks.clear();
