--- a/tests/placement_fixture.h
+++ b/tests/placement_fixture.h
@@ -98,6 +98,7 @@
         std::vector<protocol::Order> orders;
         scheduler.schedule(reporting, orders, now);
         std::vector<std::string> starts;
+        starts.reserve(orders.size());
         for (const auto& each : orders)
             starts.push_back(each.attempt.job + "/" + std::to_string(each.attempt.task));
         return starts;
