--- a/tests/gang_planner_test.cpp
+++ b/tests/gang_planner_test.cpp
@@ -95,6 +95,19 @@
     EXPECT_EQ(placed(job), (Names{"m2:2", "m3:2"}));
 }
 
+TEST_F(GangPlannerTest, WhereNoTaskHasToFetchTheImageCountsMoreThanBeingTakenBack) {
+    auto onSpot = gang();
+    onSpot.spot = true;
+    auto& job = accept(onSpot);
+    for (const char* id : {"m1", "m2", "m3", "m4"}) machine(id);
+    for (const char* id : {"m3", "m4"}) {
+        fleet.find(id)->spot = true;
+        giveImage(*fleet.find(id), job);
+    }
+    plan();
+    EXPECT_EQ(placed(job), (Names{"m3:2", "m4:2"}));
+}
+
 TEST_F(GangPlannerTest, AMachineKeptForTheGangIsTheFirstChoice) {
     auto& job = accept(gang());
     for (const char* id : {"m1", "m2", "m3"}) machine(id);
--- a/tests/preemption_test.cpp
+++ b/tests/preemption_test.cpp
@@ -148,6 +148,18 @@
     EXPECT_EQ(two.reservedFor, &job);
 }
 
+// What is counted as stoppable may turn out not to yield; then nothing is stopped for the rest of the gang.
+TEST_F(PreemptionTest, NothingIsStoppedForAGangBesideAProtectedStart) {
+    auto& one = machine("m1");
+    auto& two = machine("m2");
+    fill(one, "wk-1");
+    acceptWith("wk-2", Priority::high, Kind::gang, 4);
+    auto& low = fill(two, "wk-3");
+    low.run->firstTask = 0;
+    makeRoom();
+    EXPECT_EQ(countStopping(one) + countStopping(two), 0u);
+}
+
 TEST_F(PreemptionTest, AGangIsOfferedTheZoneWithMostRoom) {
     auto bound = spec("wk-1", Kind::gang);
     bound.oneZone = true;
