A leader that falls behind its work gives way to a peer

With 0.7 of its processor share in use before, its event loop falls seconds behind; it keeps the leadership for 7 s more, workers are not answered within 4 s, and the leases of up to a third of them run out.

Ruled out: memory (4 to 5 MB of 46), refused connections, the state service.

Each time such a node stays longer before it gives way again, as its peers may be no faster; a take-over, which is late on any machine, does not count, and in an outage of the state service it stays.

--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -28,6 +28,7 @@
 // So old may the newest read be before one is made for its own sake. A leader must know what is cancelled.
 constexpr auto kReadAge = 800ms;
 constexpr auto kLeaderReadAge = 400ms;
+constexpr auto kServedLately = 3s;     // an answer of the state service no older shows that it serves
 constexpr auto kCleanPause = 5s;       // between looks at what is left over
 constexpr auto kConnectionIdle = 20s;  // after which a connection is closed
 constexpr double kRequestShare = 0.5;  // of the requests that the state service takes, for this node
@@ -119,14 +120,17 @@
 
 void Node::tick() {
     const auto now = Clock::now();
+    if (nextTick_ != Time{}) overload_.noteTick(nextTick_, now);
     election_.tick(now);
     if (leader_ && election_.valid(now)) lead(Tick{});
     keepReplicaFresh(now);
     if (leader_ && refusedAlone(now)) giveUpLeadership(now);
+    giveWayIfOverloaded(now);
     readiness_.update(able(now), now);
     askPeers(now);
     cleanUp(now);
-    ticker_.expires_after(kTick);
+    nextTick_ = now + kTick;
+    ticker_.expires_at(nextTick_);
     ticker_.async_wait([this](auto error) {
         if (!error) tick();
     });
@@ -147,6 +151,21 @@
     nextPeers_ = now;
 }
 
+// Seen on a simulated day: a leader three times slower than its peers for 30 s kept the leadership for 7 s
+// more, answered no worker in time, and the leases of a third of them ran out.
+void Node::giveWayIfOverloaded(Time now) {
+    if (!leader_ || !overload_.shouldGiveWay(now)) return;
+    // In an outage no peer could take over, and none should that hears nothing of the others.
+    if (now - state_.lastAnswer() > kServedLately) return;
+    const bool heard = std::any_of(settings_.peers.begin(), settings_.peers.end(),
+                                   [&](const auto& peer) { return peers_.inTouch(peer.name, now); });
+    if (!heard) return;
+    spdlog::info("resigning: this node does not keep up with its work");
+    overload_.noteGivenWay(now);
+    election_.resign(now, true);
+    nextPeers_ = now;
+}
+
 void Node::cleanUp(Time now) {
     if (now < nextClean_) return;
     nextClean_ = now + kCleanPause;
@@ -283,6 +302,7 @@
 
 void Node::won(std::uint64_t token) {
     executor_.begin(token);
+    overload_.noteLeading(Clock::now());
     leader_ =
         std::make_unique<Leader>(settings_, policy_, replica_, token, Clock::now(), transport::timeOfDayMs());
     nextPeers_ = Clock::now();  // a peer that the state service refuses learns of this leader from it alone
--- a/src/coordination/node.h
+++ b/src/coordination/node.h
@@ -10,6 +10,7 @@
 #include "coordination/action_executor.h"
 #include "coordination/election.h"
 #include "coordination/leader.h"
+#include "coordination/overload_monitor.h"
 #include "coordination/peer_exchange.h"
 #include "coordination/readiness.h"
 #include "coordination/state_watcher.h"
@@ -53,6 +54,8 @@
     /// Reads the state service if nothing else has done so lately.
     void keepReplicaFresh(transport::Time now);
     void giveUpLeadership(transport::Time now);
+    /// Leaves the leadership to a peer while this node does not keep up with its work.
+    void giveWayIfOverloaded(transport::Time now);
     void cleanUp(transport::Time now);
 
     // Requests. Each of these answers the call or hands its reply on.
@@ -98,10 +101,12 @@
     ActionExecutor executor_;
     std::unique_ptr<Leader> leader_;  // none: this node doesn't lead
     Readiness readiness_;
+    OverloadMonitor overload_;
 
     std::deque<Queued> queue_;
     bool draining_ = false;  // a call of `drain` is posted
-    asio::steady_timer ticker_;
+    transport::Timer ticker_;
+    transport::Time nextTick_{};       // when the next tick is due
     transport::Time nextPeers_{};      // the next questions to the peers
     transport::Time nextHeartbeat_{};  // no read for its own sake before
     transport::Time nextClean_{};
--- /dev/null
+++ b/tests/overload_monitor_test.cpp
@@ -0,0 +1,91 @@
+#include "coordination/overload_monitor.h"
+
+#include <gtest/gtest.h>
+
+using namespace burlpoint;
+using namespace std::chrono_literals;
+using coordination::OverloadMonitor;
+using transport::Clock;
+using transport::Time;
+
+namespace {
+
+class Overload : public testing::Test {
+  protected:
+    /// Ticks that are each late by so much, for a while.
+    void tickLate(Clock::duration late, Clock::duration lasting) {
+        const auto end = now + lasting;
+        while (now < end) {
+            const auto due = now + 100ms;
+            now = due + late;
+            monitor.noteTick(due, now);
+        }
+    }
+    bool givesWay() {
+        const bool should = monitor.shouldGiveWay(now);
+        if (should) monitor.noteGivenWay(now);
+        return should;
+    }
+
+    OverloadMonitor monitor;
+    Time now{1000s};
+};
+
+}  // namespace
+
+TEST_F(Overload, ALeaderThatKeepsUpStays) {
+    monitor.noteLeading(now);
+    tickLate(50ms, 60s);
+    EXPECT_FALSE(monitor.isOverloaded(now));
+    EXPECT_FALSE(givesWay());
+}
+
+TEST_F(Overload, ALeaderThatFallsBehindGivesWay) {
+    monitor.noteLeading(now);
+    tickLate(0ms, 20s);
+    tickLate(300ms, 1s);
+    EXPECT_FALSE(givesWay());  // one long batch is no overload
+    tickLate(300ms, 1s);
+    EXPECT_TRUE(givesWay());
+}
+
+TEST_F(Overload, ATickInTimeEndsIt) {
+    monitor.noteLeading(now);
+    tickLate(0ms, 20s);
+    for (int i = 0; i < 10; ++i) {
+        tickLate(300ms, 1s);
+        tickLate(0ms, 100ms);
+        EXPECT_FALSE(givesWay());
+    }
+}
+
+// A take-over has much to do at once. Were it taken for an overload, nobody would lead for long.
+TEST_F(Overload, ATakeOverMayFallBehind) {
+    monitor.noteLeading(now);
+    tickLate(300ms, 6s);
+    EXPECT_TRUE(monitor.isOverloaded(now));
+    EXPECT_FALSE(givesWay());
+    tickLate(300ms, 4s);
+    EXPECT_TRUE(givesWay());
+}
+
+// Where all nodes are too slow, the leadership must not go round for ever.
+TEST_F(Overload, EachTimeItStaysLongerBeforeItGivesWay) {
+    tickLate(300ms, 10s);
+    ASSERT_TRUE(givesWay());
+    Clock::duration last = 0s;
+    for (int i = 0; i < 4; ++i) {
+        const auto from = now;
+        do tickLate(300ms, 1s);
+        while (!givesWay());
+        EXPECT_GT(now - from, last * 3 / 2);
+        last = now - from;
+    }
+    tickLate(0ms, 2h);
+    tickLate(300ms, 10s);
+    ASSERT_TRUE(givesWay());
+    const auto from = now;
+    do tickLate(300ms, 1s);
+    while (!givesWay());
+    EXPECT_LT(now - from, 70s);  // as after the first time
+}
