Images are compared by address, and a machine's free room is asked first

Hypothesis: much of what a report costs beyond its transport are comparisons of image names, of each waiting job with each image of the machine, and rules asked for jobs that the machine has no room for anyway.

--- a/src/bookkeeping/fleet.cpp
+++ b/src/bookkeeping/fleet.cpp
@@ -15,15 +15,17 @@
     return most <= 0 ? 0 : static_cast<std::uint32_t>(most);
 }
 
-bool Machine::hasImage(const std::string& image) const {
-    return std::any_of(images.begin(), images.end(), [&](const auto& i) { return i.first == image; });
+bool Machine::hasImage(const Image& image) const {
+    return std::any_of(images.begin(), images.end(),
+                       [&](const auto& cached) { return cached.image == image; });
 }
 
-bool Machine::isFetching(const std::string& image) const {
+bool Machine::isFetching(const Image& image) const {
     return std::any_of(placements.begin(), placements.end(), [&](const auto& entry) {
-        const auto& p = entry.second;
-        return p.job->spec.image == image &&
-               (p.state == PlacementState::sent || p.state == PlacementState::fetching);
+        const auto& placement = entry.second;
+        const bool fetches =
+            placement.state == PlacementState::sent || placement.state == PlacementState::fetching;
+        return fetches && placement.job->image() == image;
     });
 }
 
@@ -74,24 +76,24 @@
         unreconciled_.erase(found);
 }
 
-void Fleet::useImage(Machine& machine, const std::string& image, double gb, double cacheGb) {
+void Fleet::useImage(Machine& machine, const Image& image, double gb, double cacheGb) {
     auto& images = machine.images;
-    if (!images.empty() && images.front().first == image) return;
-    if (std::erase_if(images, [&](const auto& i) { return i.first == image; }) == 0)
+    if (!images.empty() && images.front().image == image) return;
+    if (std::erase_if(images, [&](const auto& cached) { return cached.image == image; }) == 0)
         byImage_[image].push_back(&machine);
     images.insert(images.begin(), {image, gb});
     double total = 0;
     for (std::size_t i = 0; i < images.size(); ++i) {
-        total += images[i].second;
+        total += images[i].gb;
         if (total <= cacheGb || i == 0) continue;
         for (auto at = images.begin() + static_cast<std::ptrdiff_t>(i); at != images.end(); ++at)
-            std::erase(byImage_[at->first], &machine);
-        images.resize(i);
+            std::erase(byImage_[at->image], &machine);
+        images.erase(images.begin() + static_cast<std::ptrdiff_t>(i), images.end());
         return;
     }
 }
 
-const std::vector<Machine*>& Fleet::withImage(const std::string& image) const {
+const std::vector<Machine*>& Fleet::withImage(const Image& image) const {
     static const std::vector<Machine*> kNone;
     const auto found = byImage_.find(image);
     return found == byImage_.end() ? kNone : found->second;
--- a/src/bookkeeping/fleet.h
+++ b/src/bookkeeping/fleet.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "bookkeeping/image.h"
 #include "bookkeeping/job.h"
 #include "protocol/cloud_messages.h"
 #include "protocol/worker_messages.h"
@@ -133,13 +134,13 @@
     /// What could be stopped for higher work, by priority: neither replicas nor tasks of larger gangs.
     std::array<Resources, kPriorities> stoppable;
 
-    std::vector<std::pair<std::string, double>> images;  // inferred cache, most recently used first
-    bool draining = false;                               // takes no more tasks
-    bool releasing = false;                              // its deletion was asked for
-    bool failed = false;                                 // the cloud says that it stopped by itself
-    Time knownSince{};                                   // rented or first seen
-    Time busyUntil{};                                    // when it last had a task
-    Time probedAt{};                                     // when a probe was last answered
+    std::vector<CachedImage> images;  // inferred cache, most recently used first
+    bool draining = false;            // takes no more tasks
+    bool releasing = false;           // its deletion was asked for
+    bool failed = false;              // the cloud says that it stopped by itself
+    Time knownSince{};                // rented or first seen
+    Time busyUntil{};                 // when it last had a task
+    Time probedAt{};                  // when a probe was last answered
     bool probing = false;
     /// Answers in a row that did not get through, as its next report shows.
     std::uint32_t undelivered = 0;
@@ -155,8 +156,8 @@
     std::uint32_t reserved = 1;       // tasks that the room is kept for
     std::set<std::string> errorJobs;  // jobs that failed on it since a task last worked
 
-    bool hasImage(const std::string& image) const;
-    bool isFetching(const std::string& image) const;
+    bool hasImage(const Image& image) const;
+    bool isFetching(const Image& image) const;
     bool isReserved(Time now) const { return reservedFor && reservedUntil > now; }
 };
 
@@ -200,8 +201,8 @@
     const std::map<Offering, std::uint32_t>& unreconciled() const { return unreconciled_; }
 
     /// The machine used the image: it is the latest in its cache, and the oldest over `cacheGb` are gone.
-    void useImage(Machine& machine, const std::string& image, double gb, double cacheGb);
-    const std::vector<Machine*>& withImage(const std::string& image) const;
+    void useImage(Machine& machine, const Image& image, double gb, double cacheGb);
+    const std::vector<Machine*>& withImage(const Image& image) const;
 
     /// Keeps room on the machine for `tasks` of the job; null: no longer.
     void reserve(Machine& machine, const Job* job, Time until = {}, bool holding = false,
@@ -216,7 +217,7 @@
     std::map<std::string, std::unique_ptr<Machine>> machines_;
     std::unordered_map<std::string, Resources> teamUse_;
     std::map<Offering, std::uint32_t> unreconciled_;
-    std::unordered_map<std::string, std::vector<Machine*>> byImage_;
+    std::unordered_map<Image, std::vector<Machine*>, Image::Hash> byImage_;
     std::unordered_map<const Job*, std::set<Machine*>> reserved_;
 };
 
--- a/src/bookkeeping/job.h
+++ b/src/bookkeeping/job.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "bookkeeping/image.h"
 #include "protocol/settings.h"
 #include "storage/records.h"
 #include "transport/http.h"
@@ -115,6 +116,11 @@
     std::optional<std::uint64_t> dueMs = {};  // so that its deadline and theirs can be met
     std::unique_ptr<JobRun> run;
 
+    /// The image of its tasks, `spec.image`, which must not change any more.
+    const Image& image() const {
+        if (!image_) image_ = Image(spec.image);
+        return *image_;
+    }
     bool ready() const { return openDependencies == 0; }
     Priority priority() const { return run ? run->priority : urgency; }
     std::size_t chunks() const { return (spec.tasks + chunkTasks - 1) / chunkTasks; }
@@ -148,6 +154,9 @@
     /// Starts a run: nothing is on a machine so far.
     void beginRun(bool inherited, Time now);
     protocol::JobState state(std::uint32_t runningTasks) const;
+
+  private:
+    mutable std::optional<Image> image_;  // looked up when it is first asked for
 };
 
 }  // namespace burlpoint::bookkeeping
--- a/src/coordination/cached_image_lookup.cpp
+++ b/src/coordination/cached_image_lookup.cpp
@@ -38,7 +38,7 @@
     run.roomWithImage = 0;
     const auto soon = std::chrono::duration_cast<Clock::duration>(settings_.report * kSoon);
     const auto need = bookkeeping::needOf(job.spec);
-    for (const auto* machine : fleet_.withImage(job.spec.image)) {
+    for (const auto* machine : fleet_.withImage(job.image())) {
         meter_.add();
         if (!hasFreeProcessors(*machine, need.cpus) || !usable(*machine, now)) continue;
         if (now - machine->lastReport > soon || !rules_.mayStart(job, *machine, now)) continue;
@@ -61,7 +61,7 @@
     if (now < run.imageWaitUntil) return run.imageWait;
     run.imageWaitUntil = now + kLookupInterval;
     const auto need = bookkeeping::needOf(job.spec);
-    const auto& machines = fleet_.withImage(job.spec.image);
+    const auto& machines = fleet_.withImage(job.image());
     run.imageWait = std::any_of(machines.begin(), machines.end(), [&](const Machine* machine) {
         meter_.add();
         return usable(*machine, now) && rules_.mayStart(job, *machine, now) &&
--- a/src/coordination/degraded_first_scheduler.cpp
+++ b/src/coordination/degraded_first_scheduler.cpp
@@ -69,14 +69,15 @@
 void DegradedFirstScheduler::startCachedAndPaced(Turn& turn, JobSpan jobs) {
     auto& machine = turn.machine;
     for (auto* job : jobs) {
-        if (job->run->waiting == 0 || !context_.rules.mayStart(*job, machine, turn.now)) continue;
-        if (machine.hasImage(job->spec.image)) {
+        if (job->run->waiting == 0 || !hasFreeRoom(machine, *job)) continue;
+        if (!context_.rules.mayStart(*job, machine, turn.now)) continue;
+        if (machine.hasImage(job->image())) {
             while (startOne(turn, *job)) {
             }
             continue;
         }
         if (context_.images.waitsForImage(*job, turn.now) || turn.fetchPlaced) continue;
-        if (machine.isFetching(job->spec.image)) continue;
+        if (machine.isFetching(job->image())) continue;
         if (!context_.pacing.allows(*job, machine, turn.now)) continue;
         if (context_.images.roomWithImage(*job, turn.now) >= job->run->waiting) continue;
         if (!startOne(turn, *job)) continue;
@@ -89,12 +90,13 @@
 void DegradedFirstScheduler::fillLeftoverRoom(Turn& turn, JobSpan jobs) {
     auto& machine = turn.machine;
     for (auto* job : jobs) {
-        if (job->run->waiting == 0 || machine.hasImage(job->spec.image)) continue;
+        if (job->run->waiting == 0 || !hasFreeRoom(machine, *job)) continue;
+        if (machine.hasImage(job->image())) continue;
         if (!context_.rules.mayStart(*job, machine, turn.now)) continue;
         if (context_.images.waitsForImage(*job, turn.now)) continue;
         const auto waiting = job->run->waiting;
         const auto elsewhere = context_.images.roomWithImage(*job, turn.now);
-        bool fetching = machine.isFetching(job->spec.image);
+        bool fetching = machine.isFetching(job->image());
         for (std::uint32_t n = elsewhere; n < waiting && startOne(turn, *job); ++n) {
             if (!fetching) context_.pacing.recordFetch(*job, machine.zone, turn.now);
             fetching = true;
@@ -140,10 +142,10 @@
 void DegradedFirstScheduler::reserveFreedRoom(Machine& machine, const Job& job, Time now) {
     const auto& run = *job.run;
     if (run.waiting == 0 || machine.isReserved(now) || bookkeeping::isLargeGang(job.spec)) return;
+    const auto need = bookkeeping::needOf(job.spec);
+    if (availableRoom(machine, job, now).covers(need) || !maxRoom(machine, job, now).covers(need)) return;
     if (!context_.rules.mayStart(job, machine, now) || blockedByUnreconciled(job, context_.fleet)) return;
     if (!withinTeamLimit(job, 1, context_.fleet, context_.types)) return;
-    const auto need = bookkeeping::needOf(job.spec);
-    if (!maxRoom(machine, job, now).covers(need) || availableRoom(machine, job, now).covers(need)) return;
     if (context_.fleet.reservations(job, now) >= run.waiting) return;
     const auto time = std::chrono::duration_cast<Clock::duration>(context_.settings.report * kReportsKept);
     context_.fleet.reserve(machine, &job, now + time, true);
--- a/src/coordination/fetch_pacing.cpp
+++ b/src/coordination/fetch_pacing.cpp
@@ -29,7 +29,7 @@
 
 void FetchPacing::admit(Job& job, const Fleet& fleet) const {
     if (job.run->admitted || machinesUp_ == 0) return;
-    const auto& having = fleet.withImage(job.spec.image);
+    const auto& having = fleet.withImage(job.image());
     const auto upAndHaving = std::count_if(having.begin(), having.end(),
                                            [](const auto* m) { return m->reports && m->acknowledged; });
     // A machine that came up since the last refresh counts among those that have the image only.
@@ -60,7 +60,7 @@
     imageWork_.clear();
     for (const auto* job : waiting) {
         const double estimate = std::max(job->spec.estimate.count(), 0.0);
-        imageWork_[job->spec.image] += job->run->waiting * job->spec.cpus * estimate;
+        imageWork_[job->image()] += job->run->waiting * job->spec.cpus * estimate;
     }
     for (auto& [image, work] : imageWork_) {
         double processors = 0;
--- a/src/coordination/fetch_pacing.h
+++ b/src/coordination/fetch_pacing.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "bookkeeping/fleet.h"
@@ -60,8 +61,9 @@
     const protocol::Settings& settings_;
     const protocol::Policy& policy_;
 
-    std::map<std::string, double> imageWork_;  // seconds waiting per image, for each cached processor
-    double meanCachedTaskTime_ = 0;            // E[ts], seconds
+    std::unordered_map<bookkeeping::Image, double, bookkeeping::Image::Hash>
+        imageWork_;                  // seconds waiting per image, for each cached processor
+    double meanCachedTaskTime_ = 0;  // E[ts], seconds
     std::size_t machinesUp_ = 0;
     std::map<std::string, transport::Time> lastFetch_;  // per zone, as it started
     std::set<std::string> reportingZones_;              // those that count for E[tr]
--- a/src/coordination/gang_planner.cpp
+++ b/src/coordination/gang_planner.cpp
@@ -125,7 +125,7 @@
         if (job.run->liveTotal > 0 && job.run->machinesLeft.contains(machine->id)) continue;
         const auto room = availableRoom(*machine, job, now).times(need);
         if (room == 0) continue;
-        const bool cached = machine->hasImage(job.spec.image);
+        const bool cached = machine->hasImage(job.image());
         const int merit = (machine->reservedFor == &job ? kKeptForGang : 0) +
                           (machine->spot ? 0 : kNotTakenBack) + (cached ? kHasImage : 0);
         options.push_back({machine, room, merit, cached});
--- a/src/coordination/placement_rules.cpp
+++ b/src/coordination/placement_rules.cpp
@@ -76,6 +76,11 @@
     return fits(use.cpus, job.spec.cpus, team->cpusMax) && fits(use.gpus, job.spec.gpus, team->gpusMax);
 }
 
+bool hasFreeRoom(const Machine& machine, const Job& job) {
+    if (!machine.kind) return false;
+    return (bookkeeping::sizeOf(*machine.kind) - machine.used).covers(bookkeeping::needOf(job.spec));
+}
+
 Resources availableRoom(const Machine& machine, const Job& job, Time now) {
     if (!machine.kind) return {};
     auto room = bookkeeping::sizeOf(*machine.kind) - machine.used;
--- a/src/coordination/placement_rules.h
+++ b/src/coordination/placement_rules.h
@@ -30,6 +30,10 @@
 bool withinTeamLimit(const bookkeeping::Job& job, std::uint32_t tasks, const bookkeeping::Fleet& fleet,
                      const MachineTypes& types);
 
+/// Is there room for one of the job's tasks beside what is on the machine, whatever is kept there for others?
+/// It costs less than all other rules, so it is asked first.
+bool hasFreeRoom(const bookkeeping::Machine& machine, const bookkeeping::Job& job);
+
 /// The machine's unused room, less what is kept there for another job that the job has to leave it to. May be
 /// negative; nothing for a machine of an unknown type.
 bookkeeping::Resources availableRoom(const bookkeeping::Machine& machine, const bookkeeping::Job& job,
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -145,8 +145,7 @@
 Preemption::RoomSurvey Preemption::surveyRoom(Job& job, Time now) {
     RoomSurvey survey{0, job.run->zones, {}};
     if (context_.images.waitsForImage(job, now)) {
-        for (auto* machine : context_.fleet.withImage(job.spec.image))
-            surveyMachine(*machine, job, now, survey);
+        for (auto* machine : context_.fleet.withImage(job.image())) surveyMachine(*machine, job, now, survey);
         return survey;
     }
     for (const auto& [id, machine] : context_.fleet.machines()) {
@@ -225,7 +224,7 @@
         if (!plan) continue;
         if (machine->reservedFor == &job) plan->loss -= kReservedBonus;
         if (machine->spot) plan->loss += kSpotLoss * plan->tasks;
-        if (!machine->hasImage(job.spec.image)) plan->loss += kFetchLoss * plan->tasks;
+        if (!machine->hasImage(job.image())) plan->loss += kFetchLoss * plan->tasks;
         plans.push_back(std::move(*plan));
     }
     std::sort(plans.begin(), plans.end(),
--- a/src/coordination/preemption_plan.cpp
+++ b/src/coordination/preemption_plan.cpp
@@ -66,7 +66,7 @@
 std::optional<PreemptionPlan> planPreemption(Machine& machine, const Job& job, std::uint32_t tasks,
                                              const Fleet& fleet, const Settings& settings, Time now) {
     const auto need = bookkeeping::needOf(job.spec, tasks);
-    PreemptionPlan plan{&machine, {}, machine.hasImage(job.spec.image) ? 0.0 : kFetchLoss, tasks};
+    PreemptionPlan plan{&machine, {}, machine.hasImage(job.image()) ? 0.0 : kFetchLoss, tasks};
     auto room = availableRoom(machine, job, now);
     std::vector<Victim> victims;
     for (auto& [key, placement] : machine.placements) {
--- a/src/coordination/report_reconciler.cpp
+++ b/src/coordination/report_reconciler.cpp
@@ -112,7 +112,7 @@
     placement.seen = true;
     if (state != PlacementState::fetching) {
         const double cacheGb = machine.kind ? machine.kind->cacheGb : 0;
-        context_.fleet.useImage(machine, job->spec.image, job->spec.imageGb, cacheGb);
+        context_.fleet.useImage(machine, job->image(), job->spec.imageGb, cacheGb);
     }
     // Cancelled, or done elsewhere under an earlier leader. Gang tasks end with their gang.
     const bool over = job->final != Final::open;
--- a/src/coordination/user_api.h
+++ b/src/coordination/user_api.h
@@ -79,7 +79,7 @@
     StateWatcher& watcher_;
     SubmissionQueue queue_;
     transport::Timer timer_;  // for the next look at the queue
-    bool timing_ = false;       // the timer runs
+    bool timing_ = false;     // the timer runs
     std::unordered_map<std::string, std::uint32_t> running_;
 };
 
