--- a/src/coordination/gang_planner.cpp
+++ b/src/coordination/gang_planner.cpp
@@ -29,11 +29,6 @@
 constexpr int kHasImage = 1;
 constexpr int kAllHaveImage = 8;
 
-/// Tasks of a job that may be in one zone.
-std::uint32_t mostInZone(const Job& job) {
-    return job.spec.spread ? (job.spec.tasks + 1) / 2 : job.spec.tasks;
-}
-
 }  // namespace
 
 GangPlanner::GangPlanner(const Settings& settings, Fleet& fleet, const MachineTypes& types,
@@ -137,7 +132,7 @@
 GangPlanner::Machines GangPlanner::choose(const std::vector<Option>& options, const Job& job) {
     Machines chosen;
     std::map<std::string, std::uint32_t> perZone = job.run->zones;
-    const auto zoneMost = mostInZone(job);
+    const auto zoneMost = maxTasksInZone(job.spec);
     for (const auto& option : options) {
         auto& there = perZone.try_emplace(option.machine->zone, 0).first->second;
         const auto left = static_cast<std::uint32_t>(job.run->waiting - chosen.size());
--- a/src/coordination/placement_rules.cpp
+++ b/src/coordination/placement_rules.cpp
@@ -41,13 +41,17 @@
     return known && !isFaulty(machine) && machine.kind;
 }
 
+std::uint32_t maxTasksInZone(const bookkeeping::JobSpec& spec) {
+    return spec.spread ? (spec.tasks + 1) / 2 : spec.tasks;
+}
+
 bool zoneAllows(const Job& job, const std::string& zone) {
     const auto& zones = job.run->zones;
     if (job.spec.oneZone && !zones.empty() && (zones.size() > 1 || !zones.contains(zone))) return false;
     if (!job.spec.spread) return true;
     const auto found = zones.find(zone);
     const std::uint32_t here = found == zones.end() ? 0 : found->second;
-    return here + 1 <= (job.spec.tasks + 1) / 2;
+    return here < maxTasksInZone(job.spec);
 }
 
 bool blockedByUnreconciled(const Job& job, const Fleet& fleet) {
--- a/src/coordination/placement_rules.h
+++ b/src/coordination/placement_rules.h
@@ -18,6 +18,10 @@
 /// a known type, and be neither leaving, faulty, out of reach nor pausing after a refusal.
 bool usable(const bookkeeping::Machine& machine, transport::Time now);
 
+/// How many of the job's tasks may be in one zone: half of them, rounded up, if it has to be spread, else
+/// all.
+std::uint32_t maxTasksInZone(const bookkeeping::JobSpec& spec);
+
 /// May one more of the job's tasks run in the zone, with the others where they possibly are? True unless the
 /// job has to stay in one zone and is in another, or has to be spread and half of it, rounded up, is here.
 bool zoneAllows(const bookkeeping::Job& job, const std::string& zone);
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -42,11 +42,6 @@
 constexpr double kSpotLoss = 100;  // a spot machine that is taken back would stop the whole gang
 constexpr double kFetchLoss = 150;
 
-/// Tasks of a job that may be in one zone.
-std::uint32_t mostInZone(const Job& job) {
-    return job.spec.spread ? (job.spec.tasks + 1) / 2 : job.spec.tasks;
-}
-
 }  // namespace
 
 Preemption::Preemption(const PreemptionContext& context) : context_(context) {}
@@ -131,7 +126,7 @@
         const auto& zone = plan.machine->zone;
         if (job.spec.oneZone && !survey.zones.empty() && !survey.zones.contains(zone)) continue;
         auto& inZone = survey.zones[zone];
-        if (inZone >= mostInZone(job)) continue;
+        if (inZone >= maxTasksInZone(job.spec)) continue;
         ++inZone;
         execute(plan, job, until);
         --wanted;
