More workers than sockets take turns; a watch too large for one response is read anew

A server whose connections are nearly all in use closed whatever came beyond them at once, so that the workers beyond found no controller; now each connection is closed with its answer while more than nine tenths are in use, and others get their turn. And a node that had been away while more than 8 MiB were stored asked for the same changes for ever; now it reads all keys anew, page by page.

--- a/src/storage/store.cpp
+++ b/src/storage/store.cpp
@@ -109,7 +109,10 @@
     http_.request(address_, "GET", target, "", timeout,
                   [this, isWatch, done = std::move(done)](const Outcome& outcome) {
                       answered(outcome.status);
-                      if (outcome.status == 410) return done(ReadStatus::tooOld, {});
+                      // Asked again from the same revision, as much or more would come: the keys are read
+                      // anew, a page at a time.
+                      if (outcome.status == 410 || (isWatch && outcome.oversize))
+                          return done(ReadStatus::tooOld, {});
                       if (outcome.status != 200) return done(ReadStatus::failed, {});
                       msgpack::object_handle handle;  // the page points into it
                       KeyPage page;
--- a/src/transport/client.cpp
+++ b/src/transport/client.cpp
@@ -4,10 +4,6 @@
 
 namespace burlpoint::transport {
 
-namespace {
-constexpr std::size_t kResponseBytes = std::size_t{8} * 1024 * 1024;
-}
-
 class Client::Connection : public std::enable_shared_from_this<Connection> {
   public:
     Connection(Client& client, std::string address)
@@ -57,6 +53,7 @@
         if (closed_) return;
         close();
         outcome_ = {};
+        outcome_.oversize = oversize_;
         finish();
     }
 
@@ -113,7 +110,10 @@
         http_parser_settings_init(&s);
         s.on_body = [](http_parser* p, const char* at, std::size_t n) {
             auto& c = of(p);
-            if (c.outcome_.body.size() + n > kResponseBytes) return 1;
+            if (c.outcome_.body.size() + n > kMaxResponseBytes) {
+                c.oversize_ = true;
+                return 1;
+            }
             c.outcome_.body.append(at, n);
             return 0;
         };
@@ -142,6 +142,7 @@
     std::string out_;
     Outcome outcome_;
     Done done_;
+    bool oversize_ = false;  // the response under way; the connection is closed for it
     bool connected_ = false;
     bool complete_ = false;
     bool keepAlive_ = true;
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -53,7 +53,9 @@
     Duration receive{10'000};  // from a request's first byte to its last
 };
 
-/// An HTTP/1.1 server: one request at a time per connection, bounded in connections, bytes and time.
+/// An HTTP/1.1 server: one request at a time per connection, bounded in connections, bytes and time. Where
+/// most of its connections are in use, each is closed with its answer, so that more clients than connections
+/// take turns.
 class Server {
   public:
     Server(asio::io_context& io, const asio::ip::tcp::endpoint& at, ServerLimits limits, Handler handler);
@@ -63,6 +65,8 @@
 
     asio::ip::tcp::endpoint localEndpoint() const { return acceptor_.local_endpoint(); }
     std::size_t connections() const { return connections_.size(); }
+    /// So few connections are left that none is kept open for a later request.
+    bool isCrowded() const;
 
   private:
     class Connection;
@@ -81,6 +85,7 @@
 struct Outcome {
     int status = 0;
     std::string body;
+    bool oversize = false;  // a response came that was larger than this client takes; its status is 0
     bool ok() const { return status == 200; }
 };
 
@@ -95,6 +100,8 @@
     Client(const Client&) = delete;
     Client& operator=(const Client&) = delete;
 
+    static constexpr std::size_t kMaxResponseBytes = std::size_t{8} * 1024 * 1024;
+
     /// `done` is called exactly once, never from inside this call. A request that finds the table of
     /// connections full of others under way fails at once with status 0.
     void request(const std::string& address, const char* method, const std::string& target,
--- a/src/transport/server.cpp
+++ b/src/transport/server.cpp
@@ -10,6 +10,7 @@
 constexpr std::size_t kTargetBytes = 2048;
 constexpr std::size_t kHeaderBytes = std::size_t{16} * 1024;
 constexpr Duration kLinger{1000};
+constexpr std::size_t kFreeShare = 10;  // one of so many connections is kept free for clients that come anew
 
 const char* reason(int status) { return http_status_str(static_cast<http_status>(status)); }
 
@@ -147,7 +148,8 @@
         server_.handler_(std::move(request_), [weak = weak_from_this()](const Response& response) {
             const auto self = weak.lock();
             if (!self || self->closed_ || !self->answering_) return;
-            self->write(render(response, self->keepAlive_), self->keepAlive_);
+            const bool keepAlive = self->keepAlive_ && !self->server_.isCrowded();
+            self->write(render(response, keepAlive), keepAlive);
         });
     }
 
@@ -212,6 +214,10 @@
     }
 }
 
+bool Server::isCrowded() const {
+    return connections_.size() + limits_.connections / kFreeShare > limits_.connections;
+}
+
 void Server::accept() {
     acceptor_.async_accept([this, alive = alive_](auto error, Socket socket) {
         if (!*alive) return;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -113,6 +113,52 @@
     EXPECT_EQ(echo.ask(client, "GET", "/").status, 200);
 }
 
+// Where more machines run than a controller has sockets, each still gets its answers.
+TEST(Http, MoreClientsThanConnectionsTakeTurns) {
+    ServerLimits limits;
+    limits.connections = 20;
+    Echo echo(limits);
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int i = 0; i < 100; ++i) clients.push_back(std::make_unique<Client>(echo.io, 1));
+    for (int round = 0; round < 3; ++round)
+        for (const auto& client : clients) ASSERT_EQ(echo.ask(*client, "GET", "/").status, 200);
+    EXPECT_LE(echo.server->connections(), limits.connections);
+}
+
+TEST(Http, AFewClientsKeepTheirConnections) {
+    ServerLimits limits;
+    limits.connections = 20;
+    Echo echo(limits);
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int i = 0; i < 18; ++i) clients.push_back(std::make_unique<Client>(echo.io, 1));
+    for (int round = 0; round < 2; ++round)
+        for (const auto& client : clients) ASSERT_EQ(echo.ask(*client, "GET", "/").status, 200);
+    EXPECT_EQ(echo.server->connections(), 18u);
+}
+
+TEST(Http, AResponseBeyondTheLimitIsToldApart) {
+    asio::io_context io{1};
+    Server server(io, parseEndpoint("127.0.0.1:0"), {}, [](Request&& request, const Reply& reply) {
+        Response response;
+        if (request.path == "/large") response.body.assign(Client::kMaxResponseBytes + 1, 'x');
+        reply(response);
+    });
+    Client client(io, 2);
+    const auto ask = [&](const char* target) {
+        std::optional<Outcome> outcome;
+        client.request("127.0.0.1:" + std::to_string(server.localEndpoint().port()), "GET", target, "",
+                       5000ms, [&](Outcome o) { outcome = std::move(o); });
+        while (!outcome) io.run_one();
+        return *outcome;
+    };
+    const auto large = ask("/large");
+    EXPECT_EQ(large.status, 0);
+    EXPECT_TRUE(large.oversize);
+    const auto small = ask("/small");
+    EXPECT_EQ(small.status, 200);
+    EXPECT_FALSE(small.oversize);
+}
+
 TEST(Http, MalformedRequestsAreRefused) {
     Echo echo;
     EXPECT_EQ(echo.raw("nonsense\r\n\r\n").substr(0, 12), "HTTP/1.1 400");
