--- a/src/protocol/pack.h
+++ b/src/protocol/pack.h
@@ -117,7 +117,7 @@
 /// Unpacks one whole body; anything else, trailing bytes included, is Malformed. Texts of the result are not
 /// copied but refer to `body`, which has to outlive it.
 inline msgpack::object_handle unpackBody(std::string_view body) {
-    constexpr auto refersToBody = [](msgpack::type::object_type, std::size_t, void*) { return true; };
+    const auto refersToBody = [](msgpack::type::object_type, std::size_t, void*) { return true; };
     try {
         std::size_t offset = 0;
         const msgpack::unpack_limit limit(100'000, 100'000, 8 << 20, 8 << 20, 8 << 20, 32);
