Tests of users' answers, leadership and lowered limits in files of their own

The list of tests is the same but for their suites: UserApiTest.{OneLeaderAtATimeAndTokensRise, ALeaderWhoseLeaseEndedStops, ACandidateDoesNotDeposeAQuickerOne, ALeaderStopsWhenTheTokenRises, APeerTakesOverFromALeaderThatGaveUp, GrantsOfAllPeersCarryALeaderThroughAnOutage, ALeaderThatReadsNothingStopsThoughItsLeaseGoesOn, LeasesEndWithinTheTimeOfACancellation, LeadershipsOutlastRefusedChanges} are Leadership.*, and UserApiTest.{WhatTheNextLimitsWouldNotTakeIsRefusedAtOnce, LimitsThatNobodyAnnounced, ChangesBeyondTheRateAreTriedAgain, RefusalsOfATransactionAreToldApart} are StateLimits.*. None was changed otherwise.

--- /dev/null
+++ b/tests/service_node.h
@@ -0,0 +1,114 @@
+#pragma once
+
+// A node's side towards users, with its election, against the stand-in of the state service.
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coordination/election.h"
+#include "coordination/user_api.h"
+#include "state_stub.h"
+
+namespace burlpoint::tests {
+
+using namespace std::chrono_literals;
+using transport::Clock;
+
+inline protocol::Settings serviceSettings(const std::string& name) {
+    protocol::Settings s;
+    s.name = name;
+    s.teams = {{"team", 8, 16, 0, 1}};
+    s.zones = {"z"};
+    return s;
+}
+
+/// A node's users' side and election, against the stand-in.
+struct ServiceNode {
+    ServiceNode(asio::io_context& context, const StateStub& stub, const std::string& name = "one",
+                protocol::Seconds leadership = protocol::Seconds(0))
+        : io(context),
+          config(serviceSettings(name)),
+          policy{leadership},
+          state(http, stub.address(), 1000, 1, Clock::now()),
+          watcher(io, state, replica, [](const auto&) {}),
+          userApi(io, config, state, replica, watcher),
+          election(
+              config, policy, state, replica, watcher, [this](std::uint64_t t) { token = t; },
+              [this] { token = 0; }) {
+        watcher.start();
+    }
+    void until(const std::function<bool()>& holds) {
+        while (!holds()) io.run_one();
+    }
+    transport::Response ask(const char* method, const std::string& path, std::string body = {}) {
+        std::optional<transport::Response> out;
+        transport::Request request;
+        request.method = method;
+        request.path = path;
+        request.body = std::move(body);
+        if (!userApi.handle(request, [&](transport::Response r) { out = std::move(r); }))
+            return {599, "", 0s, ""};
+        until([&] { return out.has_value(); });
+        return *out;
+    }
+    std::string bearing(const std::string& id) {
+        const auto r = ask("GET", "/submissions/" + id);
+        if (r.status != 200) return std::to_string(r.status);
+        return protocol::Fields(protocol::unpackBody(r.body).get()).text("bearing");
+    }
+
+    asio::io_context& io;
+    protocol::Settings config;
+    protocol::Policy policy;
+    transport::Client http{io, 50};
+    storage::StateClient state;
+    bookkeeping::StateReplica replica;
+    coordination::StateWatcher watcher;
+    coordination::UserApi userApi;
+    coordination::Election election;
+    std::uint64_t token = 0;
+};
+
+/// A submission's body.
+inline std::string submission(const std::string& id, double cpus = 1, const std::string& team = "team",
+                              std::uint32_t tasks = 2, protocol::Kind kind = protocol::Kind::array,
+                              std::vector<std::string> dependencies = {}) {
+    protocol::JobSpec spec;
+    spec.id = id;
+    spec.jobClass = spec.image = "x";
+    spec.team = team;
+    spec.cpus = cpus;
+    spec.tasks = tasks;
+    spec.kind = kind;
+    spec.dependencies = std::move(dependencies);
+    protocol::Packer p;
+    protocol::packSpec(p, spec);
+    return p.take();
+}
+
+/// The same for a job that needs others.
+inline std::string submissionAfter(const std::string& id, std::vector<std::string> dependencies) {
+    return submission(id, 1, "team", 2, protocol::Kind::array, std::move(dependencies));
+}
+
+/// An event loop and a state service that stores one type of machine.
+struct ServiceNodeTest : testing::Test {
+    asio::io_context io{1};
+    StateStub stub{io};
+
+    void SetUp() override {
+        std::vector<std::string> failed;
+        protocol::MachineType type;
+        type.name = "m";
+        type.cpus = 8;
+        type.gpus = 1;
+        stub.store.transact({}, {{storage::keys::kTypes, protocol::encodeMachineTypes({type}), 0}}, failed);
+    }
+};
+
+}  // namespace burlpoint::tests
--- /dev/null
+++ b/tests/state_limits_test.cpp
@@ -0,0 +1,136 @@
+// Submissions where the state service takes less than the settings say, or less from some moment on.
+#include <gtest/gtest.h>
+#include <spdlog/sinks/ostream_sink.h>
+#include <spdlog/spdlog.h>
+
+#include <sstream>
+
+#include "service_node.h"
+
+using namespace burlpoint;
+using namespace burlpoint::tests;
+using protocol::Packer;
+
+namespace {
+
+using StateLimits = ServiceNodeTest;
+
+}  // namespace
+
+// A record beyond the smaller of both limits is refused before anything is stored, unless the job was
+// accepted under the higher one; and chunks are chosen for the smaller.
+TEST_F(StateLimits, WhatTheNextLimitsWouldNotTakeIsRefusedAtOnce) {
+    ServiceNode node(io, stub);
+    node.config.nextState = protocol::StateLimits{28, 2, 10};
+    node.until([&] { return node.watcher.synced(); });
+    const auto longTexts = [](const std::string& id) {
+        protocol::JobSpec spec;
+        spec.id = id;
+        spec.jobClass = spec.image = "x";
+        spec.team = "team";
+        spec.cpus = 1;
+        spec.types = std::vector<std::string>(14, std::string(180, 'h'));
+        spec.types->push_back("m");
+        return spec;
+    };
+    const auto packed = [](const protocol::JobSpec& spec) {
+        Packer p;
+        protocol::packSpec(p, spec);
+        return p.take();
+    };
+    EXPECT_EQ(node.ask("POST", "/submissions", packed(longTexts("wk-1"))).status, 422);
+    EXPECT_FALSE(stub.store.values.contains(storage::keys::job("wk-1")));
+    std::vector<std::string> failed;
+    const auto spec = longTexts("wk-2");
+    stub.store.transact(
+        {}, {{storage::keys::job("wk-2"), storage::encodeJob({spec, storage::Final::open, 0, 0, 4}), 0}},
+        failed);
+    EXPECT_EQ(node.ask("POST", "/submissions", packed(spec)).status, 200);
+    EXPECT_EQ(node.ask("POST", "/submissions", submission("wk-3")).status, 201);
+    const auto handle = protocol::unpackBody(stub.store.values.at(storage::keys::job("wk-3")).data);
+    EXPECT_EQ(storage::decodeJob(handle.get()).chunkTasks, storage::chunkTasks(2));
+    // Accepted under the higher limit, it is cancelled under the lower one.
+    stub.store.limits.valueBytes = 2048;
+    EXPECT_EQ(node.ask("POST", "/submissions/wk-2/cancel").status, 200);
+    EXPECT_EQ(node.bearing("wk-2"), "cancelled");
+}
+
+// Limits lower than the settings say: nothing that was accepted is lost, and nothing is called accepted
+// that was not stored.
+TEST_F(StateLimits, LimitsThatNobodyAnnounced) {
+    ServiceNode node(io, stub);
+    node.until([&] { return node.watcher.synced(); });
+    auto spec = protocol::JobSpec{};
+    spec.id = "wk-1";
+    spec.jobClass = spec.image = "x";
+    spec.team = "team";
+    spec.types = std::vector<std::string>{std::string(150, 'h'), "m"};
+    Packer p;
+    protocol::packSpec(p, spec);
+    EXPECT_EQ(node.ask("POST", "/submissions", p.take()).status, 201);
+    stub.store.limits.valueBytes = 500;
+    const auto again = [&](const std::string& id) {
+        auto other = spec;
+        other.id = id;
+        Packer q;
+        protocol::packSpec(q, other);
+        return node.ask("POST", "/submissions", q.take()).status;
+    };
+    EXPECT_EQ(again("wk-2"), 422);
+    EXPECT_EQ(again("wk-1"), 200);
+    EXPECT_EQ(node.bearing("wk-2"), "404");
+    EXPECT_EQ(node.ask("POST", "/submissions/wk-1/cancel").status, 200);
+    EXPECT_EQ(node.bearing("wk-1"), "cancelled");
+}
+
+// Changes beyond the rate are told from other refusals; the user comes back, and then it is stored.
+TEST_F(StateLimits, ChangesBeyondTheRateAreTriedAgain) {
+    ServiceNode node(io, stub);
+    node.until([&] { return node.watcher.synced(); });
+    stub.store.limits.changes = 0;
+    const auto refused = node.ask("POST", "/submissions", submission("wk-1"));
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_GE(refused.retryAfter, 1s);
+    EXPECT_GT(stub.store.tooMany, 1u);
+    EXPECT_LT(stub.store.tooMany, 5u);  // it slows down
+    EXPECT_EQ(node.bearing("wk-1"), "404");
+    stub.store.limits.changes = 5;
+    EXPECT_EQ(node.ask("POST", "/submissions", submission("wk-1")).status, 201);
+}
+
+// The service's refusals of a transaction, told apart.
+TEST_F(StateLimits, RefusalsOfATransactionAreToldApart) {
+    ServiceNode node(io, stub);
+    std::ostringstream log;
+    const auto before = spdlog::default_logger();
+    const auto listening =
+        std::make_shared<spdlog::logger>("", std::make_shared<spdlog::sinks::ostream_sink_mt>(log));
+    spdlog::set_default_logger(listening);
+    const auto lines = [&](const std::string& text) {
+        std::size_t count = 0;
+        for (auto at = log.str().find(text); at != std::string::npos; at = log.str().find(text, at + 1))
+            ++count;
+        return count;
+    };
+    const auto status = [&](const protocol::KeyWrite& write) {
+        std::optional<storage::TxnStatus> out;
+        node.state.transact({}, {write}, 1s, [&](const storage::TxnResult& result) { out = result.status; });
+        node.until([&] { return out.has_value(); });
+        return *out;
+    };
+    const auto value = Packer().value("0123456789").take();
+    stub.store.limits = {32, 12, 1};
+    EXPECT_EQ(status({"bp/x", value, 99}), storage::TxnStatus::noLease);
+    EXPECT_EQ(status({"bp/x", Packer().value("0123456789a").take(), 0}), storage::TxnStatus::tooLarge);
+    EXPECT_EQ(status({"bp/x", value, 0}), storage::TxnStatus::applied);
+    EXPECT_EQ(status({"bp/x", value, 0}), storage::TxnStatus::tooMany);
+    EXPECT_EQ(status({"bp/x", value, 0}), storage::TxnStatus::tooMany);
+    EXPECT_EQ(status({"bp/x", Packer().value("0123456789b").take(), 0}), storage::TxnStatus::tooLarge);
+    stub.outage = true;
+    EXPECT_EQ(status({"bp/x", value, 0}), storage::TxnStatus::refused);
+    // The first of each is logged, once.
+    EXPECT_EQ(lines("[error] the state service does not take 1 changes"), 1u);
+    EXPECT_EQ(lines("too large"), 1u);
+    EXPECT_EQ(lines("[info] the state service refuses changes as too many"), 1u);
+    spdlog::set_default_logger(before);
+}
