--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -61,6 +61,18 @@
     }
 };
 
+/// So many clients with one connection each.
+std::vector<std::unique_ptr<Client>> makeClients(Echo& echo, std::size_t count) {
+    std::vector<std::unique_ptr<Client>> clients(count);
+    for (auto& client : clients) client = std::make_unique<Client>(echo.io, 1);
+    return clients;
+}
+
+/// Each client has to get its answer, one after the other.
+void askAll(Echo& echo, const std::vector<std::unique_ptr<Client>>& clients) {
+    for (const auto& client : clients) ASSERT_EQ(echo.ask(*client, "GET", "/").status, 200);
+}
+
 }  // namespace
 
 TEST(Http, RequestsShareAConnection) {
@@ -118,10 +130,8 @@
     ServerLimits limits;
     limits.connections = 20;
     Echo echo(limits);
-    std::vector<std::unique_ptr<Client>> clients;
-    for (int i = 0; i < 100; ++i) clients.push_back(std::make_unique<Client>(echo.io, 1));
-    for (int round = 0; round < 3; ++round)
-        for (const auto& client : clients) ASSERT_EQ(echo.ask(*client, "GET", "/").status, 200);
+    const auto clients = makeClients(echo, 100);
+    for (int round = 0; round < 3; ++round) askAll(echo, clients);
     EXPECT_LE(echo.server->connections(), limits.connections);
 }
 
@@ -129,10 +139,8 @@
     ServerLimits limits;
     limits.connections = 20;
     Echo echo(limits);
-    std::vector<std::unique_ptr<Client>> clients;
-    for (int i = 0; i < 18; ++i) clients.push_back(std::make_unique<Client>(echo.io, 1));
-    for (int round = 0; round < 2; ++round)
-        for (const auto& client : clients) ASSERT_EQ(echo.ask(*client, "GET", "/").status, 200);
+    const auto clients = makeClients(echo, 18);
+    for (int round = 0; round < 2; ++round) askAll(echo, clients);
     EXPECT_EQ(echo.server->connections(), 18u);
 }
 
