--- a/review/standin/rig.cpp
+++ b/review/standin/rig.cpp
@@ -141,6 +141,7 @@
     for (const auto& [key, task] : tasks) keys.push_back(key);
     for (const auto& key : keys) {
         const auto task = tasks.at(key);
+        if (task.bearing == Bearing::exited) continue;
         auto& job = rig_.job(key.job);
         if (task.bearing == Bearing::fetching) {
             auto& ready = fetchedAt_.try_emplace(job.spec.image, now + ticks(job.image_s)).first->second;
