A job whose tasks failed on many machines gets capacity again

What callers saw: an accepted array of 56 tasks was started on seven machines that failed every task for 15 s.

Cause: failures on three machines or more suggest that the job is at fault, and CapacityPlan::add planned nothing for such a job. Its idle machines were deleted while it backed off (25 s here), so no task could succeed, and only a success cleared the machines counted against it. Tasks of a service never report success, so its count only grew, and with it each later back-off.

Change: a suspected job is planned for with one more task, or as many as are running, and a gang as a whole. So a machine is there when the back-off (60 s at most) ends, and a faulty job still occupies little. The failures are an object of their own, JobFailures, and are forgotten two minutes after the last one, which ends them for services, too; they bound their size. The three constants for "failed on three machines" are one. An info line tells when a job begins to back off, the debug line of a waiting job its failures and its back-off.

CapacityPlanTest.NothingIsRequestedForTerminatedOrRepeatedlyFailingJobs demanded the fault: that nothing is requested for a job that failed on three machines. It is replaced by three tests: what is requested then and after two minutes, what for a gang, and nothing for a terminated job as before.

--- a/src/bookkeeping/job_run.h
+++ b/src/bookkeeping/job_run.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "bookkeeping/job_failures.h"
 #include "protocol/job_messages.h"
 #include "protocol/settings.h"
 
@@ -72,10 +73,10 @@
     std::set<std::string> machinesWithEndedTasks;  // machines on which a task of that attempt has ended
 
     // Failures, and the writing of results.
-    Time backoffUntil{};                               // after failures, no task is started before this time
-    std::map<std::string, Time> lastFailureByMachine;  // last failure by machine, since a task last succeeded
-    bool succeeded = false;                            // a worker has reported a task of this run as done
-    Time nextBitmapWrite{};                            // earliest time of the next write of bits
+    Time backoffUntil{};     // after failures, no task is started before this time
+    JobFailures failures;    // by machine, since a task last succeeded
+    bool succeeded = false;  // a worker has reported a task of this run as done
+    Time nextBitmapWrite{};  // earliest time of the next write of bits
 
     // Image locality, computed at intervals and not for each heartbeat.
     std::uint32_t capacityWithImage = 0;  // number of tasks that fit on machines with the image
--- a/src/coordination/autoscaling/capacity_plan.cpp
+++ b/src/coordination/autoscaling/capacity_plan.cpp
@@ -13,13 +13,19 @@
 using bookkeeping::Job;
 using bookkeeping::Machine;
 using protocol::InstanceRequest;
+using protocol::JobKind;
 using storage::TerminalState;
 
 namespace {
 
-// A job whose tasks have failed on this many machines is the likely cause of the failures itself, so no
-// capacity is planned for it.
-constexpr std::size_t kMaxErrorMachines = 3;
+/// How many of the job's waiting tasks capacity is planned for. A job that is the likely cause of its tasks'
+/// failures should not occupy many machines, but without any it could never show that it can succeed. So it
+/// gets capacity for one more task, or for as many more as are running. A gang needs capacity for all tasks.
+std::uint32_t tasksToPlan(const Job& job, Time now) {
+    const auto& run = *job.run;
+    if (job.spec.kind == JobKind::gang || !run.failures.suggestFaultyJob(now)) return run.waiting;
+    return std::min(run.waiting, std::max(run.running, 1u));
+}
 
 }  // namespace
 
@@ -57,8 +63,7 @@
 
 void CapacityPlan::add(const Job& job) {
     if (job.terminalState != TerminalState::none || job.run->waiting == 0) return;
-    if (job.run->lastFailureByMachine.size() >= kMaxErrorMachines) return;
-    const auto withinQuota = quota_.admit(job.spec, job.run->waiting);
+    const auto withinQuota = quota_.admit(job.spec, tasksToPlan(job, inputs_.now));
     const auto concurrency =
         targetConcurrency(job, withinQuota, inputs_.policy, inputs_.dueTime, inputs_.now);
     TaskDemand demand{job, bookkeeping::needOf(job.spec), concurrency, job.run->zones};
--- a/src/coordination/autoscaling/capacity_plan.h
+++ b/src/coordination/autoscaling/capacity_plan.h
@@ -45,9 +45,10 @@
   public:
     explicit CapacityPlan(PlanInputs inputs);
 
-    /// Packs the job's waiting tasks, within its team's maximum quota and its zone rules. Does nothing for a
-    /// job that is in a terminal state, has no waiting tasks, or has failed on three machines or more. A job
-    /// that is not in a terminal state must have a run.
+    /// Packs the job's waiting tasks, within its team's maximum quota and its zone rules. Of a job
+    /// that is the likely cause of its tasks' failures, and no gang, it packs as many as are running, at
+    /// least one. Does nothing for a job that is in a terminal state or has no waiting tasks. A job that is
+    /// not in a terminal state must have a run.
     void add(const bookkeeping::Job& job);
 
     /// How many machines have to be requested per offering, in addition to the pending requests.
--- a/src/coordination/controller/leader_debug_log.cpp
+++ b/src/coordination/controller/leader_debug_log.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace burlpoint::coordination {
 
 namespace {
@@ -19,9 +21,12 @@
 }
 
 void logWaitingJob(const bookkeeping::Job& job, Time now) {
-    spdlog::debug("job waiting job={} class={} rank={} waiting={} tasks={} possible={} waiting_s={:.1f}",
-                  job.spec.id, job.spec.jobClass, static_cast<int>(rankOf(job)), job.run->waiting,
-                  job.spec.tasks, job.run->placedTotal, Seconds(now - job.run->waitingSince).count());
+    spdlog::debug(
+        "job waiting job={} class={} rank={} waiting={} tasks={} possible={} waiting_s={:.1f} "
+        "failed_machines={} backoff_s={:.1f}",
+        job.spec.id, job.spec.jobClass, static_cast<int>(rankOf(job)), job.run->waiting, job.spec.tasks,
+        job.run->placedTotal, Seconds(now - job.run->waitingSince).count(),
+        job.run->failures.machineCount(now), std::max(Seconds(job.run->backoffUntil - now).count(), 0.0));
 }
 
 }  // namespace
--- a/src/coordination/scheduling/placement_constraints.cpp
+++ b/src/coordination/scheduling/placement_constraints.cpp
@@ -22,8 +22,6 @@
 constexpr std::chrono::seconds kMinCountedRunTime{30};
 // How long a job avoids a machine on which one of its tasks failed.
 constexpr auto kFailureAvoidanceTime = kMaxSoftConstraintTime;
-// A job that has failed on this many machines is the likely cause itself, so it avoids none of them.
-constexpr std::size_t kMaxAvoidedMachines = 3;
 
 /// True if the job may not use the capacity that is reserved for `holder` on the machine.
 bool mustRespectReservation(const Job& job, const Machine& machine, const Job& holder) {
@@ -34,11 +32,13 @@
     return !machine.reservation.withoutPreemption && holder.priority() >= job.priority();
 }
 
+/// True if one of the job's tasks failed on the machine recently. A job that is the likely cause of its
+/// failures avoids no machine: it would soon find none.
 bool avoidsAfterFailure(const Job& job, const Machine& machine, Time now) {
-    const auto& failures = job.run->lastFailureByMachine;
-    const auto failed = failures.find(machine.id);
-    if (failed == failures.end() || failures.size() >= kMaxAvoidedMachines) return false;
-    return now - failed->second < kFailureAvoidanceTime;
+    const auto& failures = job.run->failures;
+    if (failures.suggestFaultyJob(now)) return false;
+    const auto failedAt = failures.lastOn(machine.id, now);
+    return failedAt && now - *failedAt < kFailureAvoidanceTime;
 }
 
 /// An upper bound of the team's use: machines that are not reconciled count as fully used by the team, since
--- a/src/coordination/workers/attempt_completion.cpp
+++ b/src/coordination/workers/attempt_completion.cpp
@@ -11,6 +11,7 @@
 using bookkeeping::AttemptKey;
 using bookkeeping::Fleet;
 using bookkeeping::Job;
+using bookkeeping::kFaultyJobMachines;
 using bookkeeping::Machine;
 using bookkeeping::Placement;
 using protocol::ExitReason;
@@ -20,7 +21,6 @@
 
 namespace {
 
-constexpr std::size_t kFaultyJobMachines = 3;  // with failures on fewer machines, the machine may be at fault
 constexpr Clock::duration kFailureBackoff = 5s;
 constexpr Clock::duration kMaxFailureBackoff = 60s;
 constexpr Clock::duration kRefusalBackoff = 2s;
@@ -107,13 +107,17 @@
 /// Attributes a failure to the machine or to the job: a faulty machine fails the tasks of many jobs, whereas
 /// a faulty job fails on many machines.
 void AttemptCompletion::recordFailure(Machine& machine, Job& job, Time now) {
-    auto& failures = job.run->lastFailureByMachine;
-    failures[machine.id] = now;
-    if (failures.size() < kFaultyJobMachines) {
+    auto& failures = job.run->failures;
+    const bool wasSuspected = failures.suggestFaultyJob(now);
+    failures.record(machine.id, now);
+    if (!failures.suggestFaultyJob(now)) {
         machine.history.failedJobs.insert(job.spec.id);
         return;
     }
-    const auto backoffSteps = static_cast<int>(failures.size() - kFaultyJobMachines + 1);
+    if (!wasSuspected)
+        spdlog::info("job backs off: its tasks failed on several machines job={} class={}", job.spec.id,
+                     job.spec.jobClass);
+    const auto backoffSteps = static_cast<int>(failures.machineCount(now) - kFaultyJobMachines + 1);
     job.run->backoffUntil = now + std::min(kFailureBackoff * backoffSteps, kMaxFailureBackoff);
 }
 
--- a/src/coordination/workers/heartbeat_reconciler.cpp
+++ b/src/coordination/workers/heartbeat_reconciler.cpp
@@ -185,7 +185,7 @@
     if (!job.run) context_.activator.begin(job, JobOrigin::inherited, now);
     if (!markFinished(job, task)) return;
     context_.writer.markUnstored(job);
-    job.run->lastFailureByMachine.clear();
+    job.run->failures.clear();
     job.run->succeeded = true;
 }
 
--- /dev/null
+++ b/tests/controller/leader_failures_test.cpp
@@ -0,0 +1,110 @@
+// Tests of how a leader treats failed tasks: what it concludes about their job and their machines, and that
+// no such conclusion keeps accepted work from its start for good.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "controller/leader_harness.h"
+
+using namespace burlpoint;
+using namespace burlpoint::tests;
+
+namespace {
+
+// Users count a job as starved that waits for this long although a machine fits it.
+constexpr int kMaxWaitSeconds = 90;
+
+TaskStatus failed(const LeaderHarness& harness, const std::string& name) {
+    return {harness.lastAttempts.at(name), TaskState::exited, protocol::ExitReason::error, false};
+}
+
+/// What a leader sends in a second: how many machines it requests, and the tasks that it starts.
+struct Sent {
+    std::uint32_t requestedMachines = 0;
+    Names starts;
+};
+
+/// Advances the clock by a second. The cloud deletes machines as the leader requests and leaves requests for
+/// machines unanswered. The workers of `machines` that are left send a heartbeat without tasks.
+Sent playSecond(LeaderHarness& harness, std::set<std::string>& machines) {
+    Sent sent;
+    for (const auto& action : harness.tick(1s)) {
+        if (const auto* scaleOut = std::get_if<ScaleOut>(&action))
+            sent.requestedMachines += scaleOut->request.count;
+        const auto* scaleIn = std::get_if<ScaleIn>(&action);
+        if (!scaleIn) continue;
+        for (const auto& id : scaleIn->machines) machines.erase(id);
+        harness.deliver(ScaleInCompleted{scaleIn->machines, ScaleInOutcome::deleted});
+    }
+    const auto now = harness.now;
+    for (const auto& id : machines)
+        for (const auto& name : harness.heartbeat(id)) sent.starts.push_back(name);
+    harness.now = now;
+    return sent;
+}
+
+/// Starts tasks on the machines, which report all of them failed with their next heartbeats. Returns how
+/// many.
+std::size_t failAllTasks(LeaderHarness& harness, const std::set<std::string>& machines) {
+    harness.tick();  // plans gangs
+    std::map<std::string, std::vector<TaskStatus>> statuses;
+    std::size_t started = 0;
+    for (const auto& id : machines)
+        for (const auto& name : harness.heartbeat(id)) {
+            statuses[id].push_back(failed(harness, name));
+            ++started;
+        }
+    for (const auto& [id, tasks] : statuses) harness.heartbeat(id, tasks);
+    return started;
+}
+
+}  // namespace
+
+// Guards against an accepted job that waits without end: its tasks had failed on three machines or more, no
+// capacity was planned for it from then on, and its idle machines were deleted.
+TEST(Leader, JobFailsOnManyMachinesThenItStartsAgainOrMachineIsRequested) {
+    constexpr std::uint32_t kMachines = 14;
+    for (const auto kind : {JobKind::array, JobKind::service, JobKind::gang}) {
+        LeaderHarness harness;
+        std::set<std::string> machines;
+        for (std::uint32_t i = 1; i <= kMachines; ++i)
+            machines.insert(std::string("m").append(std::to_string(i)));
+        for (const auto& id : machines) harness.registerMachine(id);
+        harness.startLeader();
+        harness.now += 55s;  // from now on, idle machines may be deleted
+        for (const auto& id : machines) harness.heartbeat(id);
+        auto spec = makeJob("wk-1", kMachines, 8, kind);
+        spec.estimatedRunTime = Seconds(60);  // too long to run one task after the other
+        harness.submitJob(spec);
+        ASSERT_EQ(failAllTasks(harness, machines), kMachines);
+        int second = 0;
+        for (; second < kMaxWaitSeconds; ++second) {
+            const auto sent = playSecond(harness, machines);
+            if (sent.requestedMachines > 0 || !sent.starts.empty()) break;
+        }
+        EXPECT_LT(second, kMaxWaitSeconds) << "kind " << static_cast<int>(kind);
+    }
+}
+
+// Guards against an accepted job that waits without end: the machines on which its tasks had failed were lost
+// as well, and none was requested in their place.
+TEST(Leader, JobFailsOnManyMachinesThatAreLostThenMachineIsRequested) {
+    for (const auto kind : {JobKind::array, JobKind::service, JobKind::gang}) {
+        LeaderHarness harness;
+        const std::set<std::string> machines{"m1", "m2", "m3", "m4"};
+        for (const auto& id : machines) harness.registerMachine(id);
+        harness.startLeader();
+        for (const auto& id : machines) harness.heartbeat(id);
+        harness.submitJob(makeJob("wk-1", 4, 8, kind));
+        ASSERT_EQ(failAllTasks(harness, machines), machines.size());
+        std::set<std::string> silent;
+        std::uint32_t requested = 0;
+        for (int second = 0; second < kMaxWaitSeconds; ++second)
+            requested += playSecond(harness, silent).requestedMachines;
+        EXPECT_GT(requested, 0u) << "kind " << static_cast<int>(kind);
+    }
+}
--- a/tests/simulation/environment.h
+++ b/tests/simulation/environment.h
@@ -46,6 +46,7 @@
     std::size_t cancellationsDelayedByOutage = 0;
     std::size_t answersInsidePartitionedZone = 0;  // heartbeat responses of a leader inside the zone
     std::size_t failoversNearTeamQuota = 0;        // per team near its quota, with unreachable machines
+    std::size_t failuresOnFaultyMachines = 0;      // tasks that failed as their machine was faulty
     std::size_t startsAfterDependencies = 0;
     std::size_t cancellationsByDependency = 0;
 };
--- a/tests/simulation/simulated_workers.h
+++ b/tests/simulation/simulated_workers.h
@@ -27,7 +27,8 @@
     std::string id, type, zone;
     bool spot = false, booted = false, dead = false;
     Time bootAt{}, hungUntil{}, partitionedUntil{}, inboundLinkDownUntil{}, outboundLinkDownUntil{};
-    Time lastFault{};  // the last moment at which a fault affected the worker
+    Time faultyUntil{};  // until then the machine fails every task that it starts to run
+    Time lastFault{};    // the last moment at which a fault affected the worker
     std::optional<Time> interruptionAt;
     double clockRate = 1;
     std::uint64_t incarnation = 1, sequence = 0, fencingToken = 0;
@@ -86,6 +87,8 @@
     void breakOutboundLink(const std::string& id, Seconds time) {
         workers_.at(id).outboundLinkDownUntil = until(time);
     }
+    /// The machine fails every task that it starts to run; tasks that run already are not affected.
+    void makeFaulty(const std::string& id, Seconds time) { workers_.at(id).faultyUntil = until(time); }
     /// The machine dies with its tasks.
     void kill(const std::string& id);
 
@@ -118,6 +121,7 @@
     void sendHeartbeat(SimulatedWorker& worker);
 
     void stepTask(SimulatedWorker& worker, const Attempt& attempt, SimulatedTask& task);
+    void beginRun(SimulatedWorker& worker, SimulatedTask& task);
     void finishFetch(SimulatedWorker& worker, const Attempt& attempt, SimulatedTask& task);
     void stepGangWait(SimulatedWorker& worker, const Attempt& attempt, SimulatedTask& task);
     void finishRun(SimulatedWorker& worker, const Attempt& attempt, SimulatedTask& task);
