Planned tasks of a gang leave a machine that is sent no starts

What callers saw: a gang of two tasks was accepted between two heartbeats of a machine; the later one showed that tasks of two jobs had failed there.

Cause: GangPlanner places a gang's tasks as planned; they are sent with the next heartbeat of their machine. A machine that is not usable at that moment is sent no starts (HeartbeatCommands::compose), and nothing but an interruption notice, the end of the lease or the deletion took planned tasks back. The gang had no waiting tasks, so it was never due for planning, and the machine was kept, as it had placements.

Evidence: on the sources before, with the tests of this commit, Leader.GangIsPlannedOnMachineThatTurnsFaultyThenItStartsOnAnother and Leader.GangIsPlannedOnMachineWhoseDeletionIsRequestedThenItStartsOnAnother failed (no start on the second machine in 90 s), as did GangPlannerTest.MachineThatIsSentNoStartsThenItsPlannedTasksMoveToAnother, GangPlannerTest.PlannedTaskWhoseGangHasStartedInPartMovesUnderTheSameAttempt and GangPlannerTest.GangIsNotPlannedOnSilentMachine. The second Leader test is the same cause on another path: the deletion of a silent machine was requested, the cloud does not answer, and the machine came back before its lease ended.

Change: before each planning run the planner withdraws the planned tasks whose machine is not usable, whatever the reason, or has not taken them within two heartbeat intervals and half a second; it does not choose silent machines. A planned task was never sent, so it is on no machine and may be planned elsewhere at once, under the same attempt number if others of its gang were sent. The time after which a machine counts as silent is shared with the failure detector.

--- a/src/coordination/scheduling/gang_planner.cpp
+++ b/src/coordination/scheduling/gang_planner.cpp
@@ -1,5 +1,7 @@
 #include "coordination/scheduling/gang_planner.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <chrono>
 #include <map>
@@ -10,6 +12,7 @@
 using bookkeeping::Job;
 using bookkeeping::Machine;
 using bookkeeping::MachineTypes;
+using bookkeeping::Placement;
 using bookkeeping::PlacementState;
 using protocol::Settings;
 using storage::TerminalState;
@@ -57,16 +60,50 @@
 void GangPlanner::plan(Time now) {
     if (now < nextPlan_) return;
     nextPlan_ = now + kPlanInterval;
+    withdrawStalledTasks(now);
     const auto machines = machinesWithCapacity(now);
     for (auto* job : jobQueue_.waiting())
         if (isDue(*job, now)) planGang(machines, *job, now);
 }
 
+void GangPlanner::withdrawStalledTasks(Time now) {
+    std::erase_if(plannedGangs_, [&](Job* job) { return withdrawStalledTasks(*job, now) == 0; });
+}
+
+/// Removes the gang's planned tasks that can't be sent to their machines, so that they wait again. Nothing of
+/// them can be on a machine. Returns the number of tasks that stay planned.
+std::size_t GangPlanner::withdrawStalledTasks(Job& job, Time now) {
+    std::size_t planned = 0;
+    for (auto& [machine, placement] : fleet_.placementsOf(job)) {
+        if (placement->state != PlacementState::planned) continue;
+        if (mayBeSent(*placement, *machine, now)) {
+            ++planned;
+            continue;
+        }
+        spdlog::debug("planned task withdrawn job={} task={} machine={}", job.spec.id, placement->task,
+                      machine->id);
+        fleet_.remove(*machine, machine->placements.find({&job, placement->task, placement->attempt}));
+        jobQueue_.markStale();
+    }
+    if (job.run->placedTotal == 0) job.run->gangAttempt = 0;
+    return planned;
+}
+
+/// True if the planned task can be expected to be sent with the machine's next heartbeat. If none has come in
+/// time, the task may start sooner on another machine.
+bool GangPlanner::mayBeSent(const Placement& placement, const Machine& machine, Time now) const {
+    return isUsable(machine, now) && now - placement.since <= heartbeatTimeout(settings_);
+}
+
+bool GangPlanner::isHeard(const Machine& machine, Time now) const {
+    return now - machine.lease.lastHeartbeat <= heartbeatTimeout(settings_);
+}
+
 GangPlanner::Machines GangPlanner::machinesWithCapacity(Time now) const {
     Machines machines;
     for (const auto& [id, machine] : fleet_.machines()) {
         if (!hasFreeCpus(*machine, jobQueue_.minCpus())) continue;
-        if (isUsable(*machine, now)) machines.push_back(machine.get());
+        if (isUsable(*machine, now) && isHeard(*machine, now)) machines.push_back(machine.get());
     }
     return machines;
 }
@@ -174,6 +211,7 @@
         fleet_.place(*machine, job, task, job.run->gangAttempt, PlacementState::planned, now);
         if (machine->reservation.job == &job) fleet_.cancelReservation(*machine);
     }
+    plannedGangs_.insert(&job);
     zoneReservations_.release(job);
     jobQueue_.markStale();
 }
--- a/src/coordination/scheduling/gang_planner.h
+++ b/src/coordination/scheduling/gang_planner.h
@@ -1,10 +1,12 @@
 #pragma once
 
 // Gang scheduling: finds capacity for all tasks of a gang at once and reserves it, so that each task can
-// start with the response to its machine's next heartbeat. Owns the time of the next planning run; the plans
-// are kept in the fleet as planned placements. Used on the leader's thread.
+// start with the response to its machine's next heartbeat. Owns the set of planned gangs and the time of the
+// next planning run; the plans are kept in the fleet as planned placements. Used on the leader's thread.
 
+#include <cstddef>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,8 +29,9 @@
                 const bookkeeping::MachineTypes& types, const PlacementConstraints& constraints,
                 JobQueue& jobQueue, ZoneReservations& zoneReservations, AttemptIdGenerator& attempts);
 
-    /// Plans the waiting gangs for which there is capacity now, in the job queue's order. Iterates over all
-    /// machines, so it does nothing if called within 200 ms of the last run.
+    /// Withdraws planned tasks that their machine can't be sent, then plans the waiting gangs for which there
+    /// is capacity now, in the job queue's order. Iterates over all machines, so it does nothing if called
+    /// within 200 ms of the last run.
     void plan(Time now);
 
     /// True if the gang's waiting tasks may be placed. This holds for a gang without any placement, which
@@ -48,6 +51,11 @@
     };
     using Machines = std::vector<bookkeeping::Machine*>;
 
+    void withdrawStalledTasks(Time now);
+    std::size_t withdrawStalledTasks(bookkeeping::Job& job, Time now);
+    bool mayBeSent(const bookkeeping::Placement& placement, const bookkeeping::Machine& machine,
+                   Time now) const;
+    bool isHeard(const bookkeeping::Machine& machine, Time now) const;
     Machines machinesWithCapacity(Time now) const;
     bool isDue(const bookkeeping::Job& job, Time now) const;
     void planGang(const Machines& machines, bookkeeping::Job& job, Time now);
@@ -65,6 +73,7 @@
     JobQueue& jobQueue_;
     ZoneReservations& zoneReservations_;
     AttemptIdGenerator& attemptIds_;
+    std::set<bookkeeping::Job*, bookkeeping::JobIdLess> plannedGangs_;  // gangs that may have planned tasks
     Time nextPlan_{};
 };
 
--- a/src/coordination/scheduling/placement_constraints.cpp
+++ b/src/coordination/scheduling/placement_constraints.cpp
@@ -20,6 +20,9 @@
 
 // Users count a task that is stopped sooner as never started.
 constexpr std::chrono::seconds kMinCountedRunTime{30};
+// A machine is suspected if it has sent no heartbeat for this many intervals plus the margin.
+constexpr double kHeartbeatTimeoutIntervals = 2;
+constexpr Seconds kHeartbeatMargin{0.5};
 // How long a job avoids a machine on which one of its tasks failed.
 constexpr auto kFailureAvoidanceTime = kMaxSoftConstraintTime;
 
@@ -65,6 +68,10 @@
     return known && !isFaulty(machine) && machine.typeInfo;
 }
 
+Clock::duration heartbeatTimeout(const protocol::Settings& settings) {
+    return toClockDuration(settings.heartbeatInterval * kHeartbeatTimeoutIntervals + kHeartbeatMargin);
+}
+
 bool hasFreeCpus(const Machine& machine, double cpus) {
     return machine.typeInfo && machine.typeInfo->cpus - machine.use.total.cpus >= cpus - kResourceTolerance;
 }
--- a/src/coordination/scheduling/placement_constraints.h
+++ b/src/coordination/scheduling/placement_constraints.h
@@ -14,6 +14,7 @@
 #include "bookkeeping/machine_types.h"
 #include "coordination/scheduling/accelerator_policy.h"
 #include "coordination/scheduling/zone_reservations.h"
+#include "protocol/settings.h"
 
 namespace burlpoint::coordination {
 
@@ -29,6 +30,10 @@
 /// be deleted or interrupted, failed, faulty, unreachable or in backoff after it refused a start.
 bool isUsable(const bookkeeping::Machine& machine, Time now);
 
+/// The time after its last heartbeat from which a machine is suspected to have failed. A worker sends the
+/// next one after 1.25 heartbeat intervals at the latest.
+Clock::duration heartbeatTimeout(const protocol::Settings& settings);
+
 /// True if the machine has this many processors free, reservations ignored. False for an unknown machine
 /// type.
 bool hasFreeCpus(const bookkeeping::Machine& machine, double cpus);
--- a/src/coordination/workers/failure_detector.cpp
+++ b/src/coordination/workers/failure_detector.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "coordination/scheduling/placement_constraints.h"
+
 namespace burlpoint::coordination {
 
 using bookkeeping::Machine;
@@ -18,10 +20,6 @@
 constexpr std::size_t kMinSuspectedLimit = 2;
 constexpr std::size_t kSuspectedLimitDivisor = 4;
 
-Clock::duration suspicionTimeout(const protocol::Settings& settings) {
-    return toClockDuration(settings.heartbeatInterval * 2 + Seconds(0.5));
-}
-
 /// The second term gives a worker whose heartbeat is lost the time to reach the leader by another heartbeat:
 /// it waits 4 s for the response, and another second before it tries the next controller.
 Clock::duration failureTimeout(const protocol::Settings& settings) {
@@ -42,11 +40,11 @@
                                  Clock::duration maxLeaseDuration)
     : fleet_(fleet),
       leadershipStart_(leadershipStart),
-      suspicionTimeout_(suspicionTimeout(settings)),
+      suspicionTimeout_(heartbeatTimeout(settings)),
       failureTimeout_(failureTimeout(settings)),
       heartbeatInterval_(toClockDuration(settings.heartbeatInterval)),
       isolation_({settings.peers.size() + 1, fencingToken, leadershipStart, maxLeaseDuration,
-                  suspicionTimeout(settings)}),
+                  heartbeatTimeout(settings)}),
       nextEvaluation_(leadershipStart) {}
 
 void FailureDetector::recordHeartbeat(Time now) { isolation_.recordHeartbeat(now); }
--- a/tests/controller/leader_failures_test.cpp
+++ b/tests/controller/leader_failures_test.cpp
@@ -108,3 +108,68 @@
         EXPECT_GT(requested, 0u) << "kind " << static_cast<int>(kind);
     }
 }
+
+namespace {
+
+/// Submits a gang of two tasks while only m1 sends heartbeats and has capacity for it, so that both tasks are
+/// planned on m1 and wait for its next heartbeat.
+void planGangOnFirstMachine(LeaderHarness& harness, bool singleZone) {
+    auto gang = makeJob("wk-9", 2, 2, JobKind::gang);
+    gang.singleZone = singleZone;
+    harness.submitJob(gang);
+    harness.tick();
+    ASSERT_EQ(harness.replica.find("wk-9")->run->machines, (std::map<std::string, std::uint32_t>{{"m1", 2}}));
+}
+
+/// True if both tasks of the gang are started on m2 within the time that users wait. m1 sends heartbeats
+/// without tasks, too.
+bool gangStartsOnSecondMachine(LeaderHarness& harness) {
+    std::set<std::string> started;
+    std::vector<TaskStatus> running;
+    for (int second = 0; second < kMaxWaitSeconds && started.size() < 2; ++second) {
+        harness.tick(600ms);
+        harness.heartbeat("m1");
+        for (const auto& name : harness.heartbeat("m2", running)) {
+            if (name.starts_with("wk-9/")) started.insert(name);
+            running.push_back(harness.taskStatus(name, TaskState::running));
+        }
+    }
+    return started == std::set<std::string>{"wk-9/0", "wk-9/1"};
+}
+
+}  // namespace
+
+// Guards against a gang that waits without end beside room for it: its tasks were planned on a machine that
+// counted as faulty from its next heartbeat on, so it was sent no start, and the plan was kept.
+TEST(Leader, GangIsPlannedOnMachineThatTurnsFaultyThenItStartsOnAnother) {
+    for (const bool singleZone : {false, true}) {
+        LeaderHarness harness;
+        for (const char* id : {"m1", "m2"}) harness.registerMachine(id);
+        harness.startLeader();
+        for (const char* id : {"wk-1", "wk-2"}) harness.submitJob(makeJob(id, 1, 2, JobKind::service));
+        ASSERT_EQ(harness.heartbeat("m1"), (Names{"wk-1/0", "wk-2/0"}));
+        planGangOnFirstMachine(harness, singleZone);
+        EXPECT_EQ(harness.heartbeat("m1", {failed(harness, "wk-1/0"), failed(harness, "wk-2/0")}), Names{});
+        EXPECT_TRUE(gangStartsOnSecondMachine(harness));
+    }
+}
+
+// Guards against a gang that waits beside room for it for as long as the cloud does not answer: its tasks
+// were planned on a machine that was silent for so long that its deletion was requested, and that came back
+// then.
+TEST(Leader, GangIsPlannedOnMachineWhoseDeletionIsRequestedThenItStartsOnAnother) {
+    LeaderHarness harness;
+    harness.registerMachine("m1");
+    harness.startLeader();
+    harness.submitJob(makeJob("wk-1", 1, 2, JobKind::service));
+    ASSERT_EQ(harness.heartbeat("m1"), Names{"wk-1/0"});
+    const auto running = harness.taskStatus("wk-1/0", TaskState::running);
+    planGangOnFirstMachine(harness, true);
+    const auto& m1 = *harness.leader->fleet().machines().at("m1");
+    for (int second = 0; second < 15 && !m1.cloud.deletionRequested; ++second) harness.tick(1s);
+    ASSERT_TRUE(m1.cloud.deletionRequested);
+    EXPECT_EQ(harness.heartbeat("m1", {running}), Names{});
+    harness.registerMachine("m2");
+    harness.heartbeat("m2");
+    EXPECT_TRUE(gangStartsOnSecondMachine(harness));
+}
--- a/tests/scheduling/gang_planner_test.cpp
+++ b/tests/scheduling/gang_planner_test.cpp
@@ -2,12 +2,15 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
+
 #include "scheduling/placement_fixture.h"
 
 using namespace burlpoint;
 using namespace burlpoint::tests;
 using namespace std::chrono_literals;
 using bookkeeping::PlacementState;
+using bookkeeping::RegistrationState;
 
 namespace {
 
@@ -143,3 +146,70 @@
     fleet.place(host, job, 2, 1, PlacementState::running, now);
     EXPECT_FALSE(gangPlanner.mayComplete(job, now));
 }
+
+// Guards against a gang that waits without end beside room for it: its tasks were planned on a machine that
+// was sent no start any more, for whichever reason, and the plan was kept.
+TEST_F(GangPlannerTest, MachineThatIsSentNoStartsThenItsPlannedTasksMoveToAnother) {
+    const std::vector<std::pair<std::string, std::function<void(Machine&)>>> reasons{
+        {"faulty",
+         [&](Machine& m) {
+             m.history.failedJobs = {"wk-1", "wk-2"};
+         }},
+        {"draining", [](Machine& m) { m.cloud.draining = true; }},
+        {"interruption notice", [&](Machine& m) { m.cloud.interruptionAt = now + 10s; }},
+        {"deletion requested", [](Machine& m) { m.cloud.deletionRequested = true; }},
+        {"failed", [](Machine& m) { m.cloud.failed = true; }},
+        {"unreachable", [&](Machine& m) { m.agent.unreachableSince = now; }},
+        {"refuses starts", [&](Machine& m) { m.history.startBackoffUntil = now + 2s; }},
+        {"lease expired", [](Machine& m) { m.lease.active = false; }},
+        {"not registered", [&](Machine& m) { fleet.setRegistration(m, RegistrationState::absent); }},
+        {"silent", [&](Machine&) { now += 5s; }},
+    };
+    for (std::size_t i = 0; i < reasons.size(); ++i) {
+        const auto& [reason, change] = reasons[i];
+        const auto number = std::to_string(i);
+        auto small = gang("wk-10" + number);
+        small.tasks = 2;
+        auto& job = accept(small);
+        auto& first = machine("first" + number);
+        plan();
+        ASSERT_EQ(placed(job), Names{first.id + ":2"}) << reason;
+        change(first);
+        auto& second = machine("second" + number);
+        plan();  // withdraws the tasks
+        plan();
+        EXPECT_EQ(placed(job), Names{second.id + ":2"}) << reason;
+        EXPECT_TRUE(first.placements.empty()) << reason;
+        for (auto& [key, placement] : second.placements)
+            fleet.setState(placement, PlacementState::running, now);
+        first.cloud.failed = true;  // it is not used for the next reason
+    }
+}
+
+TEST_F(GangPlannerTest, PlannedTaskWhoseGangHasStartedInPartMovesUnderTheSameAttempt) {
+    auto& job = accept(gang());
+    auto& started = machine("m1");
+    auto& unusable = machine("m2");
+    plan();
+    const auto attempt = job.run->gangAttempt;
+    for (auto& [key, placement] : started.placements)
+        fleet.setState(placement, PlacementState::fetching, now);
+    unusable.cloud.draining = true;
+    machine("m3");
+    plan();  // withdraws the tasks
+    plan();
+    EXPECT_EQ(placed(job), (Names{"m1:2", "m3:2"}));
+    EXPECT_EQ(job.run->gangAttempt, attempt);
+    for (const auto& [at, placement] : fleet.placementsOf(job)) EXPECT_EQ(placement->attempt, attempt);
+}
+
+TEST_F(GangPlannerTest, GangIsNotPlannedOnSilentMachine) {
+    auto& job = accept(gang());
+    for (const char* id : {"m1", "m2"}) machine(id);
+    now += 5s;
+    plan();
+    EXPECT_EQ(placed(job), Names{});
+    for (const char* id : {"m1", "m2"}) fleet.find(id)->lease.lastHeartbeat = now;
+    plan();
+    EXPECT_EQ(placed(job), (Names{"m1:2", "m2:2"}));
+}
