Failures of a job become a type that can also hold a machine's

JobFailures becomes RecentFailures: the ids and the retention time are the owner's, as a machine needs the same record of the jobs that failed on it. What follows from a job's count of machines stays with the run (JobRun::suspectedFaulty).

--- a/src/bookkeeping/job_run.h
+++ b/src/bookkeeping/job_run.h
@@ -4,6 +4,8 @@
 // becomes ready under this leader, or a worker first reports a task of it, until the leadership ends. Owned
 // by its Job. Used on the thread that owns the leader.
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -12,7 +14,7 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "bookkeeping/job_failures.h"
+#include "bookkeeping/recent_failures.h"
 #include "protocol/job_messages.h"
 #include "protocol/settings.h"
 
@@ -26,6 +28,13 @@
     inherited
 };
 
+/// A job whose tasks have failed on this many machines is the likely cause of the failures. With fewer, the
+/// machines may be at fault.
+inline constexpr std::size_t kFaultyJobMachines = 3;
+/// Longer than the longest back-off after failures, so that a faulty job that is retried after each back-off
+/// remains known as faulty.
+inline constexpr std::chrono::seconds kJobFailureRetention{120};
+
 struct JobRun {
     /// Creates a run without placed tasks. Job::beginRun() sets the number of waiting tasks.
     explicit JobRun(std::uint32_t tasks) : placedCount(tasks, 0) {}
@@ -37,6 +46,9 @@
         return placedTotal == 0 && now - waitingSince >= time;
     }
 
+    /// True if the job is the likely cause of its tasks' failures.
+    bool suspectedFaulty(Time now) const { return failures.count(now) >= kFaultyJobMachines; }
+
     // Counters of tasks, maintained by Job and Fleet.
     std::vector<std::uint8_t> placedCount;          // number of placements, by task
     std::uint32_t placedTotal = 0;                  // sum of placedCount
@@ -73,10 +85,10 @@
     std::set<std::string> machinesWithEndedTasks;  // machines on which a task of that attempt has ended
 
     // Failures, and the writing of results.
-    Time backoffUntil{};     // after failures, no task is started before this time
-    JobFailures failures;    // by machine, since a task last succeeded
-    bool succeeded = false;  // a worker has reported a task of this run as done
-    Time nextBitmapWrite{};  // earliest time of the next write of bits
+    Time backoffUntil{};                            // after failures, no task is started before this time
+    RecentFailures failures{kJobFailureRetention};  // by machine
+    bool succeeded = false;                         // a worker has reported a task of this run as done
+    Time nextBitmapWrite{};                         // earliest time of the next write of bits
 
     // Image locality, computed at intervals and not for each heartbeat.
     std::uint32_t capacityWithImage = 0;  // number of tasks that fit on machines with the image
--- a/src/coordination/autoscaling/capacity_plan.cpp
+++ b/src/coordination/autoscaling/capacity_plan.cpp
@@ -23,7 +23,7 @@
 /// gets capacity for one more task, or for as many more as are running. A gang needs capacity for all tasks.
 std::uint32_t tasksToPlan(const Job& job, Time now) {
     const auto& run = *job.run;
-    if (job.spec.kind == JobKind::gang || !run.failures.suggestFaultyJob(now)) return run.waiting;
+    if (job.spec.kind == JobKind::gang || !run.suspectedFaulty(now)) return run.waiting;
     return std::min(run.waiting, std::max(run.running, 1u));
 }
 
--- a/src/coordination/controller/leader_debug_log.cpp
+++ b/src/coordination/controller/leader_debug_log.cpp
@@ -25,8 +25,8 @@
         "job waiting job={} class={} rank={} waiting={} tasks={} possible={} waiting_s={:.1f} "
         "failed_machines={} backoff_s={:.1f}",
         job.spec.id, job.spec.jobClass, static_cast<int>(rankOf(job)), job.run->waiting, job.spec.tasks,
-        job.run->placedTotal, Seconds(now - job.run->waitingSince).count(),
-        job.run->failures.machineCount(now), std::max(Seconds(job.run->backoffUntil - now).count(), 0.0));
+        job.run->placedTotal, Seconds(now - job.run->waitingSince).count(), job.run->failures.count(now),
+        std::max(Seconds(job.run->backoffUntil - now).count(), 0.0));
 }
 
 }  // namespace
--- a/src/coordination/scheduling/placement_constraints.cpp
+++ b/src/coordination/scheduling/placement_constraints.cpp
@@ -38,9 +38,8 @@
 /// True if one of the job's tasks failed on the machine recently. A job that is the likely cause of its
 /// failures avoids no machine: it would soon find none.
 bool avoidsAfterFailure(const Job& job, const Machine& machine, Time now) {
-    const auto& failures = job.run->failures;
-    if (failures.suggestFaultyJob(now)) return false;
-    const auto failedAt = failures.lastOn(machine.id, now);
+    if (job.run->suspectedFaulty(now)) return false;
+    const auto failedAt = job.run->failures.lastOf(machine.id, now);
     return failedAt && now - *failedAt < kFailureAvoidanceTime;
 }
 
--- a/src/coordination/workers/attempt_completion.cpp
+++ b/src/coordination/workers/attempt_completion.cpp
@@ -108,16 +108,16 @@
 /// a faulty job fails on many machines.
 void AttemptCompletion::recordFailure(Machine& machine, Job& job, Time now) {
     auto& failures = job.run->failures;
-    const bool wasSuspected = failures.suggestFaultyJob(now);
+    const bool wasSuspected = job.run->suspectedFaulty(now);
     failures.record(machine.id, now);
-    if (!failures.suggestFaultyJob(now)) {
+    if (!job.run->suspectedFaulty(now)) {
         machine.history.failedJobs.insert(job.spec.id);
         return;
     }
     if (!wasSuspected)
         spdlog::info("job backs off: its tasks failed on several machines job={} class={}", job.spec.id,
                      job.spec.jobClass);
-    const auto backoffSteps = static_cast<int>(failures.machineCount(now) - kFaultyJobMachines + 1);
+    const auto backoffSteps = static_cast<int>(failures.count(now) - kFaultyJobMachines + 1);
     job.run->backoffUntil = now + std::min(kFailureBackoff * backoffSteps, kMaxFailureBackoff);
 }
 
--- a/tests/simulation/simulated_leaders.cpp
+++ b/tests/simulation/simulated_leaders.cpp
@@ -154,7 +154,7 @@
         text += " waiting " + std::to_string(job->run->waiting) + " placed " +
                 std::to_string(job->run->placedTotal) + " unpersisted " +
                 std::to_string(job->run->unpersistedTasks.size()) + " errors on " +
-                std::to_string(job->run->failures.machineCount(environment_.now()));
+                std::to_string(job->run->failures.count(environment_.now()));
     text += "; last conflict " + store_.lastFailedKey() + "; " + leadership_->leader->stateWriter().summary();
     for (const auto& [machineId, machine] : leadership_->leader->fleet().machines())
         text += "\n  " + machineId + " " + machine->type + "/" + machine->zone +
