A machine's failures are forgotten a minute after the last one

What callers would see: a job waits without end beside a machine with room.

Cause: failures of two jobs make a machine count as faulty until a task succeeds there. Without tasks it is deleted; with a service replica it is kept, is sent no starts, and the replica never reports success. So it stayed out of use for the whole leadership. A single failure was kept for as long, and made the machine faulty with one of another job, hours later.

Change: the machine's failures are a RecentFailures, forgotten 60 s after the last. With a heartbeat more that is below the 90 s that users count. A machine without tasks is deleted at once as before (AutoscalerTest.FaultyDrainingAndFailedMachinesAreDeletedAtOnce). PlacementConstraintsTest checks both sides of the minute.

--- a/src/bookkeeping/machine.h
+++ b/src/bookkeeping/machine.h
@@ -5,6 +5,7 @@
 // indexes over some of the fields. These fields must only be changed through the Fleet's functions.
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -18,6 +19,7 @@
 #include "bookkeeping/image.h"
 #include "bookkeeping/job.h"
 #include "bookkeeping/placement.h"
+#include "bookkeeping/recent_failures.h"
 #include "bookkeeping/resources.h"
 #include "protocol/cloud_messages.h"
 
@@ -74,11 +76,16 @@
     bool failed = false;  // the cloud lists it as stopped by itself
 };
 
+/// A machine counts as faulty until this long after the last failure, unless a task succeeds on it. A machine
+/// with services reports no success and is not deleted, so it has to be tried again, soon enough that no job
+/// waits beside it for the 90 s after which users count a job as starved.
+inline constexpr std::chrono::seconds kMachineFailureRetention{60};
+
 /// The history of the tasks on the machine. Written where tasks start and end.
 struct TaskHistory {
-    Time lastBusyAt{};                 // when it last had a task, or was added if it had none so far
-    Time startBackoffUntil{};          // no task is started before this time, as the worker refused one
-    std::set<std::string> failedJobs;  // jobs whose tasks failed on it since a task last succeeded
+    Time lastBusyAt{};         // when it last had a task, or was added if it had none so far
+    Time startBackoffUntil{};  // no task is started before this time, as the worker refused one
+    RecentFailures failures{kMachineFailureRetention};  // by job, since a task last succeeded on it
 };
 
 /// Capacity that is reserved for one job. Written by Fleet::reserve and Fleet::cancelReservation only.
--- a/src/bookkeeping/machine_status.h
+++ b/src/bookkeeping/machine_status.h
@@ -24,11 +24,11 @@
     return machine.agent.incarnation > 0 || mayHoldTasks(replica, machine.id);
 }
 
-/// True if tasks of several jobs have failed on the machine since a task last succeeded on it. Then the
-/// machine is the likely cause.
-inline bool isFaulty(const Machine& machine) {
+/// True if tasks of several jobs have recently failed on the machine and none has succeeded there since. Then
+/// the machine is the likely cause.
+inline bool isFaulty(const Machine& machine, Time now) {
     constexpr std::size_t kFaultyAfter = 2;  // jobs; a single one may itself be the cause
-    return machine.history.failedJobs.size() >= kFaultyAfter;
+    return machine.history.failures.count(now) >= kFaultyAfter;
 }
 
 }  // namespace burlpoint::bookkeeping
--- a/src/coordination/autoscaling/capacity_plan.cpp
+++ b/src/coordination/autoscaling/capacity_plan.cpp
@@ -47,7 +47,7 @@
 bool CapacityPlan::isUsable(const Machine& machine) const {
     const bool leaving = machine.cloud.draining || machine.cloud.deletionRequested || machine.cloud.failed ||
                          machine.cloud.interruptionAt;
-    if (!machine.typeInfo || leaving || machine.agent.unreachableSince || isFaulty(machine)) return false;
+    if (!machine.typeInfo || leaving || machine.agent.unreachableSince || isFaulty(machine, inputs_.now)) return false;
     const bool lost = machine.registry.reconciled && !machine.lease.active && wasUp(machine, inputs_.replica);
     return !lost;
 }
--- a/src/coordination/autoscaling/scale_in_rules.cpp
+++ b/src/coordination/autoscaling/scale_in_rules.cpp
@@ -37,7 +37,7 @@
     const bool mayHaveTasks = !machine.placements.empty() || !machine.registry.reconciled;
     if (mayHaveTasks) return false;
     if (!wasUp(machine, replica_)) return failedToBoot(machine, now);
-    if (isLost(machine, now) || machine.cloud.draining || isFaulty(machine)) return true;
+    if (isLost(machine, now) || machine.cloud.draining || isFaulty(machine, now)) return true;
     return isIdle(machine, now) && !neededMachines.contains(machine.id);
 }
 
--- a/src/coordination/scheduling/placement_constraints.cpp
+++ b/src/coordination/scheduling/placement_constraints.cpp
@@ -64,7 +64,7 @@
     // The next leader would know neither a machine that is not in the stored registry nor the tasks on it.
     const bool known = machine.agent.acknowledged && machine.lease.active &&
                        machine.registry.state == RegistrationState::stored;
-    return known && !isFaulty(machine) && machine.typeInfo;
+    return known && !isFaulty(machine, now) && machine.typeInfo;
 }
 
 Clock::duration heartbeatTimeout(const protocol::Settings& settings) {
--- a/src/coordination/workers/attempt_completion.cpp
+++ b/src/coordination/workers/attempt_completion.cpp
@@ -87,7 +87,7 @@
 void AttemptCompletion::applyExitReason(Machine& machine, Job& job, ExitReason reason, Time now) {
     switch (reason) {
         case ExitReason::done:
-            machine.history.failedJobs.clear();
+            machine.history.failures.clear();
             break;
         case ExitReason::error:
             recordFailure(machine, job, now);
@@ -111,7 +111,7 @@
     const bool wasSuspected = job.run->suspectedFaulty(now);
     failures.record(machine.id, now);
     if (!job.run->suspectedFaulty(now)) {
-        machine.history.failedJobs.insert(job.spec.id);
+        machine.history.failures.record(job.spec.id, now);
         return;
     }
     if (!wasSuspected)
--- a/tests/autoscaling/autoscaler_test.cpp
+++ b/tests/autoscaling/autoscaler_test.cpp
@@ -112,9 +112,10 @@
 
 TEST_F(AutoscalerTest, FaultyDrainingAndFailedMachinesAreDeletedAtOnce) {
     machine("m1").cloud.draining = true;
-    machine("m2").history.failedJobs = {"wk-1", "wk-2"};
+    auto& faulty = machine("m2");
+    for (const char* id : {"wk-1", "wk-2"}) faulty.history.failures.record(id, now);
     machine("m3").cloud.failed = true;
-    machine("m4").history.failedJobs = {"wk-1"};
+    machine("m4").history.failures.record("wk-1", now);
     EXPECT_EQ(scaleIn(), (Names{"m1", "m2", "m3"}));
 }
 
--- a/tests/autoscaling/capacity_plan_test.cpp
+++ b/tests/autoscaling/capacity_plan_test.cpp
@@ -123,7 +123,8 @@
     machine("m3").cloud.failed = true;
     machine("m4").cloud.interruptionAt = now + 30s;
     machine("m5").agent.unreachableSince = now;
-    machine("m6").history.failedJobs = {"wk-8", "wk-9"};
+    auto& faulty = machine("m6");
+    for (const char* id : {"wk-8", "wk-9"}) faulty.history.failures.record(id, now);
     machine("m7").lease.active = false;  // lost, since it was up before
     machine("m8").typeInfo = nullptr;
     job(makeSpec("wk-1", 1, 8));
--- a/tests/controller/leader_failures_test.cpp
+++ b/tests/controller/leader_failures_test.cpp
@@ -173,3 +173,26 @@
     harness.heartbeat("m2");
     EXPECT_TRUE(gangStartsOnSecondMachine(harness));
 }
+
+// Guards against a job that waits without end beside room for it: tasks of two jobs had failed on the
+// machine, which runs a service and so reports no success and is not deleted, and the cloud has no other
+// machine.
+TEST(Leader, MachineOfServiceFailedTasksOfTwoJobsThenTasksEventuallyStartThere) {
+    LeaderHarness harness;
+    harness.registerMachine("m1");
+    harness.startLeader();
+    harness.submitJob(makeJob("wk-1", 1, 2, JobKind::service));
+    ASSERT_EQ(harness.heartbeat("m1"), Names{"wk-1/0"});
+    const auto service = harness.taskStatus("wk-1/0", TaskState::running);
+    for (const char* id : {"wk-2", "wk-3"}) harness.submitJob(makeJob(id, 1, 2));
+    ASSERT_EQ(harness.heartbeat("m1", {service}), (Names{"wk-2/0", "wk-3/0"}));
+    harness.heartbeat("m1", {service, failed(harness, "wk-2/0"), failed(harness, "wk-3/0")});
+    harness.submitJob(makeJob("wk-4", 1, 2));
+    EXPECT_EQ(harness.heartbeat("m1", {service}), Names{});  // the machine counts as faulty
+    Names started;
+    for (int second = 0; second < kMaxWaitSeconds && started.empty(); ++second) {
+        harness.tick(800ms);
+        started = harness.heartbeat("m1", {service});
+    }
+    EXPECT_FALSE(started.empty());
+}
--- a/tests/scheduling/gang_planner_test.cpp
+++ b/tests/scheduling/gang_planner_test.cpp
@@ -153,7 +153,7 @@
     const std::vector<std::pair<std::string, std::function<void(Machine&)>>> reasons{
         {"faulty",
          [&](Machine& m) {
-             m.history.failedJobs = {"wk-1", "wk-2"};
+             for (const char* id : {"wk-1", "wk-2"}) m.history.failures.record(id, now);
          }},
         {"draining", [](Machine& m) { m.cloud.draining = true; }},
         {"interruption notice", [&](Machine& m) { m.cloud.interruptionAt = now + 10s; }},
--- a/tests/scheduling/placement_constraints_test.cpp
+++ b/tests/scheduling/placement_constraints_test.cpp
@@ -88,8 +88,15 @@
     EXPECT_FALSE(usableAfter("interruption", [&](Machine& m) { m.cloud.interruptionAt = now + 1min; }));
     EXPECT_FALSE(usableAfter("unreachable", [&](Machine& m) { m.agent.unreachableSince = now; }));
     EXPECT_FALSE(usableAfter("unknown type", [](Machine& m) { m.typeInfo = nullptr; }));
-    EXPECT_TRUE(usableAfter("one error", [](Machine& m) { m.history.failedJobs = {"a"}; }));
-    EXPECT_FALSE(usableAfter("two errors", [](Machine& m) { m.history.failedJobs = {"a", "b"}; }));
+    const auto failures = [&](std::vector<std::string> failedJobs) {
+        return [this, failedJobs = std::move(failedJobs)](Machine& m) {
+            for (const auto& id : failedJobs) m.history.failures.record(id, now);
+        };
+    };
+    EXPECT_TRUE(usableAfter("one error", failures({"a"})));
+    EXPECT_FALSE(usableAfter("two errors", failures({"a", "b"})));
+    EXPECT_FALSE(isUsable(*fleet.find("two errors"), now + 60s));
+    EXPECT_TRUE(isUsable(*fleet.find("two errors"), now + 61s));
 }
 
 TEST_F(PlacementConstraintsTest, MachineThatRefusedAStartIsUsableAfterItsBackoff) {
--- a/tests/simulation/simulated_leaders.cpp
+++ b/tests/simulation/simulated_leaders.cpp
@@ -164,7 +164,7 @@
                 std::to_string(static_cast<int>(machine->registry.state)) + " draining " +
                 std::to_string(machine->cloud.draining) + " deletion requested " +
                 std::to_string(machine->cloud.deletionRequested) + " errors " +
-                std::to_string(machine->history.failedJobs.size()) + " tasks " +
+                std::to_string(machine->history.failures.count(environment_.now())) + " tasks " +
                 std::to_string(machine->placements.size());
     return text;
 }
--- a/tests/workers/heartbeat_reconciler_test.cpp
+++ b/tests/workers/heartbeat_reconciler_test.cpp
@@ -174,9 +174,9 @@
         auto& host = machine(id);
         apply(host, status(host, {task(place(host, job, 0), TaskState::exited, ExitReason::error)}));
     }
-    EXPECT_EQ(fleet.find("m1")->history.failedJobs.size(), 1u);
-    EXPECT_EQ(fleet.find("m2")->history.failedJobs.size(), 1u);
-    EXPECT_EQ(fleet.find("m3")->history.failedJobs.size(), 0u);
+    EXPECT_EQ(fleet.find("m1")->history.failures.count(now), 1u);
+    EXPECT_EQ(fleet.find("m2")->history.failures.count(now), 1u);
+    EXPECT_EQ(fleet.find("m3")->history.failures.count(now), 0u);
     EXPECT_EQ(job.run->backoffUntil, now + 5s);
 }
 
