A new machine that takes no answer counts as unreachable

What callers would see: a job waits without end, as no other machine is requested for it.

Cause: undelivered responses are told by starts that do not arrive, by an incarnation that rises after the worker has acknowledged the leader, or by old tokens of machines that may hold an earlier leader's tasks. A new machine that sends heartbeats and receives nothing is none of these: it is sent no start before it acknowledges. It counted as capacity and as needed, was not suspected and not deleted.

Change: a heartbeat of a new machine without the token that was in the response before counts as a response not delivered. After two, as elsewhere, the machine is unreachable: probed, no capacity, and deleted if it answers no probe. A message with the leader's token ends the count, as it shows that a response or a command has arrived.

--- a/src/coordination/workers/heartbeat_reconciler.cpp
+++ b/src/coordination/workers/heartbeat_reconciler.cpp
@@ -55,6 +55,8 @@
 void HeartbeatReconciler::apply(Machine& machine, const Heartbeat& heartbeat, StatusSource source, Time now) {
     if (heartbeat.incarnation > machine.agent.incarnation && machine.agent.acknowledged)
         endTasksOfEarlierIncarnation(machine, now);
+    if (source == StatusSource::heartbeat && missedFirstResponses(machine, heartbeat))
+        recordUndeliveredResponse(machine, now);
     recordMessage(machine, heartbeat, now);
     if (!machine.agent.acknowledged) return;
     reconcilePlacements(machine, heartbeat, source, now);
@@ -72,6 +74,13 @@
         machine, [](const Placement& placement) { return !isPlanned(placement); }, now);
 }
 
+/// True if the machine has sent a heartbeat before and does not show the fencing token that was in the
+/// response. WorkerLeases counts the responses to machines that are not reconciled.
+bool HeartbeatReconciler::missedFirstResponses(const Machine& machine, const Heartbeat& heartbeat) const {
+    return machine.agent.incarnation > 0 && machine.registry.reconciled && !machine.agent.acknowledged &&
+           heartbeat.fencingToken < context_.fencingToken;
+}
+
 void HeartbeatReconciler::recordMessage(Machine& machine, const Heartbeat& heartbeat, Time now) {
     machine.agent.incarnation = heartbeat.incarnation;
     machine.agent.sequence = heartbeat.sequence;
@@ -87,6 +96,8 @@
 void HeartbeatReconciler::recordFencingToken(Machine& machine, std::uint64_t token) {
     if (token != context_.fencingToken || machine.agent.acknowledged) return;
     machine.agent.acknowledged = true;
+    machine.agent.undeliveredResponses = 0;
+    machine.agent.unreachableSince.reset();
     context_.fleet.setReconciled(machine, true);
     context_.jobQueue.markStale();
 }
--- a/src/coordination/workers/heartbeat_reconciler.h
+++ b/src/coordination/workers/heartbeat_reconciler.h
@@ -53,6 +53,8 @@
 
   private:
     void endTasksOfEarlierIncarnation(bookkeeping::Machine& machine, Time now);
+    bool missedFirstResponses(const bookkeeping::Machine& machine,
+                              const protocol::Heartbeat& heartbeat) const;
     void recordMessage(bookkeeping::Machine& machine, const protocol::Heartbeat& heartbeat, Time now);
     void recordFencingToken(bookkeeping::Machine& machine, std::uint64_t token);
     static void recordUndeliveredResponse(bookkeeping::Machine& machine, Time now);
--- a/tests/controller/leader_failures_test.cpp
+++ b/tests/controller/leader_failures_test.cpp
@@ -196,3 +196,32 @@
     }
     EXPECT_FALSE(started.empty());
 }
+
+// Guards against a job that waits without end for a machine that sends heartbeats and never receives an
+// answer: it counted as capacity for the job, so no other was requested, and it was not deleted.
+TEST(Leader, NewMachineNeverReceivesAnswersThenAnotherIsRequested) {
+    LeaderHarness harness;
+    harness.startLeader();
+    harness.submitJob(makeJob("wk-1", 1, 4));
+    std::uint32_t requested = 0;
+    std::uint64_t sequence = 0;
+    std::string deaf;
+    for (int second = 0; second < kMaxWaitSeconds; ++second) {
+        for (const auto& action : harness.tick(1s)) {
+            const auto* scaleOut = std::get_if<ScaleOut>(&action);
+            if (!scaleOut) continue;
+            requested += scaleOut->request.count;
+            if (!deaf.empty()) continue;  // the cloud answers the first request only
+            deaf = "m-1";
+            ScaleOutCompleted answer{scaleOut->request.name, InstanceRequestOutcome::fulfilled, {deaf}};
+            harness.deliver(std::move(answer));
+        }
+        // The worker begins a new incarnation whenever its lease has ended.
+        const auto incarnation =
+            1 + static_cast<std::uint64_t>(Seconds(second) / harness.settings.workerLease);
+        if (!deaf.empty() && second % 2 == 0)
+            harness.deliver(
+                HeartbeatReceived{1, {deaf, deaf, "plain", "z", false, incarnation, ++sequence, 0, {}, {}}});
+    }
+    EXPECT_GT(requested, 1u);
+}
