Histories in which machines fail every task for a while

Random jobs of all kinds run while about half of the machines that are up fail every task for 2 to 40 s, every 10 s; in half of the histories the cloud has only four machines. The invariants are checked throughout, and at the end that no job waits for 90 s although it could start and that every job ends.

--- a/tests/simulation/combined_failures/faulty_machines_test.cpp
+++ b/tests/simulation/combined_failures/faulty_machines_test.cpp
@@ -118,3 +118,23 @@
         }
     }
 }
+
+// In about half of the histories the cloud has only four machines, so that jobs have to use those that were
+// faulty, beside the services that run there.
+TEST(History, InvariantsHoldWhenMachinesFailEveryTaskForAWhile) {
+    Scenario scenario;
+    scenario.faults.leaderCrashesPerSecond = 0.005;
+    scenario.prepare = [](SimulatedCluster& cluster) {
+        if (cluster.random.below(2) == 0) cluster.workers.maxMachines = 4;
+    };
+    scenario.script = [](SimulatedCluster& cluster, int second) {
+        if (second % 10 != 5) return;
+        for (const auto& id : machinesUp(cluster))
+            if (cluster.random.below(2) == 0)
+                cluster.workers.makeFaulty(id, cluster.random.seconds(2, 40));
+    };
+    scenario.countOccurrences = [](const Occurrences& occurrences) {
+        return occurrences.failuresOnFaultyMachines;
+    };
+    checkScenario(scenario);
+}
