Whether a machine is leaving is asked in one place

The four fields of CloudState that end a machine's use stood in isUsable, in the capacity plan and in the debug log.

--- a/src/bookkeeping/machine_status.h
+++ b/src/bookkeeping/machine_status.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// Conclusions from a machine's history under this and earlier leaders: whether it was ever up, and whether it
-// is faulty. Pure functions.
+// Conclusions from a machine's state and its history under this and earlier leaders: whether it was ever up,
+// whether it is leaving, and whether it is faulty. Pure functions.
 
 #include <cstddef>
 #include <string>
@@ -24,6 +24,12 @@
     return machine.agent.incarnation > 0 || mayHoldTasks(replica, machine.id);
 }
 
+/// True if the machine is about to end or has ended: it is draining, interrupted, failed or to be deleted.
+inline bool isLeaving(const Machine& machine) {
+    const auto& cloud = machine.cloud;
+    return cloud.draining || cloud.deletionRequested || cloud.failed || cloud.interruptionAt.has_value();
+}
+
 /// True if tasks of several jobs have recently failed on the machine and none has succeeded there since. Then
 /// the machine is the likely cause.
 inline bool isFaulty(const Machine& machine, Time now) {
--- a/src/coordination/autoscaling/capacity_plan.cpp
+++ b/src/coordination/autoscaling/capacity_plan.cpp
@@ -45,9 +45,9 @@
 
 /// True if the machine can run tasks, or will be able to once it has booted.
 bool CapacityPlan::isUsable(const Machine& machine) const {
-    const bool leaving = machine.cloud.draining || machine.cloud.deletionRequested || machine.cloud.failed ||
-                         machine.cloud.interruptionAt;
-    if (!machine.typeInfo || leaving || machine.agent.unreachableSince || isFaulty(machine, inputs_.now)) return false;
+    if (!machine.typeInfo || isLeaving(machine) || machine.agent.unreachableSince ||
+        isFaulty(machine, inputs_.now))
+        return false;
     const bool lost = machine.registry.reconciled && !machine.lease.active && wasUp(machine, inputs_.replica);
     return !lost;
 }
--- a/src/coordination/controller/leader_debug_log.cpp
+++ b/src/coordination/controller/leader_debug_log.cpp
@@ -4,19 +4,19 @@
 
 #include <algorithm>
 
+#include "bookkeeping/machine_status.h"
+
 namespace burlpoint::coordination {
 
 namespace {
 
 void logMachine(const bookkeeping::Machine& machine, Time now) {
-    const bool leaving = machine.cloud.draining || machine.cloud.deletionRequested || machine.cloud.failed ||
-                         machine.cloud.interruptionAt;
     spdlog::debug(
         "machine state machine={} type={} zone={} spot={} sends_heartbeats={} registration={} tasks={} "
         "cpus={} gpus={} memory_gb={} images={} leaving={} reserved={}",
         machine.id, machine.type, machine.zone, machine.spot, machine.lease.active,
         static_cast<int>(machine.registry.state), machine.placements.size(), machine.use.total.cpus,
-        machine.use.total.gpus, machine.use.total.memoryGb, machine.images.size(), leaving,
+        machine.use.total.gpus, machine.use.total.memoryGb, machine.images.size(), isLeaving(machine),
         machine.reservation.isActive(now));
 }
 
--- a/src/coordination/scheduling/placement_constraints.cpp
+++ b/src/coordination/scheduling/placement_constraints.cpp
@@ -58,9 +58,8 @@
 }  // namespace
 
 bool isUsable(const Machine& machine, Time now) {
-    const bool leaving = machine.cloud.draining || machine.cloud.deletionRequested || machine.cloud.failed ||
-                         machine.cloud.interruptionAt;
-    if (leaving || machine.agent.unreachableSince || machine.history.startBackoffUntil > now) return false;
+    if (isLeaving(machine) || machine.agent.unreachableSince || machine.history.startBackoffUntil > now)
+        return false;
     // The next leader would know neither a machine that is not in the stored registry nor the tasks on it.
     const bool known = machine.agent.acknowledged && machine.lease.active &&
                        machine.registry.state == RegistrationState::stored;
