--- a/tests/simulation/combined_failures/faulty_machines_test.cpp
+++ b/tests/simulation/combined_failures/faulty_machines_test.cpp
@@ -130,8 +130,7 @@
     scenario.script = [](SimulatedCluster& cluster, int second) {
         if (second % 10 != 5) return;
         for (const auto& id : machinesUp(cluster))
-            if (cluster.random.below(2) == 0)
-                cluster.workers.makeFaulty(id, cluster.random.seconds(2, 40));
+            if (cluster.random.below(2) == 0) cluster.workers.makeFaulty(id, cluster.random.seconds(2, 40));
     };
     scenario.countOccurrences = [](const Occurrences& occurrences) {
         return occurrences.failuresOnFaultyMachines;
