--- a/review/standins/stage.cpp
+++ b/review/standins/stage.cpp
@@ -211,6 +211,13 @@
     return !exited_;
 }
 
+double Process::peakMemoryMb() const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(status, line);)
+        if (line.starts_with("VmHWM:")) return std::stod(line.substr(6)) / 1024;
+    return 0;
+}
+
 namespace {
 protocol::Settings workerSettings(const Limits& limits) {
     protocol::Settings settings;
@@ -298,7 +305,8 @@
          << "\n[cluster.state]\nrps = " << limits_.rps << "\nwrite_rps = " << limits_.writeRps
          << "\nvalue_kb = " << limits_.valueKb << "\ntxn_ops = " << limits_.txnOps
          << "\n[cluster.cloud]\nrps = 8.0\nlist_lag_s = 1.0\n"
-         << "[cluster.limits]\ncore_share = 1.0\nmem_mb = 104.0\nmax_connections = 1000\n";
+         << "[cluster.limits]\ncore_share = 1.0\nmem_mb = " << limits_.memoryMb
+         << "\nmax_connections = 1000\n";
     return text.str();
 }
 
--- a/review/standins/stage.h
+++ b/review/standins/stage.h
@@ -67,6 +67,8 @@
     ~Process();
     void signal(int number) const;
     bool isRunning();
+    /// The most memory that it has held so far, in MiB.
+    double peakMemoryMb() const;
 
   private:
     pid_t pid_;
@@ -78,6 +80,7 @@
     double rps = 200, writeRps = 20, valueKb = 32;
     unsigned txnOps = 12;
     double teamCpusMax = 0;
+    double memoryMb = 72;
 };
 
 class Stage {
@@ -90,6 +93,7 @@
     void startAll();
     void kill(std::size_t controller) { processes_[controller].reset(); }
     bool isRunning(std::size_t controller) const { return processes_[controller] != nullptr; }
+    double peakMemoryMb(std::size_t controller) const { return processes_[controller]->peakMemoryMb(); }
     void freeze(std::size_t controller);
     void resume(std::size_t controller);
     bool isFrozen(std::size_t controller) const { return frozen_[controller]; }
