--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,7 +3,7 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/service.toml)
-player=target/review-standins/play_backlog
+player=target/review-standins/play_cut_node
 [ -x "$player" ] && [ -x "${run%% *}" ] || { echo "not built: $player or ${run%% *}" >&2; exit 2; }
 timeout -k 1 118 "$player" "$folder/record.txt" "$run"
 status=$?
