--- a/review/standins/stage.cpp
+++ b/review/standins/stage.cpp
@@ -91,6 +91,7 @@
                               });
         };
         link->held[from] = bytes;
+        packets_ += from == 0;
         if (cut_ || link->late) return;  // heal() or the timer goes on
         const std::string_view text(link->buffers[from].data(), bytes);
         if (from == 0 && lateShare > 0 && text.starts_with("POST /multi") &&
@@ -264,7 +265,7 @@
           return seenByWorkers;
       }(), [this](const std::string& job) { return storeCheck.isDone(job); }),
       users(io, oracle, controllers_),
-      cloud_(io, oracle, machines),
+      cloud(io, machines),
       processes_(kControllers),
       frozen_(kControllers) {
     for (std::size_t i = 0; i < kControllers; ++i) {
@@ -296,10 +297,12 @@
         text << "[[known]]\nlabel = \"" << nameOf(other) << "\"\narea = \"" << kZones[other % 2]
              << "\"\npeer_addr = \"" << peerProxies_[controller][other]->address() << "\"\n";
     }
-    text << "[services]\ncloud = \"" << cloud_.address() << "\"\nstate = \"" << storeProxies_[controller]->address()
-         << "\"\n[cluster]\nnodes = " << kControllers << "\nzones = [\"a\", \"b\"]\nclock_error_ms = 25.0\n"
-         << "[[cluster.teams]]\nname = \"team\"\ncpus = 0.0\ncpus_max = " << limits_.teamCpusMax
-         << "\ngpus = 0.0\ngpus_max = 0.0\n[cluster.workers]\nreport_s = " << limits_.reportS
+    text << "[services]\ncloud = \"" << cloud.address() << "\"\nstate = \"" << storeProxies_[controller]->address()
+         << "\"\n[cluster]\nnodes = " << kControllers << "\nzones = [\"a\", \"b\"]\nclock_error_ms = 25.0\n";
+    for (const auto& team : limits_.teams)
+        text << "[[cluster.teams]]\nname = \"" << team.name << "\"\ncpus = " << team.cpus << "\ncpus_max = " << team.cpusMax
+             << "\ngpus = 0.0\ngpus_max = 0.0\n";
+    text << "[cluster.workers]\nreport_s = " << limits_.reportS
          << "\nlease_s = " << limits_.leaseS << "\ngang_wait_s = " << limits_.gangWaitS
          << "\ngang_peer_s = " << limits_.gangPeerS << "\ncancel_s = " << limits_.cancelS
          << "\n[cluster.state]\nrps = " << limits_.rps << "\nwrite_rps = " << limits_.writeRps
--- a/review/standins/stage.h
+++ b/review/standins/stage.h
@@ -15,8 +15,8 @@
 #include <string>
 #include <vector>
 
+#include "cloud.h"
 #include "storage/store_stub.h"
-#include "upgrade/cloud_stub.h"
 #include "upgrade/controller_process.h"
 #include "upgrade/machines.h"
 #include "upgrade/store_check.h"
@@ -39,6 +39,8 @@
     void cut(bool hold);
     void heal();
     bool isCut() const { return cut_; }
+    /// Number of packets that the client side has sent.
+    std::size_t packets() const { return packets_; }
     /// Share of transactions ("POST /multi") that are held for 2 to 12 s and then delivered.
     double lateShare = 0;
     /// Share of the workers' reports of which a copy arrives 2 to 15 s later, at one of `copyTargets`.
@@ -56,6 +58,7 @@
     std::string target_;
     asio::ip::tcp::acceptor acceptor_;
     bool cut_ = false, hold_ = false;
+    std::size_t packets_ = 0;
     std::vector<std::weak_ptr<Link>> links_;
     std::mt19937 random_{7};
 };
@@ -79,7 +82,12 @@
     double reportS = 1.5, leaseS = 10, gangWaitS = 45, gangPeerS = 8, cancelS = 30;
     double rps = 200, writeRps = 20, valueKb = 32;
     unsigned txnOps = 12;
-    double teamCpusMax = 0;
+    /// Name, guaranteed CPUs and the most CPUs of each team; 0 means none.
+    struct Team {
+        std::string name;
+        double cpus = 0, cpusMax = 0;
+    };
+    std::vector<Team> teams{{"team", 0, 0}};
     double memoryMb = 72;
 };
 
@@ -142,8 +150,9 @@
     burlpoint::tests::Machines machines;
     burlpoint::tests::Users users;
 
+    Cloud cloud;
+
   private:
-    burlpoint::tests::CloudStub cloud_;
     std::vector<std::unique_ptr<Process>> processes_;
     std::vector<bool> frozen_;
 };
