A plan holds no more missing machines than can be requested before the next one

Also: urgent work for another machine type had its request sent behind those for the whole array, and requests for a cancelled array went on for minutes.

Cause: the capacity plan held one bin for each missing machine, and the queue one request for each 50 of them, bounded by nothing but a refusal of the cloud, which a new leader does not know of.

Change: machines of an offering are planned only while fewer wait to be requested than the budget of cloud requests allows until the next plan, a second later. The rest is left to that plan. The cloud could not have been asked sooner, so no wait grows.

--- a/src/bookkeeping/offering.h
+++ b/src/bookkeeping/offering.h
@@ -3,6 +3,8 @@
 // The unit in which the cloud offers machines. Plain values.
 
 #include <compare>
+#include <cstdint>
+#include <map>
 #include <string>
 
 namespace burlpoint::bookkeeping {
@@ -15,4 +17,7 @@
     auto operator<=>(const Offering&) const = default;
 };
 
+/// A number of machines of each offering.
+using MachineCounts = std::map<Offering, std::uint32_t>;
+
 }  // namespace burlpoint::bookkeeping
--- a/src/coordination/autoscaling/autoscaler.cpp
+++ b/src/coordination/autoscaling/autoscaler.cpp
@@ -1,6 +1,7 @@
 #include "coordination/autoscaling/autoscaler.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "coordination/autoscaling/capacity_plan.h"
 
@@ -20,6 +21,11 @@
 // Share of the cloud's limit on requests per second that is used. The rest is a margin, since the cloud's
 // clock and its way of counting differ from those of this controller.
 constexpr double kRequestBudgetShare = 0.8;
+// Machines of one offering are planned ahead for the requests that the budget allows within this time, which
+// is the interval between two plans. A machine that is left to the next plan could not be requested earlier.
+constexpr Seconds kPlannedAhead{1};
+// Bounds the memory of a plan if the cloud allows very many requests; more machines than a whole fleet has.
+constexpr double kMaxPlannedAhead = 10'000;
 constexpr std::size_t kMaxMachinesPerScaleIn = 100;    // per request
 constexpr Clock::duration kScaleInInterval = 500ms;    // batches several machines into one request
 constexpr Clock::duration kScaleInRetryInterval = 2s;  // keeps the load on an unresponsive cloud low
@@ -46,6 +52,13 @@
     return !machine.lease.active && !mayHaveTasks && !machine.cloud.deletionRequested;
 }
 
+/// How many machines of one offering may wait to be requested.
+std::uint32_t maxUnsentMachines(const Settings& settings) {
+    const double requests =
+        std::ceil(settings.cloudRequestsPerSecond * kRequestBudgetShare * kPlannedAhead.count());
+    return static_cast<std::uint32_t>(std::min(requests * kMaxMachinesPerRequest, kMaxPlannedAhead));
+}
+
 }  // namespace
 
 Autoscaler::Autoscaler(const Settings& settings, const Policy& policy, const StateReplica& replica,
@@ -53,14 +66,15 @@
     : settings_(settings),
       policy_(policy),
       replica_(replica),
+      maxUnsentMachines_(maxUnsentMachines(settings)),
       requestBudget_(settings.cloudRequestsPerSecond * kRequestBudgetShare, now),
       instanceRequests_(fencingToken),
       scaleInRules_(policy, replica) {}
 
 ScalingRequests Autoscaler::decide(Fleet& fleet, const MachineTypes& types, const WaitingWork& work,
                                    Time now) {
-    CapacityPlan plan(
-        {settings_, policy_, replica_, fleet, types, instanceRequests_, capacityErrors_, work.dueTime, now});
+    CapacityPlan plan({settings_, policy_, replica_, fleet, types, instanceRequests_, capacityErrors_,
+                       work.dueTime, maxUnsentMachines_, now});
     for (const auto* job : work.order) plan.add(*job);
     ScalingRequests requests;
     requestScaleOut(plan.missingMachines(), requests, now);
--- a/src/coordination/autoscaling/autoscaler.h
+++ b/src/coordination/autoscaling/autoscaler.h
@@ -97,7 +97,8 @@
     const protocol::Settings& settings_;
     const protocol::Policy& policy_;
     const bookkeeping::StateReplica& replica_;
-    storage::TokenBucket requestBudget_;  // of requests to the cloud
+    const std::uint32_t maxUnsentMachines_;  // of each offering
+    storage::TokenBucket requestBudget_;     // of requests to the cloud
     InstanceRequestQueue instanceRequests_;
     CapacityErrors capacityErrors_;
     ScaleInRules scaleInRules_;
--- a/src/coordination/autoscaling/capacity_plan.cpp
+++ b/src/coordination/autoscaling/capacity_plan.cpp
@@ -33,7 +33,8 @@
     : inputs_(std::move(inputs)),
       quota_(inputs_.settings, inputs_.fleet),
       packing_(inputs_.types),
-      offerings_(inputs_.types, inputs_.capacityErrors, inputs_.now) {
+      offerings_(inputs_.types, inputs_.capacityErrors, inputs_.now),
+      unsentMachines_(inputs_.pendingRequests.unsentMachines()) {
     addMachines();
     addPendingRequests();
 }
@@ -92,14 +93,16 @@
     return selectGangZone(candidates);
 }
 
-/// Plans missing machines for the unpacked tasks, as far as there are offerings for them.
+/// Plans missing machines for the unpacked tasks, as far as there are offerings for them and more machines
+/// may wait to be requested. Without the latter limit, a leader that the cloud has not refused any machine
+/// yet held a bin for each task that users had asked for, and was killed for its memory.
 void CapacityPlan::planMissingMachines(TaskDemand& demand) {
     if (demand.unpacked == 0) return;
     const bool plainObtainable =
         plainMachineObtainable(demand.job.spec, inputs_.types, inputs_.capacityErrors, inputs_.now);
     while (demand.unpacked > 0) {
         const auto offering = offerings_.cheapest(demand, plainObtainable, missingMachines_);
-        if (!offering) return;
+        if (!offering || !mayAddMissingMachine(*offering)) return;
         ++missingMachines_[*offering];
         packing_.addRequestedMachine(*offering, inputs_.types.at(offering->type));
         const auto unpackedBefore = demand.unpacked;
@@ -108,4 +111,12 @@
     }
 }
 
+bool CapacityPlan::mayAddMissingMachine(const bookkeeping::Offering& offering) const {
+    const auto unsent = unsentMachines_.find(offering);
+    const auto missing = missingMachines_.find(offering);
+    const auto machines = (unsent == unsentMachines_.end() ? 0 : unsent->second) +
+                          (missing == missingMachines_.end() ? 0 : missing->second);
+    return machines < inputs_.maxUnsentMachines;
+}
+
 }  // namespace burlpoint::coordination
--- a/src/coordination/autoscaling/capacity_plan.h
+++ b/src/coordination/autoscaling/capacity_plan.h
@@ -4,6 +4,7 @@
 // requested. A new plan is made for each decision of the autoscaler. The plan itself starts no tasks and
 // neither requests nor deletes machines.
 
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <string>
@@ -35,12 +36,15 @@
     const InstanceRequestQueue& pendingRequests;
     const CapacityErrors& capacityErrors;
     DueTime dueTime;
+    /// How many machines of one offering may be in requests that wait to be sent, those of this plan
+    /// included.
+    std::uint32_t maxUnsentMachines;
     Time now;
 };
 
 /// Packs the waiting tasks into machines that exist or have been requested. For the remaining tasks it plans
-/// missing machines of the offering that is cheapest per task. The caller adds each job once, in scheduling
-/// order.
+/// missing machines of the offering that is cheapest per task, as many as `PlanInputs::maxUnsentMachines`
+/// allows. Tasks beyond that are left to later plans. The caller adds each job once, in scheduling order.
 class CapacityPlan {
   public:
     explicit CapacityPlan(PlanInputs inputs);
@@ -63,11 +67,13 @@
     bool isUsable(const bookkeeping::Machine& machine) const;
     std::optional<std::string> gangZone(const TaskDemand& demand) const;
     void planMissingMachines(TaskDemand& demand);
+    bool mayAddMissingMachine(const bookkeeping::Offering& offering) const;
 
     const PlanInputs inputs_;
     TeamQuota quota_;
     BinPacking packing_;
     OfferingSelection offerings_;
+    const bookkeeping::MachineCounts unsentMachines_;  // before this plan
     MissingMachines missingMachines_;
 };
 
--- a/src/coordination/autoscaling/instance_request_queue.cpp
+++ b/src/coordination/autoscaling/instance_request_queue.cpp
@@ -10,8 +10,7 @@
 
 namespace {
 
-constexpr std::uint32_t kMaxMachinesPerRequest = 50;  // the cloud's limit
-constexpr Clock::duration kRetryInterval = 2s;        // keeps the load on an unresponsive cloud low
+constexpr Clock::duration kRetryInterval = 2s;  // keeps the load on an unresponsive cloud low
 
 }  // namespace
 
@@ -60,6 +59,13 @@
     });
 }
 
+bookkeeping::MachineCounts InstanceRequestQueue::unsentMachines() const {
+    bookkeeping::MachineCounts unsent;
+    for (const auto& pending : pending_)
+        if (!pending.sent) unsent[offeringOf(pending.request)] += pending.request.count;
+    return unsent;
+}
+
 std::deque<InstanceRequestQueue::PendingRequest>::iterator InstanceRequestQueue::find(
     const std::string& name) {
     return std::find_if(pending_.begin(), pending_.end(),
--- a/src/coordination/autoscaling/instance_request_queue.h
+++ b/src/coordination/autoscaling/instance_request_queue.h
@@ -29,6 +29,9 @@
     unknown  // the request may or may not have been carried out
 };
 
+/// The number of machines that the cloud creates for one request at most.
+inline constexpr std::uint32_t kMaxMachinesPerRequest = 50;
+
 /// A first-in, first-out queue of instance requests. Request names are idempotency keys: the cloud carries
 /// out one name at most once, so a request of unknown outcome can be sent again under its name without
 /// creating machines twice. Names are never reused, as they consist of the leader's fencing token, which no
@@ -55,6 +58,9 @@
     /// the cloud may have carried them out.
     void cancelUnsent(const bookkeeping::Offering& offering);
 
+    /// The machines in requests that were never sent.
+    bookkeeping::MachineCounts unsentMachines() const;
+
     /// Calls `visit` with each pending request, oldest first.
     template <class Visitor>
     void forEachPending(Visitor&& visit) const {
--- a/src/coordination/autoscaling/offering_selection.h
+++ b/src/coordination/autoscaling/offering_selection.h
@@ -17,7 +17,7 @@
 namespace burlpoint::coordination {
 
 /// The number of missing machines by offering.
-using MissingMachines = std::map<bookkeeping::Offering, std::uint32_t>;
+using MissingMachines = bookkeeping::MachineCounts;
 
 /// Selects the available offering with the lowest price per task, at one point in time.
 class OfferingSelection {
--- a/tests/autoscaling/autoscaler_test.cpp
+++ b/tests/autoscaling/autoscaler_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 #include "base/clock.h"
 #include "bookkeeping/machine_types.h"
 
@@ -209,6 +211,63 @@
     EXPECT_FALSE(second.listMachines || second.listTypes);
 }
 
+/// Waiting work of more machines than the budget of two requests a second can ask for at once. The cloud
+/// fulfils each request with machines that stay in the fleet.
+struct LargeBacklogTest : AutoscalerTest {
+    static constexpr std::uint32_t kMachines = 1000;
+    Job backlog;
+    std::uint32_t created = 0;
+
+    LargeBacklogTest() {
+        settings.cloudRequestsPerSecond = 2.5;  // 80 % of the limit is used
+        createAutoscaler();
+        makeService(backlog, "wk-1", kMachines);
+        order = {&backlog};
+    }
+    /// Fulfils the requests of the next second, and returns how many machines they asked for, by type.
+    std::map<std::string, std::uint32_t> requestedInNextSecond(Clock::duration step = 1s) {
+        std::map<std::string, std::uint32_t> requested;
+        for (const auto& request : decide(step).scaleOuts) {
+            requested[request.type] += request.count;
+            for (std::uint32_t i = 0; i < request.count; ++i)
+                machine(std::string("m").append(std::to_string(created++)), request.type);
+            autoscaler->recordScaleOutOutcome(request.name, InstanceRequestOutcome::fulfilled, request.count,
+                                              now);
+        }
+        return requested;
+    }
+};
+
+// Guards against a bound on planned machines that makes anybody wait longer: the cloud must be asked as fast
+// as its limit on requests allows, until nothing is missing.
+TEST_F(LargeBacklogTest, MachinesAreRequestedAsFastAsTheBudgetAllows) {
+    std::uint32_t requested = requestedInNextSecond(0s)["plain"];
+    EXPECT_EQ(requested, 100u);
+    for (int second = 1; second < 10; ++second) requested += requestedInNextSecond()["plain"];
+    EXPECT_EQ(requested, kMachines);
+    EXPECT_TRUE(requestedInNextSecond().empty());
+}
+
+// Guards against machines for urgent work that are requested only after those for all tasks of a large array.
+TEST_F(LargeBacklogTest, JobWithOtherMachineTypeArrivesThenItsMachineIsRequestedWithinTwoSeconds) {
+    for (int second = 0; second < 3; ++second) requestedInNextSecond();
+    Job urgent;
+    makeService(urgent, "wk-2", 1);
+    urgent.spec.types = {"slow"};
+    order = {&urgent, &backlog};
+    const auto first = requestedInNextSecond();
+    const auto second = requestedInNextSecond();
+    EXPECT_EQ(first.contains("slow") + second.contains("slow"), 1);
+}
+
+// Guards against machines that are requested, and paid for, for jobs that were cancelled long before.
+TEST_F(LargeBacklogTest, JobIsCancelledThenRequestsForItEndWithinASecond) {
+    for (int second = 0; second < 3; ++second) requestedInNextSecond();
+    order.clear();
+    requestedInNextSecond();
+    for (int second = 0; second < 20; ++second) EXPECT_TRUE(requestedInNextSecond().empty());
+}
+
 struct ScaleOutOutcomeTest : AutoscalerTest {
     Job job;
 
--- a/tests/autoscaling/capacity_plan_test.cpp
+++ b/tests/autoscaling/capacity_plan_test.cpp
@@ -44,6 +44,7 @@
     MachineTypes types;
     coordination::InstanceRequestQueue pending{7};
     coordination::CapacityErrors capacityErrors;
+    std::uint32_t maxUnsentMachines = 1000;
     Time now{1000s};
     std::vector<std::unique_ptr<Job>> jobs;
 
@@ -75,7 +76,8 @@
     /// A plan of all jobs, in the order of their creation.
     CapacityPlan plan() {
         const auto due = [](const Job& job) { return Time(std::chrono::milliseconds(*job.dueAtMs)); };
-        CapacityPlan result({settings, policy, replica, fleet, types, pending, capacityErrors, due, now});
+        CapacityPlan result(
+            {settings, policy, replica, fleet, types, pending, capacityErrors, due, maxUnsentMachines, now});
         for (const auto& added : jobs) result.add(*added);
         return result;
     }
@@ -306,4 +308,33 @@
     EXPECT_EQ(plan().missingMachines(), MissingMachines{});
 }
 
+// Guards against a leader that is killed for its memory: it planned a machine for each waiting task at once,
+// however many there were, until the cloud had refused one.
+TEST_F(CapacityPlanTest, MoreMachinesAreMissingThanCanBeRequestedThenTheRestIsLeftToLaterPlans) {
+    maxUnsentMachines = 100;
+    job(makeSpec("wk-1", 100'000, 8));
+    job(makeSpec("wk-2", 100'000, 8));
+    auto elsewhere = makeSpec("wk-3", 3, 8);
+    elsewhere.types = {"large"};
+    job(elsewhere);
+    EXPECT_EQ(plan().missingMachines(), (MissingMachines{{plain(), 100}, {{"large", "z", false}, 1}}));
+}
+
+TEST_F(CapacityPlanTest, OnlyMachinesThatWaitToBeRequestedCountAgainstTheLimit) {
+    maxUnsentMachines = 100;
+    job(makeSpec("wk-1", 1000, 8));
+    pending.enqueue(plain(), 50, now);
+    storage::TokenBucket budget(1, now);
+    pending.takeDue(budget, now);
+    pending.enqueue(plain(), 30, now);
+    EXPECT_EQ(plan().missingMachines(), (MissingMachines{{plain(), 70}}));
+}
+
+TEST_F(CapacityPlanTest, LimitIsReachedThenNoDearerOfferingIsTaken) {
+    maxUnsentMachines = 2;
+    types["plain"].zones = {"y", "z"};
+    job(makeSpec("wk-1", 5, 8));
+    EXPECT_EQ(plan().missingMachines(), (MissingMachines{{plain("y"), 2}}));
+}
+
 }  // namespace burlpoint::tests
--- a/tests/upgrade/cluster.h
+++ b/tests/upgrade/cluster.h
@@ -53,6 +53,10 @@
     void kill(std::size_t controller) { processes_[controller].reset(); }
     /// Whether the controller has been started and has not been killed since.
     bool isRunning(std::size_t controller) const { return processes_[controller] != nullptr; }
+    /// The most memory that the controller's process has held since its start, in bytes.
+    std::size_t peakMemoryBytes(std::size_t controller) const {
+        return processes_[controller]->peakMemoryBytes();
+    }
     const Version& version(std::size_t controller) const { return versions_[controller]; }
 
     /// Whether the leader's key exists in the key-value store; it is deleted when the leader lease expires.
--- a/tests/upgrade/controller_process.cpp
+++ b/tests/upgrade/controller_process.cpp
@@ -10,6 +10,7 @@
 
 #include <cerrno>
 #include <csignal>
+#include <fstream>
 #include <stdexcept>
 #include <system_error>
 
@@ -84,4 +85,15 @@
     return !exited_;
 }
 
+std::size_t ControllerProcess::peakMemoryBytes() const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    std::string field;
+    std::size_t kibibytes = 0;
+    while (status >> field && field != "VmHWM:") {
+    }
+    status >> kibibytes;
+    require(static_cast<bool>(status), "read VmHWM");
+    return kibibytes * 1024;
+}
+
 }  // namespace burlpoint::tests
--- a/tests/upgrade/controller_process.h
+++ b/tests/upgrade/controller_process.h
@@ -5,6 +5,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <filesystem>
 #include <string>
 
@@ -54,6 +55,8 @@
 
     /// Whether the process is still running; false once it has exited by itself.
     bool isRunning();
+    /// The most memory that the process has held since it was started, in bytes.
+    std::size_t peakMemoryBytes() const;
 
   private:
     pid_t pid_;
