A job's run counts placements of placed tasks only, not of all tasks asked for

No deployment has met it; found on a related path.

Cause: a run held a byte for each task that the user had asked for, from its beginning on.

--- a/src/bookkeeping/job.cpp
+++ b/src/bookkeeping/job.cpp
@@ -65,21 +65,21 @@
 
 bool Job::setFinished(std::uint32_t task) {
     if (isFinished(task)) return false;
-    if (run->placedCount[task] == 0) --run->waiting;
+    if (run->placedCount.of(task) == 0) --run->waiting;
     run->unpersistedTasks.insert(task);
     return true;
 }
 
 void Job::addPlaced(std::uint32_t task, const std::string& machine, const std::string& zone) {
     if (isWaiting(task)) --run->waiting;
-    ++run->placedCount[task];
+    run->placedCount.add(task);
     ++run->placedTotal;
     ++run->zones[zone];
     ++run->machines[machine];
 }
 
 void Job::removePlaced(std::uint32_t task, const std::string& machine, const std::string& zone) {
-    --run->placedCount[task];
+    run->placedCount.remove(task);
     --run->placedTotal;
     if (const auto found = run->zones.find(zone); --found->second == 0) run->zones.erase(found);
     if (const auto found = run->machines.find(machine); --found->second == 0) run->machines.erase(found);
@@ -96,7 +96,7 @@
 }
 
 void Job::beginRun(JobOrigin origin, Time now) {
-    run = std::make_unique<JobRun>(spec.tasks);
+    run = std::make_unique<JobRun>();
     run->origin = origin;
     run->waitingSince = now;
     run->priority = effectivePriority;
--- a/src/bookkeeping/job.h
+++ b/src/bookkeeping/job.h
@@ -72,7 +72,7 @@
     /// True if the task is neither finished nor placed and the job has not ended. The job must have a run.
     bool isWaiting(std::uint32_t task) const {
         return terminalState == storage::TerminalState::none && !isFinished(task) &&
-               run->placedCount[task] == 0;
+               run->placedCount.of(task) == 0;
     }
     /// The waiting task with the lowest number, if any task is waiting. The job must have a run.
     std::optional<std::uint32_t> firstWaiting();
--- a/src/bookkeeping/job_run.h
+++ b/src/bookkeeping/job_run.h
@@ -11,9 +11,9 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <vector>
 
 #include "base/clock.h"
+#include "bookkeeping/placement_counts.h"
 #include "bookkeeping/recent_failures.h"
 #include "protocol/job_messages.h"
 #include "protocol/settings.h"
@@ -35,10 +35,8 @@
 /// remains known as faulty.
 inline constexpr std::chrono::seconds kJobFailureRetention{120};
 
+/// A run begins without placed tasks. Job::beginRun() sets the number of waiting tasks.
 struct JobRun {
-    /// Creates a run without placed tasks. Job::beginRun() sets the number of waiting tasks.
-    explicit JobRun(std::uint32_t tasks) : placedCount(tasks, 0) {}
-
     /// True if any task of the job has been started or placed in this run.
     bool anyTaskStarted() const { return launchedTasks > 0 || placedTotal > 0; }
     /// True if no task of the job is placed and the job has been waiting for at least `time`.
@@ -50,7 +48,7 @@
     bool suspectedFaulty(Time now) const { return failures.count(now) >= kFaultyJobMachines; }
 
     // Counters of tasks, maintained by Job and Fleet.
-    std::vector<std::uint8_t> placedCount;          // number of placements, by task
+    PlacementCounts placedCount;                    // number of placements, by task
     std::uint32_t placedTotal = 0;                  // sum of placedCount
     std::uint32_t waiting = 0;                      // tasks neither finished nor placed
     std::uint32_t running = 0;                      // placements in the state `running`
--- a/tests/bookkeeping/jobs_test.cpp
+++ b/tests/bookkeeping/jobs_test.cpp
@@ -70,7 +70,7 @@
         std::uint32_t waiting = 0, placed = 0;
         for (std::uint32_t t = 0; t < job.spec.tasks; ++t) {
             waiting += job.isWaiting(t);
-            placed += job.run->placedCount[t];
+            placed += job.run->placedCount.of(t);
         }
         RC_ASSERT(job.run->waiting == waiting);
         RC_ASSERT(job.run->placedTotal == placed);
@@ -83,6 +83,23 @@
     }
 }
 
+RC_GTEST_PROP(PlacementCounts, CountsMatchThoseOfAListOfAllTasks, ()) {
+    constexpr std::uint32_t kTasks = 300;
+    PlacementCounts counts;
+    std::vector<std::uint8_t> expected(kTasks, 0);
+    for (int steps = *rc::gen::inRange(1, 200); steps > 0; --steps) {
+        const auto task = *rc::gen::inRange<std::uint32_t>(0, kTasks);
+        if (expected[task] > 0 && *rc::gen::arbitrary<bool>()) {
+            counts.remove(task);
+            --expected[task];
+        } else {
+            counts.add(task);
+            ++expected[task];
+        }
+        for (std::uint32_t t = 0; t < kTasks; ++t) RC_ASSERT(counts.of(t) == expected[t]);
+    }
+}
+
 // Results of reads may arrive out of order. An older value must not replace a newer one.
 TEST(StateReplica, OlderValueArrivesLateThenTheNewestIsKept) {
     StateReplica replica;
--- a/tests/memory/waiting_work_test.cpp
+++ b/tests/memory/waiting_work_test.cpp
@@ -74,6 +74,18 @@
     EXPECT_LT(heap.peakBytes(), kSmallestProcessLimit);
 }
 
+// Guards against runs of jobs that are sized by the tasks asked for: each waiting array of the largest size
+// took 100,000 bytes although none of its tasks could start.
+TEST(WaitingWorkMemory, ThousandLargeArraysWaitThenLeaderStaysWithinSmallestProcessLimit) {
+    WaitingWork work;
+    work.submitArrays(1000, protocol::kMaxTasks);
+    HeapMeter heap;
+    work.startLeader();
+    work.run(Seconds(10));
+    record("peak", heap.peakBytes());
+    EXPECT_LT(heap.peakBytes(), kSmallestProcessLimit);
+}
+
 // The same for a leader that has planned before: a request that is fulfilled in full lets it forget earlier
 // refusals.
 TEST(WaitingWorkMemory, OfferingIsFulfilledInFullThenPlanStaysWithinSmallestProcessLimit) {
