A message that declares more elements than it has bytes is refused before memory is taken for them

What callers would see: nothing as long as untouched pages don't count; where they do, a controller killed by one request of 155 bytes.

Cause: the elements that a MessagePack list or map declares are allocated before the first is read, up to 100,000 on each of 32 levels.

Change: no list or map of a body may declare more elements than the body has bytes, as each takes one byte at least.

--- a/src/protocol/map_reader.cpp
+++ b/src/protocol/map_reader.cpp
@@ -1,5 +1,6 @@
 #include "protocol/map_reader.h"
 
+#include <algorithm>
 #include <cmath>
 #include <new>
 
@@ -10,7 +11,8 @@
 /// Far above any amount in a real cluster; keeps sums of amounts finite and sufficiently exact.
 constexpr double kMaxAmount = 1e12;
 
-// A body of a few bytes can declare sizes that would exhaust the memory; unpacking fails above these limits.
+// A body of a few bytes can declare sizes that would exhaust the memory; unpacking fails above these limits,
+// and if a list or a map declares more elements than the body has bytes.
 constexpr std::size_t kMaxElements = 100'000;  // elements of a list or a map
 constexpr std::size_t kMaxTextSize = 8 << 20;  // bytes of a text, binary or extension value
 constexpr std::size_t kMaxDepth = 32;          // nesting of lists and maps
@@ -20,11 +22,12 @@
 }  // namespace
 
 msgpack::object_handle unpackBody(std::string_view body) {
-    static const msgpack::unpack_limit kLimit(kMaxElements, kMaxElements, kMaxTextSize, kMaxTextSize,
-                                              kMaxTextSize, kMaxDepth);
+    const auto maxElements = std::min(kMaxElements, body.size());
+    const msgpack::unpack_limit limit(maxElements, maxElements, kMaxTextSize, kMaxTextSize, kMaxTextSize,
+                                      kMaxDepth);
     try {
         std::size_t offset = 0;
-        auto handle = msgpack::unpack(body.data(), body.size(), offset, refersToBody, nullptr, kLimit);
+        auto handle = msgpack::unpack(body.data(), body.size(), offset, refersToBody, nullptr, limit);
         if (offset != body.size()) throw MalformedMessage("bytes after the body");
         return handle;
     } catch (const msgpack::unpack_error& error) {
--- a/tests/memory/heap_meter.cpp
+++ b/tests/memory/heap_meter.cpp
@@ -3,36 +3,66 @@
 #include <malloc.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdlib>
-#include <new>
+
+// The allocator of the C library under its internal names.
+extern "C" {
+// NOLINTBEGIN(bugprone-reserved-identifier,readability-identifier-naming): names of the C library
+void* __libc_malloc(std::size_t size);
+void* __libc_calloc(std::size_t count, std::size_t size);
+void* __libc_realloc(void* memory, std::size_t size);
+void* __libc_memalign(std::size_t alignment, std::size_t size);
+void __libc_free(void* memory);
+// NOLINTEND(bugprone-reserved-identifier,readability-identifier-naming): names of the C library
+}
 
 namespace {
 
 std::size_t allocatedBytes = 0;
 std::size_t peakBytesAllocated = 0;
 
-void* allocate(std::size_t size) {
-    void* memory = std::malloc(size);
-    if (!memory) throw std::bad_alloc();
+void* recordAllocation(void* memory) {
+    if (!memory) return nullptr;
     allocatedBytes += malloc_usable_size(memory);
     peakBytesAllocated = std::max(peakBytesAllocated, allocatedBytes);
     return memory;
 }
 
-void release(void* memory) {
-    if (!memory) return;
-    allocatedBytes -= malloc_usable_size(memory);
-    std::free(memory);
+void recordRelease(void* memory) {
+    if (memory) allocatedBytes -= malloc_usable_size(memory);
 }
 
 }  // namespace
 
-void* operator new(std::size_t size) { return allocate(size); }
-void* operator new[](std::size_t size) { return allocate(size); }
-void operator delete(void* memory) noexcept { release(memory); }
-void operator delete[](void* memory) noexcept { release(memory); }
-void operator delete(void* memory, std::size_t /*size*/) noexcept { release(memory); }
-void operator delete[](void* memory, std::size_t /*size*/) noexcept { release(memory); }
+extern "C" {
+
+void* malloc(std::size_t size) { return recordAllocation(__libc_malloc(size)); }
+
+void* calloc(std::size_t count, std::size_t size) { return recordAllocation(__libc_calloc(count, size)); }
+
+void* realloc(void* memory, std::size_t size) {
+    recordRelease(memory);
+    return recordAllocation(__libc_realloc(memory, size));
+}
+
+void* memalign(std::size_t alignment, std::size_t size) {
+    return recordAllocation(__libc_memalign(alignment, size));
+}
+
+void* aligned_alloc(std::size_t alignment, std::size_t size) { return memalign(alignment, size); }
+
+int posix_memalign(void** memory, std::size_t alignment, std::size_t size) {
+    *memory = memalign(alignment, size);
+    return *memory ? 0 : ENOMEM;
+}
+
+void free(void* memory) {
+    recordRelease(memory);
+    __libc_free(memory);
+}
+
+}  // extern "C"
 
 namespace burlpoint::tests {
 
--- a/tests/memory/heap_meter.h
+++ b/tests/memory/heap_meter.h
@@ -1,8 +1,7 @@
 #pragma once
 
-// Counts the bytes that the test process has allocated. The counters are kept by replacements of the global
-// allocation functions, so every allocation of the program is included, those of libraries written in C
-// excepted.
+// Counts the bytes that the test process has allocated. The counters are kept by replacements of the C
+// library's allocation functions, which all parts of the program use. Single-threaded.
 
 #include <cstddef>
 
