--- a/tests/autoscaling/autoscaler_test.cpp
+++ b/tests/autoscaling/autoscaler_test.cpp
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
 #include <map>
+#include <set>
 
 #include "base/clock.h"
 #include "bookkeeping/machine_types.h"
@@ -268,6 +270,28 @@
     for (int second = 0; second < 20; ++second) EXPECT_TRUE(requestedInNextSecond().empty());
 }
 
+// Guards against requests that pile up while the cloud does not answer. A request is repeated until it gets
+// an answer, so the ones that wait for theirs bound those that are sent.
+TEST_F(LargeBacklogTest, CloudGivesNoAnswerThenNoMoreRequestsArePendingThanCanBeRepeated) {
+    constexpr auto kTimeout = 6s;  // after which an outcome is unknown
+    constexpr auto kRetryInterval = 2s;
+    constexpr auto kPlanInterval = 1s;
+    constexpr std::size_t kRequestsPerSecond = 2;
+    makeService(backlog, "wk-1", protocol::kMaxTasks);
+    std::set<std::string> names;
+    std::deque<std::pair<Time, std::string>> unanswered;
+    for (int second = 0; second < 600; ++second) {
+        for (const auto& request : decide().scaleOuts) {
+            names.insert(request.name);
+            unanswered.emplace_back(now + kTimeout, request.name);
+        }
+        for (; !unanswered.empty() && unanswered.front().first <= now; unanswered.pop_front())
+            autoscaler->recordScaleOutOutcome(unanswered.front().second, InstanceRequestOutcome::unknown, 0,
+                                              now);
+    }
+    EXPECT_LE(names.size(), kRequestsPerSecond * (kTimeout + kRetryInterval + kPlanInterval).count());
+}
+
 struct ScaleOutOutcomeTest : AutoscalerTest {
     Job job;
 
