An ended attempt is cleared only once no copy of its start may be carried out

What callers saw, on a service like this one: a task ran on two machines, and a cancelled task ran again, after a late copy of a start that had been carried out reached its machine once more.

Cause: a start has no effect while the worker lists the attempt, but the leader had an ended attempt cleared with the next heartbeat, also within the 4 s in which the worker still accepts the response that had started it.

Evidence: the simulated network delivers such copies now, of responses (as long as the worker would accept them) and of direct commands (up to 40 s late), beside restarts of workers, reset counters and leaders that are back in 0.2 s.

Change: the machine's task history keeps the starts of the last 4 s. An exited attempt among them is not cleared yet, and no other attempt of that task is sent to that machine; other tasks of the job are. The entry ends with the 4 s, with a new incarnation, or when a heartbeat shows that the start was not received.

New checks in every history and, for all versions, in the upgrade tests: direct commands are stops only; in histories also: a leader starts an attempt once on a machine.

--- a/src/bookkeeping/job.cpp
+++ b/src/bookkeeping/job.cpp
@@ -91,8 +91,15 @@
 
 std::optional<std::uint32_t> Job::firstWaiting() {
     if (run->waiting == 0) return std::nullopt;
-    while (run->firstWaitingHint < spec.tasks && !isWaiting(run->firstWaitingHint)) ++run->firstWaitingHint;
-    return run->firstWaitingHint < spec.tasks ? std::optional(run->firstWaitingHint) : std::nullopt;
+    const auto first = firstWaitingFrom(run->firstWaitingHint);
+    run->firstWaitingHint = first.value_or(spec.tasks);
+    return first;
+}
+
+std::optional<std::uint32_t> Job::firstWaitingFrom(std::uint32_t first) const {
+    for (auto task = first; task < spec.tasks; ++task)
+        if (isWaiting(task)) return task;
+    return std::nullopt;
 }
 
 void Job::beginRun(JobOrigin origin, Time now) {
--- a/src/bookkeeping/job.h
+++ b/src/bookkeeping/job.h
@@ -76,6 +76,9 @@
     }
     /// The waiting task with the lowest number, if any task is waiting. The job must have a run.
     std::optional<std::uint32_t> firstWaiting();
+    /// The waiting task with the lowest number that is not below `first`, if there is one. The job must have
+    /// a run.
+    std::optional<std::uint32_t> firstWaitingFrom(std::uint32_t first) const;
 
     /// Creates the run, in which no task is placed.
     void beginRun(JobOrigin origin, Time now);
--- a/src/bookkeeping/machine.h
+++ b/src/bookkeeping/machine.h
@@ -20,6 +20,7 @@
 #include "bookkeeping/job.h"
 #include "bookkeeping/placement.h"
 #include "bookkeeping/recent_failures.h"
+#include "bookkeeping/recent_starts.h"
 #include "bookkeeping/resources.h"
 #include "protocol/cloud_messages.h"
 
@@ -86,6 +87,7 @@
     Time lastBusyAt{};         // when it last had a task, or was added if it had none so far
     Time startBackoffUntil{};  // no task is started before this time, as the worker refused one
     RecentFailures failures{kMachineFailureRetention};  // by job, since a task last succeeded on it
+    RecentStarts recentStarts;
 };
 
 /// Capacity that is reserved for one job. Written by Fleet::reserve and Fleet::cancelReservation only.
--- a/src/coordination/controller/heartbeat_commands.cpp
+++ b/src/coordination/controller/heartbeat_commands.cpp
@@ -17,7 +17,9 @@
                                                       const HeartbeatReceived& event, Time now) {
     if (!machine.agent.acknowledged) return stopsOfTerminatedJobs(event.heartbeat, replica_);
     std::vector<WorkerCommand> commands;
-    if (addCleanupCommands(event.heartbeat, replica_, commands) == CommandFit::truncated) return commands;
+    const auto fit =
+        addCleanupCommands(event.heartbeat, replica_, machine.history.recentStarts, now, commands);
+    if (fit == CommandFit::truncated) return commands;
     for (auto& command : stopCommands(machine)) commands.push_back(std::move(command));
     // A leader that is partitioned from the key-value store may act for up to 10 s more, see
     // `Election::maxTimeWithoutRead`. Meanwhile other controllers may confirm cancellations to users that
--- a/src/coordination/scheduling/degraded_first_scheduler.cpp
+++ b/src/coordination/scheduling/degraded_first_scheduler.cpp
@@ -3,6 +3,8 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <optional>
 
 namespace burlpoint::coordination {
 
@@ -39,6 +41,15 @@
     return job.run->waiting > 0 && hasFreeCapacity(machine, job);
 }
 
+/// The first waiting task of which the worker does not list an attempt that has just ended: it would refuse
+/// another one.
+std::optional<std::uint32_t> taskToStart(const Machine& machine, Job& job, Time now) {
+    auto task = job.firstWaiting();
+    while (task && machine.history.recentStarts.containsTask(job, *task, now))
+        task = job.firstWaitingFrom(*task + 1);
+    return task;
+}
+
 }  // namespace
 
 DegradedFirstScheduler::DegradedFirstScheduler(const SchedulerContext& context) : context_(context) {}
@@ -65,6 +76,7 @@
         if (placement.state != PlacementState::planned) continue;
         if (heartbeat.commands.size() >= kMaxCommandsForStart) continue;
         placement.sentSequence = heartbeat.machine.agent.sequence;
+        heartbeat.machine.history.recentStarts.record(key, heartbeat.now);
         fleet.setState(placement, PlacementState::sent, heartbeat.now);
         ++placement.job->run->launchedTasks;
         heartbeat.commands.push_back(startCommand(*placement.job, placement.task, placement.attempt));
@@ -125,13 +137,14 @@
 /// if no task may start there.
 bool DegradedFirstScheduler::startOneTask(HeartbeatHandling& heartbeat, Job& job) {
     if (!mayStartOneTask(heartbeat, job)) return false;
-    const auto task = job.firstWaiting();
-    if (!task) return false;
     auto& machine = heartbeat.machine;
+    const auto task = taskToStart(machine, job, heartbeat.now);
+    if (!task) return false;
     auto& run = *job.run;
     const auto attempt = context_.attempts.next();
     auto& placement = context_.fleet.place(machine, job, *task, attempt, PlacementState::sent, heartbeat.now);
     placement.sentSequence = machine.agent.sequence;
+    machine.history.recentStarts.record({&job, *task, attempt}, heartbeat.now);
     if (run.overdue && run.launchedTasks == 0 && job.doneCount == 0) run.firstOverdueTask = *task;
     ++run.launchedTasks;
     if (job.spec.kind == JobKind::gang) run.gangAttempt = attempt;
--- a/src/coordination/scheduling/gang_planner.cpp
+++ b/src/coordination/scheduling/gang_planner.cpp
@@ -178,6 +178,8 @@
 bool GangPlanner::isCandidate(const Machine& machine, const Job& job, Time now) const {
     if (!hasFreeGpus(machine, job.spec.gpus) || !hasFreeCpus(machine, job.spec.cpus)) return false;
     if (!constraints_.mayStart(job, machine, now)) return false;
+    // The worker may still list tasks of the earlier attempt, and would refuse another attempt of them.
+    if (job.run->placedTotal == 0 && machine.history.recentStarts.containsJob(job, now)) return false;
     // A machine where a task of this attempt has ended must not get a replacement under the same attempt
     // number.
     return job.run->placedTotal == 0 || !job.run->machinesWithEndedTasks.contains(machine.id);
--- a/src/coordination/workers/heartbeat_reconciler.cpp
+++ b/src/coordination/workers/heartbeat_reconciler.cpp
@@ -70,6 +70,7 @@
     // A worker begins a new incarnation when it restarts or when its lease expires. By this leader's count
     // the lease was still valid, so the worker probably did not receive the responses that renewed it.
     if (machine.lease.active && machine.agent.incarnation > 0) recordUndeliveredResponse(machine, now);
+    machine.history.recentStarts.clear();
     context_.completion.endIf(
         machine, [](const Placement& placement) { return !isPlanned(placement); }, now);
 }
@@ -123,9 +124,11 @@
         const bool mayBeUndelivered =
             source == StatusSource::answer || heartbeat.sequence <= placement.sentSequence;
         const bool inFlight = placement.state == PlacementState::sent && mayBeUndelivered;
-        const bool gone = !placement.listedInStatus && !inFlight;
-        startUndelivered |= gone && placement.state == PlacementState::sent;
-        return gone;
+        if (placement.listedInStatus || inFlight) return false;
+        if (placement.state != PlacementState::sent) return true;
+        startUndelivered = true;
+        machine.history.recentStarts.remove({placement.job, placement.task, placement.attempt});
+        return true;
     };
     context_.completion.endIf(machine, isGone, now);
     if (startUndelivered) recordUndeliveredResponse(machine, now);
--- a/src/coordination/workers/worker_commands.cpp
+++ b/src/coordination/workers/worker_commands.cpp
@@ -21,9 +21,9 @@
     return !job || task.attempt.task >= job->spec.tasks;
 }
 
-/// True if the worker may forget the exited task. Until its result is stored, the heartbeat is the only
-/// record of it.
-bool mayAcknowledge(const TaskStatus& task, const Job& job) {
+/// True if the worker need not keep the exited task's result. Until the result is stored, the heartbeat is
+/// the only record of it.
+bool isResultStored(const TaskStatus& task, const Job& job) {
     return task.exitReason != ExitReason::done || job.terminalState != TerminalState::none ||
            job.isDone(task.attempt.task) || job.spec.kind == protocol::JobKind::service;
 }
@@ -67,7 +67,14 @@
 }
 
 CommandFit addCleanupCommands(const protocol::Heartbeat& heartbeat, bookkeeping::StateReplica& replica,
+                              const bookkeeping::RecentStarts& recentStarts, Time now,
                               std::vector<WorkerCommand>& commands) {
+    // A worker that has forgotten an attempt would start it again on a late copy of the start, though the
+    // task may have moved to another machine or its job may have been cancelled.
+    const auto mayAcknowledge = [&](const TaskStatus& task, const Job& job) {
+        const auto& [id, number, attempt] = task.attempt;
+        return isResultStored(task, job) && !recentStarts.contains({&job, number, attempt}, now);
+    };
     for (const auto& task : heartbeat.tasks) {
         if (commands.size() >= kMaxCommands) return CommandFit::truncated;
         const auto* job = replica.find(task.attempt.job);
--- a/src/coordination/workers/worker_commands.h
+++ b/src/coordination/workers/worker_commands.h
@@ -7,7 +7,9 @@
 #include <cstddef>
 #include <vector>
 
+#include "base/clock.h"
 #include "bookkeeping/fleet.h"
+#include "bookkeeping/recent_starts.h"
 #include "bookkeeping/state_replica.h"
 #include "protocol/worker_messages.h"
 
@@ -28,10 +30,12 @@
 std::vector<protocol::WorkerCommand> stopsOfTerminatedJobs(const protocol::Heartbeat& heartbeat,
                                                            bookkeeping::StateReplica& replica);
 
-/// Appends stops for running tasks that belong to no known job, and acknowledgements of exited tasks whose
-/// result the worker need not keep any longer. If it returns CommandFit::truncated, the response is full and
-/// takes no further commands.
+/// Appends stops for running tasks that belong to no known job, and acknowledgements of exited tasks that the
+/// worker need not list any longer: their results are stored, and no copy of their starts, which
+/// `recentStarts` of the machine knows, may still be carried out. If it returns CommandFit::truncated, the
+/// response is full and takes no further commands.
 CommandFit addCleanupCommands(const protocol::Heartbeat& heartbeat, bookkeeping::StateReplica& replica,
+                              const bookkeeping::RecentStarts& recentStarts, Time now,
                               std::vector<protocol::WorkerCommand>& commands);
 
 }  // namespace burlpoint::coordination
--- a/tests/controller/leader_harness.h
+++ b/tests/controller/leader_harness.h
@@ -50,9 +50,13 @@
     }
     void startLeader() { leader = std::make_unique<Leader>(settings, policy, replica, 5, now, 0); }
 
-    void submitJob(protocol::JobSpec spec) {
-        const auto value =
-            storage::encodeJob({spec, storage::TerminalState::none, 0, 0, storage::chunkTasks(8)});
+    void submitJob(const protocol::JobSpec& spec) { storeJob(spec, storage::TerminalState::none); }
+    void cancelJob(const std::string& id) {
+        storeJob(replica.find(id)->spec, storage::TerminalState::cancelled);
+    }
+    /// Stores the job's record, and tells the leader.
+    void storeJob(const protocol::JobSpec& spec, storage::TerminalState state) {
+        const auto value = storage::encodeJob({spec, state, 0, 0, storage::chunkTasks(8)});
         const auto handle = protocol::unpackBody(value);
         std::vector<bookkeeping::ReplicaChange> changes;
         replica.apply({storage::keys::job(spec.id), &handle.get(), ++revision}, changes);
--- a/tests/leadership/leadership_test.cpp
+++ b/tests/leadership/leadership_test.cpp
@@ -37,6 +37,22 @@
     }
 }
 
+// A controller that is back within a second leads again, as the leader's key names it. Its commands and
+// attempts must differ from those of its earlier process.
+TEST_F(Leadership, LeaderRestartsWithinASecondThenItLeadsUnderAHigherToken) {
+    std::uint64_t last = 0;
+    for (int process = 0; process < 3; ++process) {
+        ControllerHarness controller(io, stub);
+        while (!controller.fencingToken) {
+            controller.election.tick(Clock::now());
+            io.run_one_for(5ms);
+        }
+        EXPECT_EQ(stub.store.leases.size(), process + 1u);  // the earlier leases have not ended
+        EXPECT_GT(controller.fencingToken, last);
+        last = controller.fencingToken;
+    }
+}
+
 // The lease expires although the leader did not end it. The leader learns this from its next renewal, and its
 // writes fail because the fencing token has been incremented.
 TEST_F(Leadership, LeaseEndedThenLeaderStopsAndItsWritesFail) {
--- a/tests/simulation/combined_failures/late_messages_test.cpp
+++ b/tests/simulation/combined_failures/late_messages_test.cpp
@@ -87,3 +87,42 @@
     };
     checkScenario(scenario);
 }
+
+// Guards against tasks that run twice, or after their job's cancellation, as a late copy of a direct command
+// reaches a machine that is back within a second, or under a leader that is.
+TEST(History, InvariantsHoldWhenDirectCommandsArriveAgainAfterQuickRestarts) {
+    Scenario scenario;
+    scenario.faults.directCommandCopyProbability = 0.8;
+    scenario.faults.workerRestartsPerSecond = 0.01;
+    scenario.faults.workerCounterResetsPerSecond = 0.005;
+    scenario.script = [](SimulatedCluster& cluster, int second) {
+        if (second % 10 == 5) cancelRunningJobs(cluster, 2);
+        if (second % 20 == 7) cluster.leaders.endLeadership(Seconds(0.2));
+    };
+    scenario.countOccurrences = [](const Occurrences& occurrences) {
+        return occurrences.copiesOfDirectCommands;
+    };
+    checkScenario(scenario);
+}
+
+// The same for copies of the starts in heartbeat responses, which were executed before: also of attempts that
+// have ended since, and whose tasks have moved or whose jobs were cancelled.
+TEST(History, InvariantsHoldWhenStartsArriveAgainAfterTheyWereExecuted) {
+    Scenario scenario;
+    scenario.faults.responseCopyProbability = 0.8;
+    scenario.faults.workerRestartsPerSecond = 0.01;
+    scenario.faults.taskErrorProbability = 0.2;
+    scenario.prepare = [](SimulatedCluster& cluster) {
+        cluster.workers.minRunTime = Seconds(0.1);
+        cluster.workers.maxRunTime = Seconds(3);
+        cluster.workers.maxFetchTime = Seconds(0.5);
+    };
+    scenario.script = [](SimulatedCluster& cluster, int second) {
+        if (second % 5 == 2) cancelRunningJobs(cluster, 2);
+        if (second % 20 == 7) cluster.leaders.endLeadership(Seconds(0.2));
+    };
+    scenario.countOccurrences = [](const Occurrences& occurrences) {
+        return occurrences.copiesOfStartsOfEndedAttempts;
+    };
+    checkScenario(scenario);
+}
--- a/tests/simulation/environment.h
+++ b/tests/simulation/environment.h
@@ -41,6 +41,9 @@
     std::size_t heartbeatsOfEarlierIncarnations = 0;  // of these, sent before a restart of the worker
     std::size_t commandsAfterRecovery = 0;            // executed once a hang or partition had ended
     std::size_t commandsWithoutOutboundLink = 0;      // executed while the worker reached no controller
+    std::size_t copiesOfDirectCommands = 0;           // executed, each with at least one command
+    std::size_t copiesOfStarts = 0;                   // executed
+    std::size_t copiesOfStartsOfEndedAttempts = 0;    // of these, after the attempt had ended
     std::size_t cancellationsAtJobEnd = 0;  // after the last task completed, before the end was stored
     std::size_t cancellationsOnUnreachableMachines = 0;  // per such machine with tasks of the job
     std::size_t cancellationsDelayedByOutage = 0;
--- a/tests/simulation/faults.h
+++ b/tests/simulation/faults.h
@@ -23,6 +23,11 @@
     double unansweredWriteProbability = 0;
     /// A direct command or a heartbeat response is held back until its machine's hang or partition has ended.
     double messageHeldUntilRecoveryProbability = 0;
+    /// A copy of a direct command arrives up to 40 s after the command, whether or not that was executed.
+    double directCommandCopyProbability = 0;
+    /// The commands of a heartbeat response that were executed arrive once more, as long as the worker would
+    /// accept the response: up to 4 s after the heartbeat was sent.
+    double responseCopyProbability = 0;
 
     // Faults of workers, their network connections and their tasks.
 
@@ -50,7 +55,7 @@
     double userActionsAtJobEndProbability = 0;
 
     /// All rates are 0.
-    static Faults none() { return {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0}; }
+    static Faults none() { return {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0}; }
 };
 
 }  // namespace burlpoint::simulation
--- a/tests/simulation/invariant_checker.cpp
+++ b/tests/simulation/invariant_checker.cpp
@@ -98,6 +98,18 @@
     if (known || shouldBeKnown) report("start sent after the cancellation of " + command.attempt.job);
 }
 
+void InvariantChecker::checkStartedOnce(const std::string& machine, std::uint64_t fencingToken,
+                                        const protocol::WorkerCommand& command) {
+    if (command.kind != protocol::CommandKind::start) return;
+    if (!started_.emplace(machine, fencingToken, command.attempt).second)
+        report("started by two responses: " + taskName(command.attempt) + " on " + machine);
+}
+
+void InvariantChecker::checkDirectCommand(const protocol::WorkerCommand& command) {
+    if (command.kind != protocol::CommandKind::stop)
+        report("direct command that is no stop: " + taskName(command.attempt));
+}
+
 void InvariantChecker::checkAcknowledgement(const Attempt& attempt) {
     const auto record = store_.recordOf(attempt.job);
     if (record.terminalState != TerminalState::none || record.spec.kind == JobKind::service) return;
--- a/tests/simulation/invariant_checker.h
+++ b/tests/simulation/invariant_checker.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include "base/clock.h"
@@ -36,6 +37,14 @@
     /// subject to `checkCancelledTasks`.
     void checkStartCommand(const protocol::WorkerCommand& command, bookkeeping::StateReplica& replica,
                            bool leaderReachesStore);
+    /// To be called when a leader sends a command in a heartbeat response. A leader may start an attempt on a
+    /// machine by one response only: a late copy of the first start, or of a stop, could not be told from a
+    /// command that belongs to the second. Those of an earlier leader have an older fencing token.
+    void checkStartedOnce(const std::string& machine, std::uint64_t fencingToken,
+                          const protocol::WorkerCommand& command);
+    /// To be called when a leader sends a direct command. Direct commands may arrive minutes late and more
+    /// than once, so they may neither start a task nor let the worker forget one.
+    void checkDirectCommand(const protocol::WorkerCommand& command);
     /// A result may be acknowledged, so that the worker forgets it, only once it is stored or the job's
     /// terminal state is.
     void checkAcknowledgement(const protocol::Attempt& attempt);
@@ -84,6 +93,8 @@
     std::size_t checkedEvents_ = 0;  // number of entries of the store's log
     std::map<std::string, storage::TerminalState> storedStates_;
     std::set<protocol::Attempt> reportedCancelled_;
+    /// The machine, the leader's fencing token and the attempt of each start that was sent.
+    std::set<std::tuple<std::string, std::uint64_t, protocol::Attempt>> started_;
     std::map<std::string, Time> waitingSince_;
     std::set<std::string> reportedWaiting_;
 };
--- a/tests/simulation/simulated_cluster.cpp
+++ b/tests/simulation/simulated_cluster.cpp
@@ -26,8 +26,13 @@
     network_.hooks.heartbeatArrived = [this](const protocol::Heartbeat& heartbeat, std::uint64_t request) {
         leaders.receiveHeartbeat(heartbeat, request);
     };
-    network_.hooks.commandSentInResponse = [this](const protocol::WorkerCommand& command) {
+    network_.hooks.commandSentInResponse = [this](const std::string& machine, std::uint64_t fencingToken,
+                                                  const protocol::WorkerCommand& command) {
         invariantChecker_.checkStartCommand(command, leaders.replica(), leaders.reachesStore());
+        invariantChecker_.checkStartedOnce(machine, fencingToken, command);
+    };
+    network_.hooks.commandSentDirectly = [this](const protocol::WorkerCommand& command) {
+        invariantChecker_.checkDirectCommand(command);
     };
 }
 
--- a/tests/simulation/simulated_network.cpp
+++ b/tests/simulation/simulated_network.cpp
@@ -97,11 +97,12 @@
     if (action.verdict == coordination::HeartbeatVerdict::refused ||
         random.chance(faults.messageLossProbability))
         return;
-    for (const auto& command : action.commands) hooks.commandSentInResponse(command);
+    const auto& machine = senders_.at(action.request).first;
+    for (const auto& command : action.commands)
+        hooks.commandSentInResponse(machine, leader.fencingToken, command);
     const double maxSeconds = random.chance(faults.lateExecutionProbability) ? 8 : 0.2;
     const auto delay = random.delay(0, maxSeconds);
-    deliver(delay, senders_.at(action.request).first,
-            [this, action, leader] { receiveAnswer(action, leader); });
+    deliver(delay, machine, [this, action, leader] { receiveAnswer(action, leader); });
 }
 
 void SimulatedNetwork::receiveAnswer(const coordination::AnswerHeartbeat& action, const Requester& leader) {
@@ -116,11 +117,52 @@
     environment_.occurrences.answersInsidePartitionedZone += leader.insidePartitionedZone;
     worker->leaseStart = worker->heartbeatSent;
     for (const auto& command : action.commands) workers_.execute(*worker, command);
+    if (environment_.random.chanceUnlessZero(environment_.faults.responseCopyProbability))
+        scheduleResponseCopy(*worker, action, leader);
+}
+
+void SimulatedNetwork::scheduleResponseCopy(const SimulatedWorker& worker,
+                                            const coordination::AnswerHeartbeat& action,
+                                            const Requester& leader) {
+    const auto longestDelay = worker.heartbeatSent + kHeartbeatResponseTimeout - environment_.now();
+    const auto delay = environment_.random.delay(0, Seconds(longestDelay).count());
+    environment_.events.schedule(delay, [this, action, leader, id = worker.id, restarts = worker.restarts] {
+        auto* receiver = findReceiver(id, leader.insidePartitionedZone);
+        if (receiver && receiver->restarts == restarts) receiveResponseCopy(action, leader, *receiver);
+    });
+}
+
+void SimulatedNetwork::receiveResponseCopy(const coordination::AnswerHeartbeat& action,
+                                           const Requester& leader, SimulatedWorker& worker) {
+    if (leader.fencingToken < worker.fencingToken) return;
+    auto& occurrences = environment_.occurrences;
+    for (const auto& command : action.commands) {
+        if (command.kind == protocol::CommandKind::start) {
+            const auto found = worker.tasks.find(command.attempt);
+            const bool active =
+                found != worker.tasks.end() && found->second.state != protocol::TaskState::exited;
+            ++occurrences.copiesOfStarts;
+            occurrences.copiesOfStartsOfEndedAttempts += !active;
+        }
+        workers_.execute(worker, command);
+    }
+}
+
+void SimulatedNetwork::scheduleDirectCommandCopy(const coordination::SendCommands& action,
+                                                 const Requester& leader) {
+    environment_.events.schedule(environment_.random.delay(0.1, 40), [this, action, leader] {
+        auto* worker = findReceiver(action.machine, leader.insidePartitionedZone);
+        if (worker && receiveCommands(*worker, action, leader.fencingToken) && !action.commands.empty())
+            ++environment_.occurrences.copiesOfDirectCommands;
+    });
 }
 
 void SimulatedNetwork::sendCommands(const coordination::SendCommands& action, const Requester& leader) {
     auto& random = environment_.random;
     const auto& faults = environment_.faults;
+    for (const auto& command : action.commands) hooks.commandSentDirectly(command);
+    if (random.chanceUnlessZero(faults.directCommandCopyProbability))
+        scheduleDirectCommandCopy(action, leader);
     const CommandsAnswered noAnswer{action.machine, std::nullopt, action.latestVersionAtSend};
     const bool late = random.chance(faults.lateExecutionProbability);
     if (late || random.chance(faults.messageLossProbability)) {
--- a/tests/simulation/simulated_network.h
+++ b/tests/simulation/simulated_network.h
@@ -26,8 +26,13 @@
     struct Hooks {
         /// A heartbeat, or a copy of one, arrives at the controllers.
         std::function<void(const protocol::Heartbeat&, std::uint64_t request)> heartbeatArrived;
-        /// The leader sends a command in a heartbeat response, and the response is not lost on sending.
-        std::function<void(const protocol::WorkerCommand&)> commandSentInResponse;
+        /// The leader sends a command to the machine in a heartbeat response, and the response is not lost on
+        /// sending.
+        std::function<void(const std::string& machine, std::uint64_t fencingToken,
+                           const protocol::WorkerCommand&)>
+            commandSentInResponse;
+        /// The leader sends a direct command.
+        std::function<void(const protocol::WorkerCommand&)> commandSentDirectly;
     };
     Hooks hooks;
 
@@ -56,6 +61,12 @@
     /// The remaining time of the worker's hang or partition; 0 if it has neither.
     Clock::duration timeToRecovery(const SimulatedWorker& worker) const;
     void receiveAnswer(const coordination::AnswerHeartbeat& action, const Requester& leader);
+    /// Lets the commands of a response that the worker has just executed arrive once more.
+    void scheduleResponseCopy(const SimulatedWorker& worker, const coordination::AnswerHeartbeat& action,
+                              const Requester& leader);
+    void receiveResponseCopy(const coordination::AnswerHeartbeat& action, const Requester& leader,
+                             SimulatedWorker& worker);
+    void scheduleDirectCommandCopy(const coordination::SendCommands& action, const Requester& leader);
     /// Executes the commands unless their fencing token is older than the worker's or they are for another
     /// incarnation. Returns whether they were executed.
     bool receiveCommands(SimulatedWorker& worker, const coordination::SendCommands& action,
--- a/tests/simulation/simulated_workers.cpp
+++ b/tests/simulation/simulated_workers.cpp
@@ -153,6 +153,7 @@
 /// Drops all tasks and starts a new lease. The caller sets the incarnation.
 void SimulatedWorkers::restartAgent(SimulatedWorker& worker) {
     worker.tasks.clear();
+    ++worker.restarts;
     worker.lastFault = worker.leaseStart = environment_.now();
     worker.unansweredRequest = 0;
     worker.changedSinceHeartbeat = true;
--- a/tests/simulation/simulated_workers.h
+++ b/tests/simulation/simulated_workers.h
@@ -32,6 +32,7 @@
     std::optional<Time> interruptionAt;
     double clockRate = 1;
     std::uint64_t incarnation = 1, sequence = 0, fencingToken = 0;
+    std::uint64_t restarts = 0;  // of the agent; a response to a heartbeat from before one is lost
     std::map<protocol::Attempt, SimulatedTask> tasks;
     Time leaseStart{};                    // when the last answered heartbeat was sent
     std::uint64_t unansweredRequest = 0;  // request number of the pending heartbeat; 0: none
--- a/tests/upgrade/machines.cpp
+++ b/tests/upgrade/machines.cpp
@@ -220,6 +220,14 @@
     if (rejection != ExitReason::none) exitTask(attempt, rejection, now);
 }
 
+/// Direct commands may arrive minutes late and more than once, so they must neither start a task nor let this
+/// worker forget one.
+void Worker::checkDirectCommands(const std::vector<WorkerCommand>& commands) {
+    for (const auto& command : commands)
+        machines_.oracle_.require(command.kind == CommandKind::stop,
+                                  "direct command that is no stop: " + nameOf(command.attempt));
+}
+
 void Worker::serve(const transport::Request& request, const transport::Reply& reply) {
     const auto now = Clock::now();
     expireLease(now);
@@ -234,7 +242,9 @@
             } else {
                 fencingToken_ = fencingToken;
                 machines_.recordFencingToken(fencingToken);
-                execute(protocol::decodeCommands(request.body), now);
+                const auto commands = protocol::decodeCommands(request.body);
+                checkDirectCommands(commands);
+                execute(commands, now);
             }
         } catch (const protocol::MalformedMessage& error) {
             machines_.oracle_.require(false, std::string("malformed commands: ") + error.what());
--- a/tests/upgrade/machines.h
+++ b/tests/upgrade/machines.h
@@ -67,6 +67,7 @@
     void applyHeartbeatResponse(const std::string& body, Time sent, Time now);
     void tryNextController(Time now);
     void execute(const std::vector<protocol::WorkerCommand>& commands, Time now);
+    void checkDirectCommands(const std::vector<protocol::WorkerCommand>& commands);
     void start(const protocol::Attempt& attempt, Time now);
     /// Why a start command has to be rejected; `none` if the worker accepts it.
     protocol::ExitReason rejectionReason(const protocol::Attempt& attempt) const;
--- a/tests/upgrade/machines_check_test.cpp
+++ b/tests/upgrade/machines_check_test.cpp
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "protocol/worker_messages.h"
+#include "transport/http_client.h"
 #include "transport/http_message.h"
 #include "upgrade/check_fixture.h"
 #include "upgrade/machines.h"
@@ -42,6 +43,13 @@
     void queueStart(const std::string& zone, std::uint32_t task, std::uint64_t attempt) {
         pendingCommands[zone].push_back({CommandKind::start, {kJob, task, attempt}, Seconds(0)});
     }
+    /// Sends the command straight to the first machine, under the controller's fencing token.
+    void sendDirectly(const WorkerCommand& command) {
+        constexpr std::uint64_t kFencingToken = 1, kIncarnation = 1;
+        http.request(machines.workers().begin()->second->address(), "POST", protocol::paths::kCommands,
+                     protocol::encodeDirectCommands(kFencingToken, kIncarnation, {command}),
+                     std::chrono::seconds(5), [this](const auto&) { ++directCommandsAnswered; });
+    }
     void stepUntil(const std::function<bool()>& condition) {
         while (!condition()) {
             machines.step(Clock::now());
@@ -63,6 +71,8 @@
     std::map<std::string, std::vector<WorkerCommand>> pendingCommands;  // by zone
     bool dependencyDone = false;
     ScriptedController controller{io};
+    burlpoint::transport::HttpClient http{io, 1};
+    int directCommandsAnswered = 0;
     Machines machines{
         io, oracle, settings, {controller.endpoint()}, [this](const std::string&) { return dependencyDone; }};
 
@@ -126,6 +136,21 @@
     stepUntilViolation("ran_cancelled: a task of");
 }
 
+TEST_F(MachinesTest, DirectCommandThatIsNoStopIsReported) {
+    registerJob(makeSmallJob(kJob));
+    sendDirectly({CommandKind::start, {kJob, 0, 1}, Seconds(0)});
+    stepUntilViolation("direct command that is no stop");
+}
+
+TEST_F(MachinesTest, DirectStopBreaksNoRule) {
+    registerJob(makeSmallJob(kJob));
+    queueStart("a", 0, 1);
+    stepUntilStarted(1);
+    sendDirectly({CommandKind::stop, {kJob, 0, 1}, Seconds(0)});
+    stepUntil([&] { return directCommandsAnswered == 1; });
+    EXPECT_EQ(oracle.violations, std::vector<std::string>());
+}
+
 TEST_F(MachinesTest, StartOfAnUnknownJobIsReported) {
     queueStart("a", 0, 1);
     stepUntilViolation("start command for an unknown task");
--- a/tests/workers/worker_commands_test.cpp
+++ b/tests/workers/worker_commands_test.cpp
@@ -19,6 +19,8 @@
     bookkeeping::StateReplica replica;
     bookkeeping::Fleet fleet;
     protocol::Heartbeat heartbeat;
+    bookkeeping::RecentStarts recentStarts;
+    Time now{std::chrono::seconds(1000)};
 
     Job& accept(const std::string& id, TerminalState terminalState, std::uint32_t tasks = 400) {
         storage::JobRecord record;
@@ -47,7 +49,7 @@
     }
     std::vector<protocol::WorkerCommand> cleanupCommands() {
         std::vector<protocol::WorkerCommand> commands;
-        EXPECT_EQ(coordination::addCleanupCommands(heartbeat, replica, commands),
+        EXPECT_EQ(coordination::addCleanupCommands(heartbeat, replica, recentStarts, now, commands),
                   coordination::CommandFit::complete);
         return commands;
     }
@@ -65,6 +67,17 @@
     EXPECT_EQ(cleanupCommands().front().kind, CommandKind::acknowledge);
 }
 
+TEST_F(WorkerCommandsTest, ExitedTaskIsAcknowledgedOnlyOnceNoCopyOfItsStartIsAccepted) {
+    auto& job = accept("wk-1", TerminalState::none);
+    addToHeartbeat("wk-1", 3, TaskState::exited, ExitReason::machineFull);
+    recentStarts.record({&job, 3, 1}, now);
+    now += std::chrono::seconds(4);
+    EXPECT_TRUE(cleanupCommands().empty());
+    recentStarts.record({&job, 4, 1}, now);
+    now += std::chrono::milliseconds(100);
+    EXPECT_EQ(cleanupCommands().size(), 1u);
+}
+
 TEST_F(WorkerCommandsTest, FailedOrUnknownTasksAreAcknowledgedOrStopped) {
     accept("wk-1", TerminalState::none, 10);
     addToHeartbeat("wk-1", 0, TaskState::exited, ExitReason::error);
@@ -97,7 +110,7 @@
     for (std::uint32_t task = 0; task < 400; ++task)
         addToHeartbeat("unknown", task, TaskState::running, ExitReason::none);
     std::vector<protocol::WorkerCommand> commands;
-    EXPECT_EQ(coordination::addCleanupCommands(heartbeat, replica, commands),
+    EXPECT_EQ(coordination::addCleanupCommands(heartbeat, replica, recentStarts, now, commands),
               coordination::CommandFit::truncated);
     EXPECT_EQ(commands.size(), coordination::kMaxCommands);
 }
