--- a/src/bookkeeping/job_run.h
+++ b/src/bookkeeping/job_run.h
@@ -85,7 +85,6 @@
     // Failures, and the writing of results.
     Time backoffUntil{};                            // after failures, no task is started before this time
     RecentFailures failures{kJobFailureRetention};  // by machine
-    bool succeeded = false;                         // a worker has reported a task of this run as done
     Time nextBitmapWrite{};                         // earliest time of the next write of bits
 
     // Image locality, computed at intervals and not for each heartbeat.
--- a/src/bookkeeping/placement.h
+++ b/src/bookkeeping/placement.h
@@ -49,4 +49,8 @@
     }
 };
 
+inline AttemptKey attemptKeyOf(const Placement& placement) {
+    return {placement.job, placement.task, placement.attempt};
+}
+
 }  // namespace burlpoint::bookkeeping
--- a/src/coordination/autoscaling/bin_packing.h
+++ b/src/coordination/autoscaling/bin_packing.h
@@ -26,8 +26,7 @@
     std::uint32_t unpacked = 0;  // tasks not packed into any bin so far
     TasksPerZone tasksPerZone;   // tasks running or packed
 
-    /// How many of the unpacked tasks fit into the free resources `freeResources` in `zone`, under the job's
-    /// zone rules.
+    /// How many of the unpacked tasks fit into `freeResources` in `zone`, under the job's zone rules.
     std::uint32_t tasksThatFit(const bookkeeping::Resources& freeResources, const std::string& zone) const;
 };
 
--- a/src/coordination/leadership/peer_exchange.cpp
+++ b/src/coordination/leadership/peer_exchange.cpp
@@ -99,15 +99,15 @@
     question.logPosition = known ? view->second.cancellationLogPosition : 0;
 }
 
-void PeerExchange::appendCancellations(const PeerStatus& asking, PeerStatus& answer) const {
+void PeerExchange::appendCancellations(const PeerStatus& query, PeerStatus& answer) const {
     const auto& known = replica_.cancelled();
     answer.logId = cancellationLogId_;
     // A position in the log of an earlier process of this controller is not valid in the log of this process.
-    const bool sameLog = asking.logId == cancellationLogId_;
-    auto position = sameLog ? std::min<std::uint64_t>(asking.logPosition, known.size()) : 0;
+    const bool sameLog = query.logId == cancellationLogId_;
+    auto position = sameLog ? std::min<std::uint64_t>(query.logPosition, known.size()) : 0;
     for (; position < known.size() && answer.cancelled.size() < kMaxCancellationsPerMessage; ++position) {
         const auto& job = *known[position];
-        if (job.version > asking.revision) answer.cancelled.push_back({job.spec.id, job.version});
+        if (job.version > query.revision) answer.cancelled.push_back({job.spec.id, job.version});
     }
     answer.logPosition = position;
     answer.complete = position == known.size();
--- a/src/coordination/leadership/peer_exchange.h
+++ b/src/coordination/leadership/peer_exchange.h
@@ -54,9 +54,9 @@
     /// call set.
     void describeKnownState(const std::string& peer, protocol::PeerStatus& question) const;
 
-    /// Adds to `answer`, the response to the leader's status message `asking`, the cancellations that the
+    /// Adds to `answer`, the response to the leader's status message `query`, the cancellations that the
     /// leader may not know, at most 500. Sets `answer.complete` to true if there are no more.
-    void appendCancellations(const protocol::PeerStatus& asking, protocol::PeerStatus& answer) const;
+    void appendCancellations(const protocol::PeerStatus& query, protocol::PeerStatus& answer) const;
 
     /// Applies the cancellations in a peer's answer and records the position reached in the peer's
     /// cancellation log. Returns true if the peer has more cancellations and should be asked again at once.
--- a/src/coordination/scheduling/accelerator_policy.cpp
+++ b/src/coordination/scheduling/accelerator_policy.cpp
@@ -124,10 +124,8 @@
 bool AcceleratorPolicy::replicaMayUse(const Job& job, const Machine& machine, const Demand& demand,
                                       const Resources& left, Time now) const {
     if (plainMachineObtainable(job.spec, types_, capacityErrors_, now)) return false;
-    const auto withoutAccelerators = plainCpus_.find({machine.zone, machine.spot});
-    if (withoutAccelerators != plainCpus_.end() &&
-        withoutAccelerators->second > kMinPlainReplicas * job.spec.cpus)
-        return false;
+    const auto plainCpus = plainCpus_.find({machine.zone, machine.spot});
+    if (plainCpus != plainCpus_.end() && plainCpus->second > kMinPlainReplicas * job.spec.cpus) return false;
     // If the machine is already too full for the demand, one more replica takes nothing from it.
     const bool occupied = !(left + bookkeeping::needOf(job.spec)).covers(demand.perTask);
     return occupied || replicaMayOccupy(machine, now);
--- a/src/coordination/scheduling/gang_planner.cpp
+++ b/src/coordination/scheduling/gang_planner.cpp
@@ -82,7 +82,7 @@
         }
         spdlog::debug("planned task withdrawn job={} task={} machine={}", job.spec.id, placement->task,
                       machine->id);
-        fleet_.remove(*machine, machine->placements.find({&job, placement->task, placement->attempt}));
+        fleet_.remove(*machine, machine->placements.find(attemptKeyOf(*placement)));
         jobQueue_.markStale();
     }
     if (job.run->placedTotal == 0) job.run->gangAttempt = 0;
--- a/src/coordination/scheduling/task_terminator.cpp
+++ b/src/coordination/scheduling/task_terminator.cpp
@@ -36,7 +36,7 @@
     const bool openGang = bookkeeping::isMultiTaskGang(job.spec) && job.terminalState == TerminalState::none;
     for (auto [machine, placement] : fleet_.placementsOf(job)) {
         if (placement->state == PlacementState::planned) {
-            fleet_.remove(*machine, machine->placements.find({&job, placement->task, placement->attempt}));
+            fleet_.remove(*machine, machine->placements.find(attemptKeyOf(*placement)));
             jobQueue_.markStale();
             continue;
         }
--- a/src/coordination/workers/heartbeat_reconciler.cpp
+++ b/src/coordination/workers/heartbeat_reconciler.cpp
@@ -127,7 +127,7 @@
         if (placement.listedInStatus || inFlight) return false;
         if (placement.state != PlacementState::sent) return true;
         startUndelivered = true;
-        machine.history.recentStarts.remove({placement.job, placement.task, placement.attempt});
+        machine.history.recentStarts.remove(attemptKeyOf(placement));
         return true;
     };
     context_.completion.endIf(machine, isGone, now);
@@ -200,7 +200,6 @@
     if (!markFinished(job, task)) return;
     context_.writer.markUnstored(job);
     job.run->failures.clear();
-    job.run->succeeded = true;
 }
 
 /// Marks the task as finished; for a gang all of its tasks, since they complete together. Returns false if
