--- a/tests/memory/heap_meter.cpp
+++ b/tests/memory/heap_meter.cpp
@@ -8,13 +8,16 @@
 
 // The allocator of the C library under its internal names.
 extern "C" {
-// NOLINTBEGIN(bugprone-reserved-identifier,readability-identifier-naming): names of the C library
+// NOLINTNEXTLINE(bugprone-reserved-identifier,readability-identifier-naming): a name of the C library
 void* __libc_malloc(std::size_t size);
+// NOLINTNEXTLINE(bugprone-reserved-identifier,readability-identifier-naming): a name of the C library
 void* __libc_calloc(std::size_t count, std::size_t size);
+// NOLINTNEXTLINE(bugprone-reserved-identifier,readability-identifier-naming): a name of the C library
 void* __libc_realloc(void* memory, std::size_t size);
+// NOLINTNEXTLINE(bugprone-reserved-identifier,readability-identifier-naming): a name of the C library
 void* __libc_memalign(std::size_t alignment, std::size_t size);
+// NOLINTNEXTLINE(bugprone-reserved-identifier,readability-identifier-naming): a name of the C library
 void __libc_free(void* memory);
-// NOLINTEND(bugprone-reserved-identifier,readability-identifier-naming): names of the C library
 }
 
 namespace {
